--- /dev/null
+++ b/src/main/java/wharfhinge/Choice.java
@@ -0,0 +1,926 @@
+package wharfhinge;
+
+// Events, actions and settings: Dispatcher.java. Every decision is in this file, in six parts:
+// 1 warm lists, 2 ranking, 3 eligibility, 4 attempts, 5 loads, 6 admission; docs/design.md has the why.
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.Predicate;
+
+/** The decisions of one dispatcher. One thread at a time; needs nothing but its events. */
+public final class Choice implements Dispatcher {
+
+    private static final long MS = 1_000_000L;
+
+    // Ranking. The valve starts at the design's eight and follows latency against the aim.
+    private static final double VALVE_START = 8;
+    private static final double VALVE_MIN = 2; // one in work, one waiting: below that a core idles
+    private static final double VALVE_MAX = 64; // bounds what a long quiet spell can build up
+    private static final double VALVE_STEP = 0.1; // additive raise an answer, slow next to the cut
+    private static final double VALVE_CUT = 0.85; // multiplicative cut, at most once a smoothed latency
+    private static final double VALVE_HIGH = 0.7; // of the aim: the next in line would be late
+    private static final double VALVE_LOW = 0.45; // of the aim: there is room for more
+    private static final double NEAR_IDLE = 1.5; // a home may hold this multiple of the mean, and this more
+
+    // Eligibility. Weights of a smoothed value: recent ten to five answers decide.
+    private static final double SMOOTH_LATENCY = 0.1;
+    private static final double SMOOTH_FAILURES = 0.2;
+    private static final double FAILING = 0.45; // smoothed share of failures: three in a row from none
+    private static final double SLOW = 3; // times the peers' median: past what load alone makes uneven
+    private static final int SLOW_SAMPLES = 6; // answers before slowness is believed
+    private static final double MOST = 0.5; // never shut out more than this share of the fleet
+    private static final long EJECT_FIRST = 1000 * MS; // first pause before a trial; doubles to the last
+    private static final long EJECT_LAST = 8000 * MS;
+    private static final int TRIALS = 2; // trials in a row that must pass
+    private static final double COLD_MARGIN = 0.6; // of the told multiple: chance and uneven peers
+    private static final long RATE_WINDOW = 5000 * MS; // the memory of the arrival rate
+
+    // Attempts.
+    private static final double PATIENCE_AIM = 0.5; // of the aim: leaves the other half for a second try
+    private static final double PATIENCE_WORK = 4; // times the usual time of an answer
+    private static final double PATIENCE_LOAD = 2; // times the told time of a load
+    private static final double RETRY_SHARE = 0.25; // retries for each request, as a token bucket
+    private static final double RETRY_BURST = 20;
+    private static final long LOAD_UNTOLD = 1000 * MS; // where no usual time of a load is told
+
+    // Loads. Orders out at once: additive raise, multiplicative cut when the store looks crowded.
+    private static final double ORDERS_START = 8;
+    private static final double ORDERS_MIN = 2;
+    private static final double ORDERS_MAX = 32;
+    private static final double ORDERS_CUT = 0.7;
+    private static final double CROWDED = 3; // times the told load time: others stand in line
+    private static final double ORDER_PATIENCE = 4; // times the told load time before another worker is tried
+
+    // Admission.
+    private static final double REFUSE_OVER = 1.25; // times the valve on the least busy worker
+
+    private static final long SWEEP = 25 * MS; // pace of looking after what is held
+    private static final long LAPSE_EVERY = 1000 * MS;
+    private static final String SWEEP_TOKEN = "sweep";
+    private static final String END_TOKEN = "end:";
+    private static final String PATIENCE_TOKEN = "wait:";
+
+    private final Settings settings;
+    private final Actions actions;
+    private final Random random;
+    private final Map<String, RequestClass> classes = new HashMap<>();
+    private final Map<String, Usual> usual = new HashMap<>();
+    private final Map<String, WorkerState> workers = new LinkedHashMap<>();
+    private final Map<String, RequestState> requests = new HashMap<>();
+    private final LinkedHashSet<RequestState> held = new LinkedHashSet<>();
+    private final ArrayDeque<Entry> pendingOrders = new ArrayDeque<>();
+    private final ArrayDeque<Long> orderTimes = new ArrayDeque<>();
+    private final ArrayDeque<Long> arrivalTimes = new ArrayDeque<>();
+    private final long keepNs;
+    private long now;
+    private long lastLapse;
+    private double arrivals; // decayed count over RATE_WINDOW
+    private long arrivalsAt;
+    private double retryTokens = RETRY_BURST;
+    private double orderLimit = ORDERS_START;
+    private int ordersOut;
+
+    /** A dispatcher that knows nothing yet; draws only from {@code seed}. */
+    public Choice(long now, long seed, Settings settings, Actions actions) {
+        if (settings == null || settings.classes() == null || settings.familyInfo() == null
+            || settings.limits() == null || settings.obligations() == null) {
+            throw new IllegalArgumentException("classes, family_info, limits and obligations are needed");
+        }
+        this.settings = settings;
+        this.actions = actions;
+        this.random = new Random(seed);
+        this.keepNs = settings.familyInfo().keepNs();
+        this.now = now;
+        this.lastLapse = now;
+        this.arrivalsAt = now;
+        for (RequestClass c : settings.classes()) {
+            classes.put(c.name(), c);
+            usual.put(c.name(), new Usual(c.onTimeNs()));
+        }
+        if ("on_request".equals(settings.discovery())) {
+            actions.listen(true);
+        }
+        actions.timer(SWEEP_TOKEN, SWEEP);
+    }
+
+    /** The usual time of a warm answer of a class, for each unit of told cost where costs are told. */
+    private static final class Usual {
+        private final double untold;
+        private double perUnit;
+
+        Usual(long aim) {
+            untold = aim / 4.0;
+        }
+
+        void learn(double sample) {
+            perUnit = perUnit > 0 ? perUnit + SMOOTH_LATENCY / 2 * (sample - perUnit) : sample;
+        }
+
+        double of(Request request) {
+            return perUnit > 0 ? perUnit * units(request) : untold;
+        }
+
+        static double units(Request request) {
+            return request.costNs() > 0 ? request.costNs() : 1;
+        }
+    }
+
+    private static final class RequestState {
+        private final Request request;
+        private final RequestClass type;
+        private final long arrived;
+        private final long hash;
+        private final List<Attempt> attempts = new ArrayList<>();
+        private final List<Attempt> exposed = new ArrayList<>(); // may have run, or still may
+        private final LinkedHashSet<WorkerState> tried = new LinkedHashSet<>();
+        private Entry waitsFor;
+        private int live;
+        private boolean streaming;
+        private boolean done;
+
+        RequestState(Request request, RequestClass type, long arrived) {
+            this.request = request;
+            this.type = type;
+            this.arrived = arrived;
+            this.hash = mix(request.function().hashCode());
+        }
+    }
+
+    record Attempt(RequestState request, WorkerState worker, int index, long sentAt, boolean trial) { }
+
+    private static final class WorkerState {
+        private final String id;
+        private final long hash;
+        private final Map<String, Entry> warm = new LinkedHashMap<>();
+        private Worker told;
+        private boolean up;
+        private int inFlight;
+        private double valve = VALVE_START;
+        private double lateness; // smoothed latency over the class's aim
+        private long valveCutAt;
+        private long heardAt;
+        private double failures;
+        private double slowness = 1; // smoothed latency over the usual
+        private int samples;
+        private boolean ejected;
+        private boolean silent;
+        private boolean onTrial;
+        private int trialsPassed;
+        private long trialAt;
+        private long pause = EJECT_FIRST;
+        private double coldTokens;
+        private long coldAt;
+
+        WorkerState(String id, long now) {
+            this.id = id;
+            this.heardAt = now;
+            this.coldAt = now;
+            this.hash = mix(id.hashCode());
+        }
+
+        boolean saturated() {
+            return inFlight >= valve;
+        }
+    }
+
+    // ---- Events -----------------------------------------------------------------------------
+
+    @Override
+    public void members(long at, ListMode mode, long revision, List<Worker> entries) {
+        now = at;
+        if (mode == ListMode.REFUSED) {
+            actions.listen(true);
+            return;
+        }
+        LinkedHashSet<String> named = new LinkedHashSet<>();
+        for (Worker entry : entries) {
+            named.add(entry.id());
+            update(entry);
+        }
+        if (mode != ListMode.CHANGES) {
+            for (WorkerState w : workers.values()) {
+                if (!named.contains(w.id)) {
+                    leave(w);
+                }
+            }
+        }
+        retryHeld();
+    }
+
+    /** Takes an entry; a worker that came back under its name is empty, cold and unjudged. */
+    private void update(Worker entry) {
+        WorkerState old = workers.get(entry.id());
+        boolean fresh = old == null || entry.startedAt() != 0 && entry.startedAt() != old.told.startedAt();
+        WorkerState w = fresh ? new WorkerState(entry.id(), now) : old;
+        w.told = entry;
+        w.up = entry.availability() == Availability.UP;
+        workers.put(entry.id(), w);
+        if (fresh && old != null) {
+            leave(old);
+        }
+        if (!w.up) {
+            leave(w);
+        }
+    }
+
+    private void leave(WorkerState w) {
+        w.up = false;
+        List.copyOf(w.warm.values()).forEach(this::dropEntry);
+    }
+
+    @Override
+    public void query(long at, Request request) {
+        now = at;
+        RequestClass type = classes.get(request.requestClass());
+        if (type == null) {
+            throw new IllegalArgumentException("unknown class " + request.requestClass());
+        }
+        RequestState r = new RequestState(request, type, now);
+        requests.put(request.id(), r);
+        countArrival();
+        actions.timer(END_TOKEN + request.id(), Math.max(0, request.remainingNs() - 2 * settings.tickNs()));
+        route(r);
+    }
+
+    @Override
+    public void clientLeft(long at, String request) {
+        now = at;
+        RequestState r = requests.get(request);
+        if (r != null) {
+            finish(r);
+        }
+    }
+
+    @Override
+    public void probed(long at, String worker, Outcome outcome, long tookNs, Map<String, Double> report) {
+        now = at;
+    }
+
+    @Override
+    public void established(long at, String request, int attempt, String worker) {
+        now = at;
+        RequestState r = requests.get(request);
+        if (r != null) {
+            r.streaming = true;
+        }
+    }
+
+    @Override
+    public void inbox(long at, int peer, byte[] payload) {
+        now = at;
+    }
+
+    @Override
+    public void due(long at, String token) {
+        now = at;
+        if (token.equals(SWEEP_TOKEN)) {
+            sweep();
+        } else if (token.startsWith(END_TOKEN)) {
+            RequestState r = requests.get(token.substring(END_TOKEN.length()));
+            if (r != null && !r.done && !r.streaming) {
+                decline(r);
+            }
+        } else if (token.startsWith(PATIENCE_TOKEN)) {
+            int colon = token.indexOf(':', PATIENCE_TOKEN.length());
+            RequestState r = requests.get(token.substring(colon + 1));
+            if (r != null) {
+                overdue(r, Integer.parseInt(token.substring(PATIENCE_TOKEN.length(), colon)));
+            }
+        }
+    }
+
+    @Override
+    public void completed(long at, Completion c) {
+        now = at;
+        RequestState r = requests.get(c.request());
+        Attempt a = r == null || c.attempt() >= r.attempts.size() ? null : r.attempts.get(c.attempt());
+        if (a == null) {
+            return;
+        }
+        settle(a, c);
+        if (c.settled()) {
+            finish(r);
+        } else if (!r.done && r.live == 0 && !r.streaming) {
+            again(r, a, c);
+        }
+        if (r.done && r.live == 0) {
+            requests.remove(c.request());
+        }
+    }
+
+    private void sweep() {
+        actions.timer(SWEEP_TOKEN, SWEEP);
+        retryHeld();
+        stuckLoads();
+        givePendingOrders();
+        if (now - lastLapse >= LAPSE_EVERY) {
+            lastLapse = now;
+            lapse();
+        }
+    }
+
+    // ---- 1. Warm lists ----------------------------------------------------------------------
+
+    /** A function believed warm, or loading, on one worker. */
+    private static final class Entry {
+        private final WorkerState worker;
+        private final String function;
+        private final LinkedHashSet<RequestState> waiting = new LinkedHashSet<>();
+        private long lastSend;
+        private boolean loading;
+        private boolean ordered;
+        private long orderedAt;
+        private long loadNs;
+        private int inFlight;
+        private int copies = 1;
+
+        Entry(WorkerState worker, String function) {
+            this.worker = worker;
+            this.function = function;
+        }
+    }
+
+    private boolean believedWarm(WorkerState w, String function) {
+        Entry e = w.warm.get(function);
+        return e != null && (e.inFlight > 0 || e.ordered || now - e.lastSend < keepNs);
+    }
+
+    private Entry record(WorkerState w, Request request) {
+        Entry e = w.warm.get(request.function());
+        if (e == null || !believedWarm(w, request.function())) {
+            e = new Entry(w, request.function());
+            e.loading = true;
+            w.warm.put(request.function(), e);
+        }
+        e.lastSend = now;
+        e.loadNs = request.loadMs() > 0 ? (long) (request.loadMs() * MS) : LOAD_UNTOLD;
+        return e;
+    }
+
+    private void lapse() {
+        for (Iterator<WorkerState> it = workers.values().iterator(); it.hasNext();) {
+            WorkerState w = it.next();
+            w.warm.values().removeIf(e -> e.waiting.isEmpty() && !believedWarm(w, e.function));
+            if (!w.up && w.inFlight == 0 && w.warm.isEmpty()) {
+                it.remove();
+            }
+        }
+    }
+
+    private void dropEntry(Entry e) {
+        if (e.worker.warm.get(e.function) == e) {
+            e.worker.warm.remove(e.function);
+        }
+        pendingOrders.remove(e);
+        release(e, true);
+    }
+
+    /** Routes anew what waited for a load; elsewhere if that load came to nothing. */
+    private void release(Entry e, boolean elsewhere) {
+        List<RequestState> waiting = List.copyOf(e.waiting);
+        e.waiting.clear();
+        for (RequestState r : waiting) {
+            r.waitsFor = null;
+            if (elsewhere) {
+                r.tried.add(e.worker);
+            }
+            route(r);
+        }
+    }
+
+    // ---- 2. Ranking -------------------------------------------------------------------------
+
+    /**
+     * The design's order: believed warm below the valve, then the function's home among near-idle
+     * workers below it, then, all saturated, the one with the fewest own in flight.
+     */
+    private WorkerState rank(List<WorkerState> eligible, RequestState r) {
+        String function = r.request.function();
+        WorkerState warm = fewest(eligible, w -> !w.saturated() && believedWarm(w, function));
+        if (warm != null) {
+            return warm;
+        }
+        WorkerState home = home(eligible, r);
+        return home != null ? home : fewest(eligible, w -> true);
+    }
+
+    /** The one with the fewest own in flight among those that qualify, random among equals; or null. */
+    private WorkerState fewest(List<WorkerState> eligible, Predicate<WorkerState> qualifies) {
+        WorkerState best = null;
+        int ties = 0;
+        for (WorkerState w : eligible) {
+            if (!qualifies.test(w)) {
+                continue;
+            }
+            if (best == null || w.inFlight < best.inFlight) {
+                best = w;
+                ties = 1;
+            } else if (w.inFlight == best.inFlight && random.nextInt(++ties) == 0) {
+                best = w;
+            }
+        }
+        return best;
+    }
+
+    /**
+     * Departure: where nothing is believed warm, near-idle workers tie and the tie is broken by a hash
+     * of function and worker, so that front ends that share nothing, and a restarted one, meet.
+     */
+    private WorkerState home(List<WorkerState> eligible, RequestState r) {
+        double mean = eligible.stream().mapToInt(w -> w.inFlight).average().orElse(0);
+        double bound = NEAR_IDLE * (mean + 1);
+        WorkerState best = null;
+        for (WorkerState w : eligible) {
+            if (!w.saturated() && w.inFlight <= bound
+                && (best == null || mix(w.hash ^ r.hash) > mix(best.hash ^ r.hash))) {
+                best = w;
+            }
+        }
+        return best;
+    }
+
+    private static long mix(long x) {
+        long z = x * 0x9E3779B97F4A7C15L;
+        z = (z ^ (z >>> 30)) * 0xBF58476D1CE4E5B9L;
+        z = (z ^ (z >>> 27)) * 0x94D049BB133111EBL;
+        return z ^ (z >>> 31);
+    }
+
+    /** The valve follows the smoothed latency against the aim, worker by worker. */
+    private void turnValve(WorkerState w, RequestState r, long tookNs) {
+        double late = tookNs / (double) r.type.onTimeNs();
+        w.lateness += SMOOTH_LATENCY * (late - w.lateness);
+        if (w.lateness > VALVE_HIGH && now - w.valveCutAt > w.lateness * r.type.onTimeNs()) {
+            w.valve = Math.max(VALVE_MIN, w.valve * VALVE_CUT);
+            w.valveCutAt = now;
+        } else if (w.lateness < VALVE_LOW && w.inFlight >= w.valve / 2) {
+            w.valve = Math.min(VALVE_MAX, w.valve + VALVE_STEP);
+        }
+    }
+
+    // ---- 3. Eligibility ---------------------------------------------------------------------
+
+    /** Workers that may get this request now; healthy ones where they are not too few. */
+    private List<WorkerState> eligible(RequestState r) {
+        List<WorkerState> open = new ArrayList<>(workers.size());
+        List<WorkerState> healthy = new ArrayList<>(workers.size());
+        int up = 0;
+        for (WorkerState w : workers.values()) {
+            if (!w.up) {
+                continue;
+            }
+            up++;
+            if (!mayResend(r, w) || !withinColdBudget(w)) {
+                continue;
+            }
+            open.add(w);
+            if (!w.ejected) {
+                healthy.add(w);
+            }
+        }
+        List<WorkerState> pool = healthy.size() >= MOST * up ? healthy : without(open, w -> w.silent);
+        return without(pool, r.tried::contains);
+    }
+
+    private static List<WorkerState> without(List<WorkerState> all, Predicate<WorkerState> bad) {
+        List<WorkerState> left = new ArrayList<>(all);
+        left.removeIf(bad);
+        return left.isEmpty() ? all : left;
+    }
+
+    /** A worker whose pause is over and that waits for its one trial, or null. */
+    private WorkerState trialDue(RequestState r) {
+        if (r.live > 0 || !r.attempts.isEmpty() || r.type.effect() != Effect.IDEMPOTENT) {
+            return null;
+        }
+        for (WorkerState w : workers.values()) {
+            if (w.up && w.ejected && !w.onTrial && now >= w.trialAt && withinColdBudget(w)) {
+                return w;
+            }
+        }
+        return null;
+    }
+
+    private void eject(WorkerState w, boolean silent, String symptom) {
+        w.silent |= silent;
+        if (w.ejected) {
+            return;
+        }
+        w.ejected = true;
+        w.trialsPassed = 0;
+        w.trialAt = now + w.pause;
+        actions.remark("ejected " + w.id + " " + symptom);
+    }
+
+    private void restore(WorkerState w) {
+        w.ejected = false;
+        w.silent = false;
+        w.failures = 0;
+        w.slowness = 1;
+        w.samples = 0;
+        w.pause = EJECT_FIRST;
+    }
+
+    private void judge(Attempt a, Completion c) {
+        WorkerState w = a.worker;
+        boolean alive = c.outcome() == Outcome.FULL || c.outcome() == Outcome.MISS;
+        if (alive || c.outcome() == Outcome.SERVED || c.outcome() == Outcome.ERROR) {
+            w.heardAt = now;
+        }
+        if (alive || c.outcome() == Outcome.CANCELLED || c.outcome() == Outcome.MOOT) {
+            w.onTrial &= !a.trial;
+            return;
+        }
+        boolean bad = c.outcome() != Outcome.SERVED && c.note() != Note.LOAD_FAILED;
+        w.failures += SMOOTH_FAILURES * ((bad ? 1 : 0) - w.failures);
+        if (!bad && (c.note() == Note.NONE || c.note() == Note.FOUND_LOADED)) {
+            Usual u = usual.get(a.request.type.name());
+            w.slowness += SMOOTH_LATENCY * (c.tookNs() / Math.max(1, u.of(a.request.request)) - w.slowness);
+            w.samples++;
+            u.learn(c.tookNs() / Usual.units(a.request.request));
+            turnValve(w, a.request, c.tookNs());
+        }
+        if (a.trial) {
+            w.onTrial = false;
+            trialEnded(w, bad);
+        } else if (w.silent && !bad) {
+            restore(w);
+        } else if (bad && w.failures > FAILING) {
+            eject(w, false, "failing");
+        } else if (w.samples >= SLOW_SAMPLES && w.slowness > SLOW * medianSlowness()) {
+            eject(w, false, "slow");
+        }
+    }
+
+    private void trialEnded(WorkerState w, boolean bad) {
+        if (!w.ejected) {
+            return;
+        }
+        if (bad) {
+            w.pause = Math.min(EJECT_LAST, 2 * w.pause);
+            w.trialsPassed = 0;
+            w.trialAt = now + w.pause;
+        } else if (++w.trialsPassed >= TRIALS) {
+            restore(w);
+        } else {
+            w.trialAt = now;
+        }
+    }
+
+    private double medianSlowness() {
+        double[] all = workers.values().stream().filter(w -> w.up && w.samples > 0)
+            .mapToDouble(w -> w.slowness).sorted().toArray();
+        return all.length == 0 ? 1 : Math.max(1, all[all.length / 2]);
+    }
+
+    private boolean cold(WorkerState w) {
+        return w.told.startedAt() > 0 && now - w.told.startedAt() < settings.obligations().warmAfterNs();
+    }
+
+    /**
+     * Rule 4: a cold worker gets tokens at the told multiple of its present share of what a warm worker
+     * is asked by this dispatcher. Own arrivals stand for the own share of the group, so the sum over
+     * dispatchers stays below the rule as long as warm workers are not far over their capacity.
+     */
+    private boolean withinColdBudget(WorkerState w) {
+        if (!cold(w)) {
+            return true;
+        }
+        Obligations rules = settings.obligations();
+        double age = Math.max(0, now - w.told.startedAt()) / (double) rules.warmAfterNs();
+        double share = rules.coldFrom() + (1 - rules.coldFrom()) * age;
+        long up = workers.values().stream().filter(other -> other.up).count();
+        double perNs = COLD_MARGIN * rules.overloadFactor() * share * arrivalsPerNs() / Math.max(1, up);
+        double most = Math.max(1, perNs * rules.tipAfterNs() / 2);
+        w.coldTokens = Math.min(most, w.coldTokens + perNs * (now - w.coldAt));
+        w.coldAt = now;
+        return w.coldTokens >= 1;
+    }
+
+    private void countArrival() {
+        arrivals = arrivals * Math.exp((arrivalsAt - now) / (double) RATE_WINDOW) + 1;
+        arrivalsAt = now;
+        retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
+        if (settings.familyInfo().loadPeriodNs() > 0) {
+            arrivalTimes.add(now);
+        }
+    }
+
+    private double arrivalsPerNs() {
+        return arrivals * Math.exp((arrivalsAt - now) / (double) RATE_WINDOW) / RATE_WINDOW;
+    }
+
+    // ---- 4. Attempts ------------------------------------------------------------------------
+
+    /** Rule 2, for every path: may this request be sent to this worker now? */
+    private boolean mayResend(RequestState r, WorkerState w) {
+        if (r.done || r.live > 0 && !settings.limits().secondCopies()) {
+            return false;
+        }
+        if (r.type.effect() == Effect.IDEMPOTENT || r.exposed.isEmpty()) {
+            return true;
+        }
+        if (r.type.effect() == Effect.AT_MOST_ONCE) {
+            return false;
+        }
+        for (Attempt a : r.exposed) {
+            boolean late = now - a.sentAt >= r.type.windowNs() - 2 * settings.tickNs();
+            if (late || !sameGroup(r.type, a.worker, w)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Rule 2: may the client be told that a retry is harmless? */
+    private boolean mayRefuse(RequestState r) {
+        return r.exposed.isEmpty() || r.type.effect() == Effect.IDEMPOTENT
+            || r.type.effect() == Effect.DEDUPLICATED && r.type.group() == Group.ALL;
+    }
+
+    private static boolean sameGroup(RequestClass type, WorkerState a, WorkerState b) {
+        return switch (type.group() == null ? Group.CELL : type.group()) {
+            case ALL -> true;
+            case ZONE -> a.told.zone() != null && a.told.zone().equals(b.told.zone());
+            case CELL -> a.told.cell() == b.told.cell();
+        };
+    }
+
+    private static boolean provesNeverRan(Outcome outcome) {
+        return switch (outcome) {
+            case FULL, CONNECT_FAILED, MOOT, MISS -> true;
+            default -> false;
+        };
+    }
+
+    private void route(RequestState r) {
+        if (r.done) {
+            return;
+        }
+        if (r.attempts.size() >= settings.limits().maxAttempts()) {
+            decline(r);
+            return;
+        }
+        WorkerState trial = trialDue(r);
+        if (trial != null) {
+            send(r, trial, true);
+            return;
+        }
+        List<WorkerState> eligible = eligible(r);
+        if (eligible.isEmpty()) {
+            if (mayStillRun(r)) {
+                held.add(r);
+            } else {
+                decline(r);
+            }
+            return;
+        }
+        WorkerState w = rank(eligible, r);
+        Entry e = w.warm.get(r.request.function());
+        if (e != null && e.ordered && e.loading && onlyOrdersLoad()) {
+            e.waiting.add(r);
+            r.waitsFor = e;
+        } else if (refuses(eligible, r)) {
+            decline(r);
+        } else {
+            send(r, w, false);
+        }
+    }
+
+    /** Whether waiting can help: rule 2 leaves room for another attempt on some worker. */
+    private boolean mayStillRun(RequestState r) {
+        return r.live == 0 && (r.exposed.isEmpty() || r.type.effect() != Effect.AT_MOST_ONCE);
+    }
+
+    private void send(RequestState r, WorkerState w, boolean trial) {
+        Attempt a = new Attempt(r, w, r.attempts.size(), now, trial);
+        Entry e = record(w, r.request);
+        e.inFlight++;
+        w.inFlight++;
+        w.onTrial |= trial;
+        if (cold(w)) {
+            w.coldTokens--;
+        }
+        r.attempts.add(a);
+        r.exposed.add(a);
+        r.live++;
+        held.remove(r);
+        actions.attempt(r.request.id(), w.id, 0);
+        actions.timer(PATIENCE_TOKEN + a.index + ":" + r.request.id(), patience(r, e));
+    }
+
+    private long patience(RequestState r, Entry e) {
+        double usualNs = PATIENCE_WORK * usual.get(r.type.name()).of(r.request);
+        double load = e.loading && !onlyOrdersLoad() ? PATIENCE_LOAD * e.loadNs : 0;
+        return (long) (Math.max(PATIENCE_AIM * r.type.onTimeNs(), usualNs) + load);
+    }
+
+    /** The books of an attempt that ended, also after the request's end. */
+    private void settle(Attempt a, Completion c) {
+        RequestState r = a.request;
+        WorkerState w = a.worker;
+        w.inFlight--;
+        r.live--;
+        if (provesNeverRan(c.outcome())) {
+            r.exposed.remove(a);
+        }
+        Entry e = w.warm.get(r.request.function());
+        if (e != null) {
+            e.inFlight = Math.max(0, e.inFlight - 1);
+            if (c.note() == Note.LOAD_FAILED || c.outcome() == Outcome.MISS && !onlyOrdersLoad()) {
+                dropEntry(e);
+            } else if (c.outcome() == Outcome.SERVED) {
+                e.loading = e.ordered;
+                e.lastSend = c.note() == Note.FOUND_LOADED ? now : e.lastSend;
+            }
+        }
+        judge(a, c);
+    }
+
+    /** An attempt failed and none is out: order a load, try another worker, or give the final answer. */
+    private void again(RequestState r, Attempt a, Completion c) {
+        if (c.outcome() == Outcome.MISS && onlyOrdersLoad() && c.note() != Note.LOAD_FAILED && a.worker.up) {
+            missed(r, a.worker);
+            return;
+        }
+        r.tried.add(a.worker);
+        if (c.outcome() == Outcome.MOOT || retryTokens < 1 || !mayStillRun(r)) {
+            decline(r);
+            return;
+        }
+        retryTokens--;
+        route(r);
+    }
+
+    /** No answer within patience: the worker may hang, and the request deserves another worker. */
+    private void overdue(RequestState r, int index) {
+        if (index >= r.attempts.size()) {
+            return;
+        }
+        Attempt a = r.attempts.get(index);
+        if (r.done && r.live == 0 || !r.exposed.contains(a)) {
+            return;
+        }
+        boolean silent = a.worker.heardAt <= a.sentAt;
+        if (silent) {
+            eject(a.worker, true, "silent");
+            if (a.trial) {
+                trialEnded(a.worker, true);
+                a.worker.onTrial = false;
+            }
+        }
+        if (r.done || r.streaming || retryTokens < 1 || r.attempts.size() >= settings.limits().maxAttempts()
+            || r.type.effect() == Effect.AT_MOST_ONCE || index != r.attempts.size() - 1) {
+            return;
+        }
+        if (settings.limits().secondCopies()) {
+            r.tried.add(a.worker);
+            List<WorkerState> others = eligible(r);
+            others.remove(a.worker);
+            if (!others.isEmpty() && !refuses(others, r)) {
+                retryTokens--;
+                send(r, rank(others, r), false);
+            }
+        } else if (silent && settings.limits().cancelling()) {
+            actions.cancel(r.request.id(), index);
+        }
+    }
+
+    private void retryHeld() {
+        for (RequestState r : List.copyOf(held)) {
+            held.remove(r);
+            route(r);
+        }
+    }
+
+    private void finish(RequestState r) {
+        r.done = true;
+        held.remove(r);
+        if (r.waitsFor != null) {
+            r.waitsFor.waiting.remove(r);
+            r.waitsFor = null;
+        }
+        if (r.live == 0) {
+            requests.remove(r.request.id());
+        }
+    }
+
+    // ---- 5. Loads ---------------------------------------------------------------------------
+
+    private boolean onlyOrdersLoad() {
+        return "miss".equals(settings.familyInfo().notLoaded()) && settings.familyInfo().loadControl();
+    }
+
+    /** A worker lacks the function: order a hold of one there and let the request wait for it. */
+    private void missed(RequestState r, WorkerState w) {
+        Entry e = record(w, r.request);
+        e.loading = true;
+        e.waiting.add(r);
+        r.waitsFor = e;
+        if (!e.ordered) {
+            e.ordered = true;
+            e.orderedAt = now;
+            e.copies = 1;
+            pendingOrders.add(e);
+            givePendingOrders();
+        }
+    }
+
+    private void givePendingOrders() {
+        while (!pendingOrders.isEmpty() && ordersOut < orderLimit && withinRation()) {
+            Entry e = pendingOrders.poll();
+            e.orderedAt = now;
+            ordersOut++;
+            if (settings.familyInfo().loadPeriodNs() > 0) {
+                orderTimes.add(now);
+            }
+            actions.hold(e.worker.id, e.function, e.copies);
+        }
+    }
+
+    /** Rule 5: own orders of the told span, this one included, against own requests of that span. */
+    private boolean withinRation() {
+        FamilyInfo info = settings.familyInfo();
+        if (info.loadPeriodNs() <= 0) {
+            return true;
+        }
+        while (!orderTimes.isEmpty() && orderTimes.peek() < now - info.loadPeriodNs()) {
+            orderTimes.poll();
+        }
+        while (!arrivalTimes.isEmpty() && arrivalTimes.peek() <= now - info.loadPeriodNs()) {
+            arrivalTimes.poll();
+        }
+        return orderTimes.size() + 1 <= info.loadsAnyway() + info.loadRatio() * arrivalTimes.size();
+    }
+
+    @Override
+    public void resident(long at, String worker, String function, int count, Outcome outcome, long tookNs) {
+        now = at;
+        ordersOut = Math.max(0, ordersOut - 1);
+        WorkerState w = workers.get(worker);
+        Entry e = w == null ? null : w.warm.get(function);
+        boolean stands = outcome == Outcome.SERVED || count > 0;
+        if (w != null && outcome != Outcome.TIMEOUT && outcome != Outcome.CONNECT_FAILED) {
+            w.heardAt = now;
+        }
+        if (!stands || e != null && tookNs > CROWDED * e.loadNs) {
+            orderLimit = Math.max(ORDERS_MIN, orderLimit * ORDERS_CUT);
+        } else {
+            orderLimit = Math.min(ORDERS_MAX, orderLimit + 1 / orderLimit);
+        }
+        if (e != null) {
+            e.ordered = false;
+            if (stands) {
+                e.loading = false;
+                e.copies = Math.max(1, count);
+                e.lastSend = now;
+                release(e, false);
+            } else {
+                dropEntry(e);
+            }
+        }
+        givePendingOrders();
+    }
+
+    /** Orders unanswered for long: their requests go elsewhere, and the worker may hang. */
+    private void stuckLoads() {
+        for (WorkerState w : List.copyOf(workers.values())) {
+            for (Entry e : List.copyOf(w.warm.values())) {
+                boolean stuck = e.ordered && now - e.orderedAt > ORDER_PATIENCE * e.loadNs;
+                if (stuck && !pendingOrders.contains(e)) {
+                    if (w.heardAt <= e.orderedAt) {
+                        eject(w, true, "silent");
+                    }
+                    e.ordered = false;
+                    dropEntry(e);
+                }
+            }
+        }
+    }
+
+    // ---- 6. Admission -----------------------------------------------------------------------
+
+    /** Even the least busy worker is so full that the answer would come too late. */
+    private boolean refuses(List<WorkerState> eligible, RequestState r) {
+        WorkerState least = fewest(eligible, w -> true);
+        return least.inFlight >= REFUSE_OVER * least.valve;
+    }
+
+    private void decline(RequestState r) {
+        if (mayRefuse(r)) {
+            actions.refuse(r.request.id(), 0);
+        } else if (r.live > 0 && now < r.arrived + r.request.remainingNs() - 3 * settings.tickNs()) {
+            return; // the attempt still out may serve it; its end or the deadline decides
+        } else {
+            actions.fail(r.request.id());
+        }
+        finish(r);
+    }
+}
--- /dev/null
+++ b/src/test/java/wharfhinge/ChoiceTest.java
@@ -0,0 +1,335 @@
+package wharfhinge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static wharfhinge.Dispatcher.Availability.DRAINING;
+import static wharfhinge.Dispatcher.Availability.UP;
+import static wharfhinge.Dispatcher.Availability.WITHDRAWN;
+import static wharfhinge.Dispatcher.Effect.AT_MOST_ONCE;
+import static wharfhinge.Dispatcher.Effect.DEDUPLICATED;
+import static wharfhinge.Dispatcher.Effect.IDEMPOTENT;
+import static wharfhinge.Dispatcher.Note.FOUND_LOADED;
+import static wharfhinge.Dispatcher.Note.NONE;
+import static wharfhinge.Dispatcher.Outcome.CONNECT_FAILED;
+import static wharfhinge.Dispatcher.Outcome.ERROR;
+import static wharfhinge.Dispatcher.Outcome.FULL;
+import static wharfhinge.Dispatcher.Outcome.MISS;
+import static wharfhinge.Dispatcher.Outcome.RESET;
+import static wharfhinge.Dispatcher.Outcome.SERVED;
+import static wharfhinge.Dispatcher.Outcome.TIMEOUT;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class ChoiceTest {
+
+    private static Recorder loading() {
+        return new Recorder(Recorder.settings(IDEMPOTENT, "load", true));
+    }
+
+    @Test
+    void staysOnTheWorkerBelievedWarm() {
+        Recorder t = loading();
+        t.fleet("b", "c", "d", "e");
+        String first = t.query("f1");
+        t.served(first);
+        for (int i = 0; i < 20; i++) {
+            String next = t.query("f1");
+            assertEquals(t.sentTo(first), t.sentTo(next));
+            t.served(next);
+        }
+    }
+
+    @Test
+    void spillsPastTheSaturationValve() {
+        Recorder t = loading();
+        t.fleet("b", "c", "d", "e");
+        Set<String> used = new HashSet<>();
+        for (int i = 0; i < 12; i++) {
+            used.add(t.sentTo(t.query("f1")));
+        }
+        assertEquals(2, used.size());
+    }
+
+    @Test
+    void frontEndsThatShareNothingMeetOnAColdFunction() {
+        for (int i = 0; i < 20; i++) {
+            Recorder one = new Recorder(Recorder.settings(IDEMPOTENT, "load", true), 1);
+            Recorder other = new Recorder(Recorder.settings(IDEMPOTENT, "load", true), 2);
+            one.fleet("b", "c", "d", "e");
+            other.fleet("e", "d", "c", "b");
+            assertEquals(one.sentTo(one.query("f" + i)), other.sentTo(other.query("f" + i)));
+        }
+    }
+
+    @Test
+    void anEmptyListHoldsTheRequestAndTheDeadlineEndsIt() {
+        Recorder t = loading();
+        t.fleet();
+        String q = t.query("f");
+        assertNull(t.sentTo(q));
+        t.pass(2492);
+        t.due("end:" + q);
+        assertTrue(t.did("refuse " + q));
+        t.fleet("b");
+        assertNull(t.sentTo(q));
+    }
+
+    @Test
+    void aHeldRequestGoesOutWhenAWorkerComes() {
+        Recorder t = loading();
+        t.fleet();
+        String q = t.query("f");
+        t.fleet("b");
+        assertEquals("b", t.sentTo(q));
+    }
+
+    @Test
+    void anUnsafeRequestThatMayHaveRunIsNeitherResentNorRefused() {
+        for (Dispatcher.Outcome outcome : List.of(ERROR, RESET, TIMEOUT)) {
+            Recorder t = new Recorder(Recorder.settings(AT_MOST_ONCE, "load", true));
+            t.fleet("b", "c");
+            String q = t.query("f");
+            t.end(q, 0, outcome, NONE, 10);
+            assertEquals(1, t.attempts(q), outcome.name());
+            assertTrue(t.did("fail " + q), outcome.name());
+            assertFalse(t.did("refuse " + q), outcome.name());
+        }
+    }
+
+    @Test
+    void anUnsafeRequestThatNeverRanIsResent() {
+        for (Dispatcher.Outcome outcome : List.of(FULL, CONNECT_FAILED)) {
+            Recorder t = new Recorder(Recorder.settings(AT_MOST_ONCE, "load", true));
+            t.fleet("b", "c");
+            String q = t.query("f");
+            t.end(q, 0, outcome, NONE, 10);
+            assertEquals(2, t.attempts(q), outcome.name());
+        }
+    }
+
+    @Test
+    void anErrorAfterAFailedLoadIsNoProof() {
+        Recorder t = new Recorder(Recorder.settings(AT_MOST_ONCE, "load", true));
+        t.fleet("b", "c");
+        String q = t.query("f");
+        t.end(q, 0, ERROR, Dispatcher.Note.LOAD_FAILED, 10);
+        assertTrue(t.did("fail " + q));
+    }
+
+    @Test
+    void aKeyedRequestStaysInItsZoneAndWindow() {
+        Dispatcher.Settings zone = Recorder.settings(DEDUPLICATED, Dispatcher.Group.ZONE, "load", true, 0);
+        Recorder t = new Recorder(zone);
+        t.fleet("b", "c", "x", "y");
+        String q = t.query("f");
+        String first = t.sentTo(q);
+        t.end(q, 0, RESET, NONE, 10);
+        assertEquals(first.charAt(0) < 'n', t.sentTo(q).charAt(0) < 'n');
+        assertEquals(2, t.attempts(q));
+        t.pass(600);
+        t.end(q, 1, RESET, NONE, 10);
+        assertEquals(2, t.attempts(q));
+        t.pass(1892);
+        t.due("end:" + q);
+        assertTrue(t.did("fail " + q));
+        assertFalse(t.did("refuse " + q));
+    }
+
+    @Test
+    void neverTwoAttemptsAtOnceWhereSecondCopiesAreNotAllowed() {
+        Recorder t = new Recorder(Recorder.settings(IDEMPOTENT, "load", false));
+        t.fleet("b", "c");
+        String q = t.query("f");
+        t.pass(2000);
+        t.due("wait:0:" + q);
+        assertEquals(1, t.attempts(q));
+        assertTrue(t.did("cancel " + q + " 0"));
+        t.end(q, 0, Dispatcher.Outcome.CANCELLED, NONE, 2000);
+        assertEquals(2, t.attempts(q));
+    }
+
+    @Test
+    void attemptsStayWithinTheToldMaximum() {
+        Recorder t = loading();
+        t.fleet("b", "c", "d", "e", "g", "h");
+        String q = t.query("f");
+        for (int i = 0; i < 4; i++) {
+            t.end(q, i, FULL, NONE, 1);
+        }
+        assertEquals(4, t.attempts(q));
+        assertTrue(t.did("refuse " + q));
+    }
+
+    @Test
+    void drainedWithdrawnAndUnnamedWorkersGetNothing() {
+        Recorder t = loading();
+        t.fleet("b", "c", "d", "e");
+        String warm = t.query("f");
+        String home = t.sentTo(warm);
+        t.served(warm);
+        t.change(home, DRAINING, 0);
+        assertNotEquals(home, t.sentTo(t.query("f")));
+        t.fleet("b");
+        for (int i = 0; i < 5; i++) {
+            assertEquals("b", t.sentTo(t.query("g" + i)));
+        }
+        t.change("b", WITHDRAWN, 0);
+        assertNull(t.sentTo(t.query("g")));
+    }
+
+    @Test
+    void noOrderGoesToADrainingWorker() {
+        Recorder t = new Recorder(Recorder.settings(IDEMPOTENT, "miss", false));
+        t.fleet("b");
+        String q = t.query("f");
+        t.change("b", DRAINING, 0);
+        t.end(q, 0, MISS, NONE, 1);
+        assertFalse(t.did("hold b f 1"));
+    }
+
+    @Test
+    void aWorkerThatComesBackIsColdAndItsWarmListIsVoid() {
+        Recorder t = loading();
+        t.fleet("b", "c");
+        for (int i = 0; i < 100; i++) {
+            t.served(t.query("f" + i % 10));
+            t.pass(10);
+        }
+        t.change("b", UP, t.now);
+        int sent = 0;
+        for (int i = 0; i < 100; i++) {
+            String q = t.query("g" + i);
+            sent += "b".equals(t.sentTo(q)) ? 1 : 0;
+            t.served(q);
+            t.pass(10);
+        }
+        // 100 a second on two workers: a cold one at 0.2 to 0.28 of its capacity, twice that allowed
+        assertTrue(sent > 0 && sent <= 17, "sent " + sent);
+    }
+
+    @Test
+    void aMissOrdersOneAndResendsOnceAnswered() {
+        Recorder t = new Recorder(Recorder.settings(IDEMPOTENT, "miss", false));
+        t.fleet("b", "c");
+        String q = t.query("f");
+        String home = t.sentTo(q);
+        t.end(q, 0, MISS, NONE, 1);
+        assertTrue(t.did("hold " + home + " f 1"));
+        String second = t.query("f");
+        assertEquals(1, t.attempts(q));
+        assertEquals(0, t.attempts(second));
+        t.pass(500);
+        t.choice.resident(t.now, home, "f", 1, SERVED, 500 * Recorder.MS);
+        assertEquals(2, t.attempts(q));
+        assertEquals(home, t.sentTo(second));
+    }
+
+    @Test
+    void aFailedHoldSendsTheRequestToTheNextInRank() {
+        Recorder t = new Recorder(Recorder.settings(IDEMPOTENT, "miss", false));
+        t.fleet("b", "c");
+        String q = t.query("f");
+        String home = t.sentTo(q);
+        t.end(q, 0, MISS, NONE, 1);
+        t.choice.resident(t.now, home, "f", 0, ERROR, 500 * Recorder.MS);
+        assertEquals(2, t.attempts(q));
+        assertNotEquals(home, t.sentTo(q));
+    }
+
+    @Test
+    void ordersStayWithinTheRation() {
+        Recorder t = new Recorder(
+            Recorder.settings(IDEMPOTENT, Dispatcher.Group.ALL, "miss", false, 5000 * Recorder.MS));
+        t.fleet("b", "c", "d");
+        for (int i = 0; i < 20; i++) {
+            t.end(t.query("f" + i), 0, MISS, NONE, 1);
+        }
+        assertEquals(3, t.lines.stream().filter(l -> l.startsWith("hold ")).count());
+    }
+
+    @Test
+    void aFailingWorkerIsLeftAndComesBackByTrials() {
+        Recorder t = loading();
+        t.fleet("b", "c", "d", "e");
+        String home = t.sentTo(t.query("f"));
+        for (int i = 0; i < 8; i++) {
+            String q = t.query("f");
+            if (home.equals(t.sentTo(q))) {
+                t.end(q, 0, ERROR, NONE, 1);
+            }
+        }
+        assertNotEquals(home, t.sentTo(t.query("f")));
+        t.pass(1100);
+        String trial = t.query("f");
+        assertEquals(home, t.sentTo(trial));
+        assertNotEquals(home, t.sentTo(t.query("f")));
+        t.end(trial, 0, SERVED, FOUND_LOADED, 50);
+        String next = t.query("f");
+        assertEquals(home, t.sentTo(next));
+        t.end(next, 0, SERVED, FOUND_LOADED, 50);
+        assertTrue(t.did("remark ejected " + home + " failing"));
+    }
+
+    @Test
+    void aSilentWorkerIsLeftAndItsRequestRescued() {
+        Recorder t = loading();
+        t.fleet("b", "c", "d", "e");
+        String q = t.query("f");
+        String home = t.sentTo(q);
+        t.pass(2000);
+        t.due("wait:0:" + q);
+        assertEquals(2, t.attempts(q));
+        assertNotEquals(home, t.sentTo(q));
+        assertNotEquals(home, t.sentTo(t.query("f")));
+    }
+
+    @Test
+    void whenMostOfTheFleetLooksBadItStillSends() {
+        Recorder t = loading();
+        t.fleet("b", "c", "d", "e");
+        for (int i = 0; i < 40; i++) {
+            String q = t.query("f" + i);
+            for (int k = 0; k < 4 && t.attempts(q) > k; k++) {
+                t.end(q, k, ERROR, NONE, 1);
+            }
+            t.pass(20);
+        }
+        assertTrue(t.sentTo(t.query("g")) != null);
+    }
+
+    @Test
+    void theSameEventsGiveTheSameActions() {
+        List<String> first = null;
+        for (int run = 0; run < 2; run++) {
+            Recorder t = loading();
+            t.fleet("b", "c", "d", "e");
+            for (int i = 0; i < 200; i++) {
+                String q = t.query("f" + i % 17);
+                if (i % 3 != 0) {
+                    t.end(q, 0, i % 5 == 0 ? ERROR : SERVED, NONE, 30);
+                }
+                t.pass(7);
+            }
+            if (first == null) {
+                first = t.lines;
+            } else {
+                assertEquals(first, t.lines);
+            }
+        }
+    }
+
+    @Test
+    void theModuleKeepsItsLimits() throws Exception {
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/wharfhinge/Choice.java"));
+        assertTrue(lines.stream().filter(l -> !l.isBlank()).count() <= 850);
+        assertTrue(lines.stream().allMatch(l -> l.length() <= 110));
+    }
+}
