Cold budget from own served answers instead of arrivals

Answers served can't exceed capacity. Should hold for any repeat storm; may leave a cold worker underused on an otherwise quiet fleet.

--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -40,7 +40,7 @@
     private static final long EJECT_LAST = 8000 * MS;
     private static final int TRIALS = 2; // trials in a row that must pass
     private static final double COLD_MARGIN = 0.6; // of the told multiple: chance and uneven peers
-    private static final long RATE_WINDOW = 5000 * MS; // the memory of the arrival rate
+    private static final long RATE_WINDOW = 5000 * MS; // the memory of the rate of answers
 
     // Attempts.
     private static final double PATIENCE_AIM = 0.5; // of the aim: leaves the other half for a second try
@@ -81,8 +81,8 @@
     private final long keepNs;
     private long now;
     private long lastLapse;
-    private double arrivals; // decayed count over RATE_WINDOW
-    private long arrivalsAt;
+    private double served; // decayed count over RATE_WINDOW
+    private long servedAt;
     private double retryTokens = RETRY_BURST;
     private double orderLimit = ORDERS_START;
     private int ordersOut;
@@ -99,7 +99,7 @@
         this.keepNs = settings.familyInfo().keepNs();
         this.now = now;
         this.lastLapse = now;
-        this.arrivalsAt = now;
+        this.servedAt = now;
         for (RequestClass c : settings.classes()) {
             classes.put(c.name(), c);
             usual.put(c.name(), new Usual(c.onTimeNs()));
@@ -244,7 +244,7 @@
         }
         RequestState r = new RequestState(request, type, now);
         requests.put(request.id(), r);
-        countArrival();
+        arrived();
         actions.timer(END_TOKEN + request.id(), Math.max(0, request.remainingNs() - 2 * settings.tickNs()));
         route(r);
     }
@@ -538,6 +538,7 @@
             w.onTrial &= !a.trial;
             return;
         }
+        servedPerNs(c.outcome() == Outcome.SERVED ? 1 : 0);
         boolean bad = c.outcome() != Outcome.SERVED && c.note() != Note.LOAD_FAILED;
         w.failures += SMOOTH_FAILURES * ((bad ? 1 : 0) - w.failures);
         if (!bad && (c.note() == Note.NONE || c.note() == Note.FOUND_LOADED)) {
@@ -586,8 +587,8 @@
 
     /**
      * Rule 4: a cold worker gets tokens at the told multiple of its present share of what a warm worker
-     * is asked by this dispatcher. Own arrivals stand for the own share of the group, so the sum over
-     * dispatchers stays below the rule as long as warm workers are not far over their capacity.
+     * serves for this dispatcher. Own answers stand for the own share of the group: summed over the
+     * dispatchers they never exceed the capacity, however often clients repeat what is refused.
      */
     private boolean withinColdBudget(WorkerState w) {
         if (!cold(w)) {
@@ -597,24 +598,26 @@
         double age = Math.max(0, now - w.told.startedAt()) / (double) rules.warmAfterNs();
         double share = rules.coldFrom() + (1 - rules.coldFrom()) * age;
         long up = workers.values().stream().filter(other -> other.up).count();
-        double perNs = COLD_MARGIN * rules.overloadFactor() * share * arrivalsPerNs() / Math.max(1, up);
+        double perNs = COLD_MARGIN * rules.overloadFactor() * share * servedPerNs(0) / Math.max(1, up);
+        perNs = Math.max(perNs, 1.0 / rules.warmAfterNs()); // a fleet that is cold as a whole must start
         double most = Math.max(1, perNs * rules.tipAfterNs() / 2);
         w.coldTokens = Math.min(most, w.coldTokens + perNs * (now - w.coldAt));
         w.coldAt = now;
         return w.coldTokens >= 1;
     }
 
-    private void countArrival() {
-        arrivals = arrivals * Math.exp((arrivalsAt - now) / (double) RATE_WINDOW) + 1;
-        arrivalsAt = now;
+    private void arrived() {
         retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
         if (settings.familyInfo().loadPeriodNs() > 0) {
             arrivalTimes.add(now);
         }
     }
 
-    private double arrivalsPerNs() {
-        return arrivals * Math.exp((arrivalsAt - now) / (double) RATE_WINDOW) / RATE_WINDOW;
+    /** Adds to the decayed count of served answers, and tells their rate. */
+    private double servedPerNs(int more) {
+        served = served * Math.exp((servedAt - now) / (double) RATE_WINDOW) + more;
+        servedAt = now;
+        return served / RATE_WINDOW;
     }
 
     // ---- 4. Attempts ------------------------------------------------------------------------
