--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -31,8 +31,12 @@
 
     // Eligibility. Weights of a smoothed value: recent ten to five answers decide.
     private static final double SMOOTH_LATENCY = 0.1;
+    private static final double SMOOTH_USUAL = 0.02; // a class's usual: slow, since it is the yardstick
+    private static final double SMOOTH_SLOWNESS = 0.05; // work is uneven: some twenty answers
+    private static final double OUTLIER = 6; // times the usual: one heavy request says no more than that
     private static final double SMOOTH_FAILURES = 0.2;
     private static final double FAILING = 0.45; // smoothed share of failures: three in a row from none
+    private static final int SILENT = 2; // attempts past their patience and no answer meanwhile
     private static final double SLOW = 3; // times the peers' median: past what load alone makes uneven
     private static final int SLOW_SAMPLES = 6; // answers before slowness is believed
     private static final double MOST = 0.5; // never shut out more than this share of the fleet
@@ -62,7 +66,6 @@
     private static final double REFUSE_OVER = 1.25; // times the valve on the least busy worker
 
     private static final long SWEEP = 25 * MS; // pace of looking after what is held
-    private static final long LAPSE_EVERY = 1000 * MS;
     private static final String SWEEP_TOKEN = "sweep";
     private static final String END_TOKEN = "end:";
     private static final String PATIENCE_TOKEN = "wait:";
@@ -80,7 +83,6 @@
     private final ArrayDeque<Long> arrivalTimes = new ArrayDeque<>();
     private final long keepNs;
     private long now;
-    private long lastLapse;
     private double served; // decayed count over RATE_WINDOW
     private long servedAt;
     private double retryTokens = RETRY_BURST;
@@ -98,7 +100,6 @@
         this.random = new Random(seed);
         this.keepNs = settings.familyInfo().keepNs();
         this.now = now;
-        this.lastLapse = now;
         this.servedAt = now;
         for (RequestClass c : settings.classes()) {
             classes.put(c.name(), c);
@@ -114,13 +115,14 @@
     private static final class Usual {
         private final double untold;
         private double perUnit;
+        private long samples;
 
         Usual(long aim) {
             untold = aim / 4.0;
         }
 
         void learn(double sample) {
-            perUnit = perUnit > 0 ? perUnit + SMOOTH_LATENCY / 2 * (sample - perUnit) : sample;
+            perUnit += Math.max(1.0 / ++samples, SMOOTH_USUAL) * (sample - perUnit);
         }
 
         double of(Request request) {
@@ -166,6 +168,7 @@
         private double lateness; // smoothed latency over the class's aim
         private long valveCutAt;
         private long heardAt;
+        private int unanswered; // attempts past their patience since then
         private double failures;
         private double slowness = 1; // smoothed latency over the usual
         private int samples;
@@ -320,10 +323,7 @@
         retryHeld();
         stuckLoads();
         givePendingOrders();
-        if (now - lastLapse >= LAPSE_EVERY) {
-            lastLapse = now;
-            lapse();
-        }
+        lapse();
     }
 
     // ---- 1. Warm lists ----------------------------------------------------------------------
@@ -533,6 +533,7 @@
         boolean alive = c.outcome() == Outcome.FULL || c.outcome() == Outcome.MISS;
         if (alive || c.outcome() == Outcome.SERVED || c.outcome() == Outcome.ERROR) {
             w.heardAt = now;
+            w.unanswered = 0;
         }
         if (alive || c.outcome() == Outcome.CANCELLED || c.outcome() == Outcome.MOOT) {
             w.onTrial &= !a.trial;
@@ -543,7 +544,8 @@
         w.failures += SMOOTH_FAILURES * ((bad ? 1 : 0) - w.failures);
         if (!bad && (c.note() == Note.NONE || c.note() == Note.FOUND_LOADED)) {
             Usual u = usual.get(a.request.type.name());
-            w.slowness += SMOOTH_LATENCY * (c.tookNs() / Math.max(1, u.of(a.request.request)) - w.slowness);
+            double ratio = Math.min(OUTLIER, c.tookNs() / Math.max(1, u.of(a.request.request)));
+            w.slowness += SMOOTH_SLOWNESS * (ratio - w.slowness);
             w.samples++;
             u.learn(c.tookNs() / Usual.units(a.request.request));
             turnValve(w, a.request, c.tookNs());
@@ -772,7 +774,7 @@
             return;
         }
         boolean silent = a.worker.heardAt <= a.sentAt;
-        if (silent) {
+        if (silent && ++a.worker.unanswered >= SILENT || silent && a.trial) {
             eject(a.worker, true, "silent");
             if (a.trial) {
                 trialEnded(a.worker, true);
