Second copies only where the worker has answered nothing since the send

Copies of answers that were only slow started loads elsewhere. May hurt where one function is stuck on a worker that answers others.

--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -785,7 +785,7 @@
             || r.type.effect() == Effect.AT_MOST_ONCE || index != r.attempts.size() - 1) {
             return;
         }
-        if (settings.limits().secondCopies()) {
+        if (silent && settings.limits().secondCopies()) {
             r.tried.add(a.worker);
             List<WorkerState> others = eligible(r);
             others.remove(a.worker);
