--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -32,13 +32,9 @@
     // Eligibility. Weights of a smoothed value: recent ten to five answers decide.
     private static final double SMOOTH_LATENCY = 0.1;
     private static final double SMOOTH_USUAL = 0.02; // a class's usual: slow, since it is the yardstick
-    private static final double SMOOTH_SLOWNESS = 0.05; // work is uneven: some twenty answers
-    private static final double OUTLIER = 6; // times the usual: one heavy request says no more than that
     private static final double SMOOTH_FAILURES = 0.2;
     private static final double FAILING = 0.45; // smoothed share of failures: three in a row from none
-    private static final int SILENT = 2; // attempts past their patience and no answer meanwhile
-    private static final double SLOW = 3; // times the peers' median: past what load alone makes uneven
-    private static final int SLOW_SAMPLES = 6; // answers before slowness is believed
+    private static final int OVERDUE = 2; // attempts past their patience with no timely answer between
     private static final double MOST = 0.5; // never shut out more than this share of the fleet
     private static final long EJECT_FIRST = 1000 * MS; // first pause before a trial; doubles to the last
     private static final long EJECT_LAST = 8000 * MS;
@@ -155,7 +151,8 @@
         }
     }
 
-    record Attempt(RequestState request, WorkerState worker, int index, long sentAt, boolean trial) { }
+    record Attempt(RequestState request, WorkerState worker, int index, long sentAt, long patience,
+                   boolean trial) { }
 
     private static final class WorkerState {
         private final String id;
@@ -168,10 +165,8 @@
         private double lateness; // smoothed latency over the class's aim
         private long valveCutAt;
         private long heardAt;
-        private int unanswered; // attempts past their patience since then
+        private int overdue; // attempts past their patience since the last timely answer
         private double failures;
-        private double slowness = 1; // smoothed latency over the usual
-        private int samples;
         private boolean ejected;
         private boolean silent;
         private boolean onTrial;
@@ -523,8 +518,7 @@
         w.ejected = false;
         w.silent = false;
         w.failures = 0;
-        w.slowness = 1;
-        w.samples = 0;
+        w.overdue = 0;
         w.pause = EJECT_FIRST;
     }
 
@@ -533,7 +527,9 @@
         boolean alive = c.outcome() == Outcome.FULL || c.outcome() == Outcome.MISS;
         if (alive || c.outcome() == Outcome.SERVED || c.outcome() == Outcome.ERROR) {
             w.heardAt = now;
-            w.unanswered = 0;
+        }
+        if (c.outcome() == Outcome.FULL) {
+            w.valve = Math.max(VALVE_MIN, Math.min(w.valve, w.inFlight + 1) * VALVE_CUT);
         }
         if (alive || c.outcome() == Outcome.CANCELLED || c.outcome() == Outcome.MOOT) {
             w.onTrial &= !a.trial;
@@ -543,22 +539,18 @@
         boolean bad = c.outcome() != Outcome.SERVED && c.note() != Note.LOAD_FAILED;
         w.failures += SMOOTH_FAILURES * ((bad ? 1 : 0) - w.failures);
         if (!bad && (c.note() == Note.NONE || c.note() == Note.FOUND_LOADED)) {
-            Usual u = usual.get(a.request.type.name());
-            double ratio = Math.min(OUTLIER, c.tookNs() / Math.max(1, u.of(a.request.request)));
-            w.slowness += SMOOTH_SLOWNESS * (ratio - w.slowness);
-            w.samples++;
-            u.learn(c.tookNs() / Usual.units(a.request.request));
+            usual.get(a.request.type.name()).learn(c.tookNs() / Usual.units(a.request.request));
             turnValve(w, a.request, c.tookNs());
         }
+        boolean timely = !bad && c.tookNs() <= a.patience;
+        w.overdue = timely ? 0 : w.overdue;
         if (a.trial) {
             w.onTrial = false;
-            trialEnded(w, bad);
-        } else if (w.silent && !bad) {
+            trialEnded(w, !timely);
+        } else if (w.silent && timely) {
             restore(w);
         } else if (bad && w.failures > FAILING) {
             eject(w, false, "failing");
-        } else if (w.samples >= SLOW_SAMPLES && w.slowness > SLOW * medianSlowness()) {
-            eject(w, false, "slow");
         }
     }
 
@@ -577,12 +569,6 @@
         }
     }
 
-    private double medianSlowness() {
-        double[] all = workers.values().stream().filter(w -> w.up && w.samples > 0)
-            .mapToDouble(w -> w.slowness).sorted().toArray();
-        return all.length == 0 ? 1 : Math.max(1, all[all.length / 2]);
-    }
-
     private boolean cold(WorkerState w) {
         return w.told.startedAt() > 0 && now - w.told.startedAt() < settings.obligations().warmAfterNs();
     }
@@ -705,8 +691,8 @@
     }
 
     private void send(RequestState r, WorkerState w, boolean trial) {
-        Attempt a = new Attempt(r, w, r.attempts.size(), now, trial);
         Entry e = record(w, r.request);
+        Attempt a = new Attempt(r, w, r.attempts.size(), now, patience(r, e), trial);
         e.inFlight++;
         w.inFlight++;
         w.onTrial |= trial;
@@ -718,7 +704,7 @@
         r.live++;
         held.remove(r);
         actions.attempt(r.request.id(), w.id, 0);
-        actions.timer(PATIENCE_TOKEN + a.index + ":" + r.request.id(), patience(r, e));
+        actions.timer(PATIENCE_TOKEN + a.index + ":" + r.request.id(), a.patience);
     }
 
     private long patience(RequestState r, Entry e) {
@@ -774,12 +760,12 @@
             return;
         }
         boolean silent = a.worker.heardAt <= a.sentAt;
-        if (silent && ++a.worker.unanswered >= SILENT || silent && a.trial) {
-            eject(a.worker, true, "silent");
-            if (a.trial) {
-                trialEnded(a.worker, true);
-                a.worker.onTrial = false;
-            }
+        if (++a.worker.overdue >= OVERDUE) {
+            eject(a.worker, true, silent ? "silent" : "slow");
+        }
+        if (a.trial && a.worker.onTrial) {
+            trialEnded(a.worker, true);
+            a.worker.onTrial = false;
         }
         if (r.done || r.streaming || retryTokens < 1 || r.attempts.size() >= settings.limits().maxAttempts()
             || r.type.effect() == Effect.AT_MOST_ONCE || index != r.attempts.size() - 1) {
