--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -183,8 +183,8 @@
             this.hash = mix(id.hashCode());
         }
 
-        boolean saturated() {
-            return inFlight >= valve;
+        boolean belowValve(double bound) {
+            return inFlight < valve && inFlight <= bound;
         }
     }
 
@@ -398,11 +398,13 @@
      */
     private WorkerState rank(List<WorkerState> eligible, RequestState r) {
         String function = r.request.function();
-        WorkerState warm = fewest(eligible, w -> !w.saturated() && believedWarm(w, function));
+        double mean = eligible.stream().mapToInt(w -> w.inFlight).average().orElse(0);
+        double bound = NEAR_IDLE * (mean + 1);
+        WorkerState warm = fewest(eligible, w -> w.belowValve(bound) && believedWarm(w, function));
         if (warm != null) {
             return warm;
         }
-        WorkerState home = home(eligible, r);
+        WorkerState home = home(eligible, r, bound);
         return home != null ? home : fewest(eligible, w -> true);
     }
 
@@ -428,12 +430,10 @@
      * Departure: where nothing is believed warm, near-idle workers tie and the tie is broken by a hash
      * of function and worker, so that front ends that share nothing, and a restarted one, meet.
      */
-    private WorkerState home(List<WorkerState> eligible, RequestState r) {
-        double mean = eligible.stream().mapToInt(w -> w.inFlight).average().orElse(0);
-        double bound = NEAR_IDLE * (mean + 1);
+    private WorkerState home(List<WorkerState> eligible, RequestState r, double bound) {
         WorkerState best = null;
         for (WorkerState w : eligible) {
-            if (!w.saturated() && w.inFlight <= bound
+            if (w.belowValve(bound)
                 && (best == null || mix(w.hash ^ r.hash) > mix(best.hash ^ r.hash))) {
                 best = w;
             }
