--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -771,7 +771,8 @@
             || r.type.effect() == Effect.AT_MOST_ONCE || index != r.attempts.size() - 1) {
             return;
         }
-        if (silent && settings.limits().secondCopies()) {
+        boolean rescue = silent || a.worker.ejected;
+        if (rescue && settings.limits().secondCopies()) {
             r.tried.add(a.worker);
             List<WorkerState> others = eligible(r);
             others.remove(a.worker);
@@ -779,7 +780,7 @@
                 retryTokens--;
                 send(r, rank(others, r), false);
             }
-        } else if (silent && settings.limits().cancelling()) {
+        } else if (rescue && settings.limits().cancelling()) {
             actions.cancel(r.request.id(), index);
         }
     }
