--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -827,7 +827,11 @@
 
     private void givePendingOrders() {
         while (!pendingOrders.isEmpty() && ordersOut < orderLimit && withinRation()) {
-            Entry e = pendingOrders.poll();
+            Entry e = pendingOrders.peek();
+            for (Entry other : pendingOrders) {
+                e = other.waiting.size() > e.waiting.size() ? other : e;
+            }
+            pendingOrders.remove(e);
             e.orderedAt = now;
             ordersOut++;
             if (settings.familyInfo().loadPeriodNs() > 0) {
