--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -531,6 +531,8 @@
         if (c.outcome() == Outcome.FULL) {
             w.valve = Math.max(VALVE_MIN, Math.min(w.valve, w.inFlight + 1) * VALVE_CUT);
         }
+        // a time-out at the client's deadline tells nothing that its patience did not tell before
+        alive |= c.outcome() == Outcome.TIMEOUT;
         if (alive || c.outcome() == Outcome.CANCELLED || c.outcome() == Outcome.MOOT) {
             w.onTrial &= !a.trial;
             return;
