--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -27,6 +27,7 @@
     private static final double VALVE_CUT = 0.85; // multiplicative cut, at most once a smoothed latency
     private static final double VALVE_HIGH = 0.7; // of the aim: the next in line would be late
     private static final double VALVE_LOW = 0.45; // of the aim: there is room for more
+    private static final int LANE_DEPTH = 2; // own requests for each lane: one at work, one waiting
     private static final double NEAR_IDLE = 1.5; // a home may hold this multiple of the mean, and this more
 
     // Eligibility. Weights of a smoothed value: recent ten to five answers decide.
@@ -400,7 +401,8 @@
         String function = r.request.function();
         double mean = eligible.stream().mapToInt(w -> w.inFlight).average().orElse(0);
         double bound = NEAR_IDLE * (mean + 1);
-        WorkerState warm = fewest(eligible, w -> w.belowValve(bound) && believedWarm(w, function));
+        WorkerState warm = fewest(eligible, w -> w.belowValve(bound) && believedWarm(w, function)
+            && w.warm.get(function).inFlight < LANE_DEPTH * Math.max(1, r.request.lanes()));
         if (warm != null) {
             return warm;
         }
@@ -433,7 +435,7 @@
     private WorkerState home(List<WorkerState> eligible, RequestState r, double bound) {
         WorkerState best = null;
         for (WorkerState w : eligible) {
-            if (w.belowValve(bound)
+            if (w.belowValve(bound) && !believedWarm(w, r.request.function())
                 && (best == null || mix(w.hash ^ r.hash) > mix(best.hash ^ r.hash))) {
                 best = w;
             }
