--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -27,7 +27,6 @@
     private static final double VALVE_CUT = 0.85; // multiplicative cut, at most once a smoothed latency
     private static final double VALVE_HIGH = 0.7; // of the aim: the next in line would be late
     private static final double VALVE_LOW = 0.45; // of the aim: there is room for more
-    private static final int LANE_DEPTH = 2; // own requests for each lane: one at work, one waiting
     private static final double NEAR_IDLE = 1.5; // a home may hold this multiple of the mean, and this more
 
     // Eligibility. Weights of a smoothed value: recent ten to five answers decide.
@@ -341,6 +340,10 @@
             this.worker = worker;
             this.function = function;
         }
+
+        boolean hasFreeLane(int lanes) {
+            return inFlight < copies * Math.max(1, lanes);
+        }
     }
 
     private boolean believedWarm(WorkerState w, String function) {
@@ -394,7 +397,8 @@
     // ---- 2. Ranking -------------------------------------------------------------------------
 
     /**
-     * The design's order: believed warm below the valve, then the function's home among near-idle
+     * The design's order: believed warm below the valve and with a free lane, for which own requests
+     * are counted (a copy whose lanes are taken makes the next one wait or load, there or elsewhere), then the function's home among near-idle
      * workers below it, then, all saturated, the one with the fewest own in flight.
      */
     private WorkerState rank(List<WorkerState> eligible, RequestState r) {
@@ -402,7 +406,7 @@
         double mean = eligible.stream().mapToInt(w -> w.inFlight).average().orElse(0);
         double bound = NEAR_IDLE * (mean + 1);
         WorkerState warm = fewest(eligible, w -> w.belowValve(bound) && believedWarm(w, function)
-            && w.warm.get(function).inFlight < LANE_DEPTH * Math.max(1, r.request.lanes()));
+            && w.warm.get(function).hasFreeLane(r.request.lanes()));
         if (warm != null) {
             return warm;
         }
