--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -340,10 +340,6 @@
             this.worker = worker;
             this.function = function;
         }
-
-        boolean hasFreeLane(int lanes) {
-            return inFlight < copies * Math.max(1, lanes);
-        }
     }
 
     private boolean believedWarm(WorkerState w, String function) {
@@ -397,16 +393,15 @@
     // ---- 2. Ranking -------------------------------------------------------------------------
 
     /**
-     * The design's order: believed warm below the valve and with a free lane, for which own requests
-     * are counted (a copy whose lanes are taken makes the next one wait or load, there or elsewhere), then the function's home among near-idle
-     * workers below it, then, all saturated, the one with the fewest own in flight.
+     * The design's order: believed warm, below the valve and with a free lane, then the function's home
+     * among near-idle workers below it, then, all saturated, the one with the fewest own in flight.
      */
     private WorkerState rank(List<WorkerState> eligible, RequestState r) {
         String function = r.request.function();
         double mean = eligible.stream().mapToInt(w -> w.inFlight).average().orElse(0);
         double bound = NEAR_IDLE * (mean + 1);
         WorkerState warm = fewest(eligible, w -> w.belowValve(bound) && believedWarm(w, function)
-            && w.warm.get(function).hasFreeLane(r.request.lanes()));
+            && freeLane(w, r.request));
         if (warm != null) {
             return warm;
         }
@@ -414,6 +409,12 @@
         return home != null ? home : fewest(eligible, w -> true);
     }
 
+    /** A worker that loads by itself starts a copy for one that waits; where only orders do, one may. */
+    private boolean freeLane(WorkerState w, Request request) {
+        Entry e = w.warm.get(request.function());
+        return e.inFlight < (onlyOrdersLoad() ? 2 : 1) * e.copies * Math.max(1, request.lanes());
+    }
+
     /** The one with the fewest own in flight among those that qualify, random among equals; or null. */
     private WorkerState fewest(List<WorkerState> eligible, Predicate<WorkerState> qualifies) {
         WorkerState best = null;
--- a/src/test/java/wharfhinge/ChoiceTest.java
+++ b/src/test/java/wharfhinge/ChoiceTest.java
@@ -59,6 +59,14 @@
         assertTrue(used.size() > 1);
     }
 
+    @Test
+    void aCopyWithoutAFreeLaneIsSaturatedForItsFunction() {
+        Recorder t = loading();
+        t.lanes = 1;
+        t.fleet("b", "c", "d", "e");
+        assertNotEquals(t.sentTo(t.query("f1")), t.sentTo(t.query("f1")));
+    }
+
     @Test
     void frontEndsThatShareNothingMeetOnAColdFunction() {
         for (int i = 0; i < 20; i++) {
