One limit on own loads out at once, for orders and for sends that start a load

At the limit, which backs off when loads take as long as in a crowd, spills stay on warm workers, and what nothing holds waits up to half its aim, then is refused.

--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -22,7 +22,6 @@
     // Ranking. The valve starts at the design's eight and follows latency against the aim.
     private static final double VALVE_START = 8;
     private static final double VALVE_MIN = 2; // one in work, one waiting: below that a core idles
-    private static final double VALVE_MAX = 64; // bounds what a long quiet spell can build up
     private static final double VALVE_STEP = 0.1; // additive raise an answer, slow next to the cut
     private static final double VALVE_CUT = 0.85; // multiplicative cut, at most once a smoothed latency
     private static final double VALVE_HIGH = 0.7; // of the aim: the next in line would be late
@@ -50,11 +49,10 @@
     private static final double RETRY_BURST = 20;
     private static final long LOAD_UNTOLD = 1000 * MS; // where no usual time of a load is told
 
-    // Loads. Orders out at once: additive raise, multiplicative cut when the store looks crowded.
-    private static final double ORDERS_START = 8;
-    private static final double ORDERS_MIN = 2;
-    private static final double ORDERS_MAX = 32;
-    private static final double ORDERS_CUT = 0.7;
+    // Loads. Own loads out at once: additive raise, multiplicative cut when the store looks crowded.
+    private static final double LOADS_START = 8;
+    private static final double LOADS_MIN = 2;
+    private static final double LOADS_CUT = 0.7;
     private static final double CROWDED = 3; // times the told load time: others stand in line
     private static final double ORDER_PATIENCE = 4; // times the told load time before another worker is tried
 
@@ -82,8 +80,8 @@
     private double served; // decayed count over RATE_WINDOW
     private long servedAt;
     private double retryTokens = RETRY_BURST;
-    private double orderLimit = ORDERS_START;
-    private int ordersOut;
+    private double loadLimit = LOADS_START;
+    private int loadsOut;
 
     /** A dispatcher that knows nothing yet; draws only from {@code seed}. */
     public Choice(long now, long seed, Settings settings, Actions actions) {
@@ -152,7 +150,7 @@
     }
 
     record Attempt(RequestState request, WorkerState worker, int index, long sentAt, long patience,
-                   boolean trial) { }
+                   boolean trial, boolean loads) { }
 
     private static final class WorkerState {
         private final String id;
@@ -168,7 +166,6 @@
         private int overdue; // attempts past their patience since the last timely answer
         private double failures;
         private boolean ejected;
-        private boolean silent;
         private boolean onTrial;
         private int trialsPassed;
         private long trialAt;
@@ -220,12 +217,9 @@
         w.told = entry;
         w.up = entry.availability() == Availability.UP;
         workers.put(entry.id(), w);
-        if (fresh && old != null) {
+        if (old != null && (fresh || !w.up)) {
             leave(old);
         }
-        if (!w.up) {
-            leave(w);
-        }
     }
 
     private void leave(WorkerState w) {
@@ -395,6 +389,7 @@
     /**
      * The design's order: believed warm, below the valve and with a free lane, then the function's home
      * among near-idle workers below it, then, all saturated, the one with the fewest own in flight.
+     * Departure: while as many own loads are out as the store bears, a spill stays on warm workers.
      */
     private WorkerState rank(List<WorkerState> eligible, RequestState r) {
         String function = r.request.function();
@@ -405,7 +400,10 @@
         if (warm != null) {
             return warm;
         }
-        WorkerState home = home(eligible, r, bound);
+        if (loadsOut >= loadLimit) {
+            warm = fewest(eligible, w -> w.belowValve(bound) && believedWarm(w, function));
+        }
+        WorkerState home = warm != null ? warm : home(eligible, r, bound);
         return home != null ? home : fewest(eligible, w -> true);
     }
 
@@ -463,7 +461,7 @@
             w.valve = Math.max(VALVE_MIN, w.valve * VALVE_CUT);
             w.valveCutAt = now;
         } else if (w.lateness < VALVE_LOW && w.inFlight >= w.valve / 2) {
-            w.valve = Math.min(VALVE_MAX, w.valve + VALVE_STEP);
+            w.valve += VALVE_STEP;
         }
     }
 
@@ -487,7 +485,7 @@
                 healthy.add(w);
             }
         }
-        List<WorkerState> pool = healthy.size() >= MOST * up ? healthy : without(open, w -> w.silent);
+        List<WorkerState> pool = healthy.size() >= MOST * up ? healthy : open;
         return without(pool, r.tried::contains);
     }
 
@@ -502,16 +500,11 @@
         if (r.live > 0 || !r.attempts.isEmpty() || r.type.effect() != Effect.IDEMPOTENT) {
             return null;
         }
-        for (WorkerState w : workers.values()) {
-            if (w.up && w.ejected && !w.onTrial && now >= w.trialAt && withinColdBudget(w)) {
-                return w;
-            }
-        }
-        return null;
+        return workers.values().stream().filter(w -> w.up && w.ejected && !w.onTrial && now >= w.trialAt
+            && withinColdBudget(w)).findFirst().orElse(null);
     }
 
-    private void eject(WorkerState w, boolean silent, String symptom) {
-        w.silent |= silent;
+    private void eject(WorkerState w, String symptom) {
         if (w.ejected) {
             return;
         }
@@ -523,7 +516,6 @@
 
     private void restore(WorkerState w) {
         w.ejected = false;
-        w.silent = false;
         w.failures = 0;
         w.overdue = 0;
         w.pause = EJECT_FIRST;
@@ -556,10 +548,10 @@
         if (a.trial) {
             w.onTrial = false;
             trialEnded(w, !timely);
-        } else if (w.silent && timely) {
+        } else if (w.ejected && timely && w.failures <= FAILING) {
             restore(w);
         } else if (bad && w.failures > FAILING) {
-            eject(w, false, "failing");
+            eject(w, "failing");
         }
     }
 
@@ -674,15 +666,17 @@
             return;
         }
         List<WorkerState> eligible = eligible(r);
-        if (eligible.isEmpty()) {
-            if (mayStillRun(r)) {
+        WorkerState w = eligible.isEmpty() ? null : rank(eligible, r);
+        boolean mustLoad = w != null && !onlyOrdersLoad() && !believedWarm(w, r.request.function());
+        if (w == null || mustLoad && loadsOut >= loadLimit) {
+            boolean inTime = w == null || now - r.arrived < PATIENCE_AIM * r.type.onTimeNs();
+            if (mayStillRun(r) && inTime) {
                 held.add(r);
             } else {
                 decline(r);
             }
             return;
         }
-        WorkerState w = rank(eligible, r);
         Entry e = w.warm.get(r.request.function());
         if (e != null && e.ordered && e.loading && onlyOrdersLoad()) {
             e.waiting.add(r);
@@ -701,7 +695,8 @@
 
     private void send(RequestState r, WorkerState w, boolean trial) {
         Entry e = record(w, r.request);
-        Attempt a = new Attempt(r, w, r.attempts.size(), now, patience(r, e), trial);
+        boolean loads = e.loading && e.inFlight == 0 && !onlyOrdersLoad();
+        Attempt a = new Attempt(r, w, r.attempts.size(), now, patience(r, e), trial, loads);
         e.inFlight++;
         w.inFlight++;
         w.onTrial |= trial;
@@ -712,6 +707,7 @@
         r.exposed.add(a);
         r.live++;
         held.remove(r);
+        loadsOut += a.loads ? 1 : 0;
         actions.attempt(r.request.id(), w.id, 0);
         actions.timer(PATIENCE_TOKEN + a.index + ":" + r.request.id(), a.patience);
     }
@@ -728,6 +724,9 @@
         WorkerState w = a.worker;
         w.inFlight--;
         r.live--;
+        if (a.loads) {
+            loaded(c.outcome() == Outcome.SERVED && c.tookNs() <= a.patience);
+        }
         if (provesNeverRan(c.outcome())) {
             r.exposed.remove(a);
         }
@@ -770,7 +769,7 @@
         }
         boolean silent = a.worker.heardAt <= a.sentAt;
         if (++a.worker.overdue >= OVERDUE) {
-            eject(a.worker, true, silent ? "silent" : "slow");
+            eject(a.worker, silent ? "silent" : "slow");
         }
         if (a.trial && a.worker.onTrial) {
             trialEnded(a.worker, true);
@@ -835,14 +834,14 @@
     }
 
     private void givePendingOrders() {
-        while (!pendingOrders.isEmpty() && ordersOut < orderLimit && withinRation()) {
+        while (!pendingOrders.isEmpty() && loadsOut < loadLimit && withinRation()) {
             Entry e = pendingOrders.peek();
             for (Entry other : pendingOrders) {
                 e = other.waiting.size() > e.waiting.size() ? other : e;
             }
             pendingOrders.remove(e);
             e.orderedAt = now;
-            ordersOut++;
+            loadsOut++;
             if (settings.familyInfo().loadPeriodNs() > 0) {
                 orderTimes.add(now);
             }
@@ -868,18 +867,13 @@
     @Override
     public void resident(long at, String worker, String function, int count, Outcome outcome, long tookNs) {
         now = at;
-        ordersOut = Math.max(0, ordersOut - 1);
         WorkerState w = workers.get(worker);
         Entry e = w == null ? null : w.warm.get(function);
         boolean stands = outcome == Outcome.SERVED || count > 0;
-        if (w != null && outcome != Outcome.TIMEOUT && outcome != Outcome.CONNECT_FAILED) {
+        if (w != null && stands) {
             w.heardAt = now;
         }
-        if (!stands || e != null && tookNs > CROWDED * e.loadNs) {
-            orderLimit = Math.max(ORDERS_MIN, orderLimit * ORDERS_CUT);
-        } else {
-            orderLimit = Math.min(ORDERS_MAX, orderLimit + 1 / orderLimit);
-        }
+        loaded(stands && (e == null || tookNs <= CROWDED * e.loadNs));
         if (e != null) {
             e.ordered = false;
             if (stands) {
@@ -894,6 +888,16 @@
         givePendingOrders();
     }
 
+    /** A load ended: the limit on loads out at once backs off when it took as long as in a crowd. */
+    private void loaded(boolean smoothly) {
+        loadsOut = Math.max(0, loadsOut - 1);
+        if (!smoothly) {
+            loadLimit = Math.max(LOADS_MIN, loadLimit * LOADS_CUT);
+        } else if (loadsOut >= loadLimit / 2) {
+            loadLimit += 1 / loadLimit;
+        }
+    }
+
     /** Orders unanswered for long: their requests go elsewhere, and the worker may hang. */
     private void stuckLoads() {
         for (WorkerState w : List.copyOf(workers.values())) {
@@ -901,7 +905,7 @@
                 boolean stuck = e.ordered && now - e.orderedAt > ORDER_PATIENCE * e.loadNs;
                 if (stuck && !pendingOrders.contains(e)) {
                     if (w.heardAt <= e.orderedAt) {
-                        eject(w, true, "silent");
+                        eject(w, "silent");
                     }
                     e.ordered = false;
                     dropEntry(e);
