--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -6,7 +6,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -33,7 +32,7 @@
     private static final double SMOOTH_USUAL = 0.02; // a class's usual: slow, since it is the yardstick
     private static final double SMOOTH_FAILURES = 0.2;
     private static final double FAILING = 0.45; // smoothed share of failures: three in a row from none
-    private static final int OVERDUE = 2; // attempts past their patience with no timely answer between
+    private static final int OVERDUE = 3; // attempts past their patience with no timely answer between
     private static final double MOST = 0.5; // never shut out more than this share of the fleet
     private static final long EJECT_FIRST = 1000 * MS; // first pause before a trial; doubles to the last
     private static final long EJECT_LAST = 8000 * MS;
@@ -310,7 +309,6 @@
     private void sweep() {
         actions.timer(SWEEP_TOKEN, SWEEP);
         retryHeld();
-        stuckLoads();
         givePendingOrders();
         lapse();
     }
@@ -328,7 +326,6 @@
         private long orderedAt;
         private long loadNs;
         private int inFlight;
-        private int copies = 1;
 
         Entry(WorkerState worker, String function) {
             this.worker = worker;
@@ -341,6 +338,15 @@
         return e != null && (e.inFlight > 0 || e.ordered || now - e.lastSend < keepNs);
     }
 
+    private boolean loading(WorkerState w, String function) {
+        Entry e = w.warm.get(function);
+        return e != null && e.ordered && e.loading;
+    }
+
+    private boolean standing(WorkerState w, String function) {
+        return believedWarm(w, function) && !loading(w, function);
+    }
+
     private Entry record(WorkerState w, Request request) {
         Entry e = w.warm.get(request.function());
         if (e == null || !believedWarm(w, request.function())) {
@@ -353,14 +359,22 @@
         return e;
     }
 
+    /** Forgets what lapsed and who left, and gives up on orders unanswered for long. */
     private void lapse() {
-        for (Iterator<WorkerState> it = workers.values().iterator(); it.hasNext();) {
-            WorkerState w = it.next();
-            w.warm.values().removeIf(e -> e.waiting.isEmpty() && !believedWarm(w, e.function));
-            if (!w.up && w.inFlight == 0 && w.warm.isEmpty()) {
-                it.remove();
+        for (WorkerState w : List.copyOf(workers.values())) {
+            for (Entry e : List.copyOf(w.warm.values())) {
+                boolean stuck = e.ordered && now - e.orderedAt > ORDER_PATIENCE * e.loadNs;
+                if (stuck && !pendingOrders.contains(e)) {
+                    if (w.heardAt <= e.orderedAt) {
+                        eject(w, "silent");
+                    }
+                    dropEntry(e);
+                } else if (e.waiting.isEmpty() && !believedWarm(w, e.function)) {
+                    w.warm.remove(e.function);
+                }
             }
         }
+        workers.values().removeIf(w -> !w.up && w.inFlight == 0 && w.warm.isEmpty());
     }
 
     private void dropEntry(Entry e) {
@@ -395,22 +409,29 @@
         String function = r.request.function();
         double mean = eligible.stream().mapToInt(w -> w.inFlight).average().orElse(0);
         double bound = NEAR_IDLE * (mean + 1);
-        WorkerState warm = fewest(eligible, w -> w.belowValve(bound) && believedWarm(w, function)
+        WorkerState warm = fewest(eligible, w -> w.belowValve(bound) && standing(w, function)
             && freeLane(w, r.request));
         if (warm != null) {
             return warm;
         }
-        if (loadsOut >= loadLimit) {
+        WorkerState home = home(eligible, r, bound);
+        if (onlyOrdersLoad()) {
+            warm = fewest(eligible, w -> w.inFlight < w.valve && standing(w, function));
+            if (warm != null && home != null && eligible.stream().noneMatch(w -> loading(w, function))) {
+                order(record(home, r.request));
+            }
+            warm = warm != null ? warm : fewest(eligible, w -> loading(w, function));
+        } else if (loadsOut >= loadLimit) {
             warm = fewest(eligible, w -> w.belowValve(bound) && believedWarm(w, function));
         }
-        WorkerState home = warm != null ? warm : home(eligible, r, bound);
+        home = warm != null ? warm : home;
         return home != null ? home : fewest(eligible, w -> true);
     }
 
     /** A worker that loads by itself starts a copy for one that waits; where only orders do, one may. */
     private boolean freeLane(WorkerState w, Request request) {
         Entry e = w.warm.get(request.function());
-        return e.inFlight < (onlyOrdersLoad() ? 2 : 1) * e.copies * Math.max(1, request.lanes());
+        return e.inFlight < (onlyOrdersLoad() ? 2 : 1) * Math.max(1, request.lanes());
     }
 
     /** The one with the fewest own in flight among those that qualify, random among equals; or null. */
@@ -486,13 +507,9 @@
             }
         }
         List<WorkerState> pool = healthy.size() >= MOST * up ? healthy : open;
-        return without(pool, r.tried::contains);
-    }
-
-    private static List<WorkerState> without(List<WorkerState> all, Predicate<WorkerState> bad) {
-        List<WorkerState> left = new ArrayList<>(all);
-        left.removeIf(bad);
-        return left.isEmpty() ? all : left;
+        List<WorkerState> untried = new ArrayList<>(pool);
+        untried.removeAll(r.tried);
+        return untried.isEmpty() ? pool : untried;
     }
 
     /** A worker whose pause is over and that waits for its one trial, or null. */
@@ -824,10 +841,13 @@
         e.loading = true;
         e.waiting.add(r);
         r.waitsFor = e;
+        order(e);
+    }
+
+    private void order(Entry e) {
         if (!e.ordered) {
             e.ordered = true;
             e.orderedAt = now;
-            e.copies = 1;
             pendingOrders.add(e);
             givePendingOrders();
         }
@@ -845,7 +865,7 @@
             if (settings.familyInfo().loadPeriodNs() > 0) {
                 orderTimes.add(now);
             }
-            actions.hold(e.worker.id, e.function, e.copies);
+            actions.hold(e.worker.id, e.function, 1);
         }
     }
 
@@ -870,15 +890,12 @@
         WorkerState w = workers.get(worker);
         Entry e = w == null ? null : w.warm.get(function);
         boolean stands = outcome == Outcome.SERVED || count > 0;
-        if (w != null && stands) {
-            w.heardAt = now;
-        }
         loaded(stands && (e == null || tookNs <= CROWDED * e.loadNs));
         if (e != null) {
             e.ordered = false;
             if (stands) {
+                w.heardAt = now;
                 e.loading = false;
-                e.copies = Math.max(1, count);
                 e.lastSend = now;
                 release(e, false);
             } else {
@@ -898,22 +915,6 @@
         }
     }
 
-    /** Orders unanswered for long: their requests go elsewhere, and the worker may hang. */
-    private void stuckLoads() {
-        for (WorkerState w : List.copyOf(workers.values())) {
-            for (Entry e : List.copyOf(w.warm.values())) {
-                boolean stuck = e.ordered && now - e.orderedAt > ORDER_PATIENCE * e.loadNs;
-                if (stuck && !pendingOrders.contains(e)) {
-                    if (w.heardAt <= e.orderedAt) {
-                        eject(w, "silent");
-                    }
-                    e.ordered = false;
-                    dropEntry(e);
-                }
-            }
-        }
-    }
-
     // ---- 6. Admission -----------------------------------------------------------------------
 
     /** Even the least busy worker is so full that the answer would come too late. */
