--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -20,7 +20,7 @@
 
     // Ranking. The valve starts at the design's eight and follows latency against the aim.
     private static final double VALVE_START = 8;
-    private static final double VALVE_MIN = 2; // one in work, one waiting: below that a core idles
+    private static final double VALVE_MIN = 0.25; // many front ends on a worker: one at a time is too many
     private static final double VALVE_STEP = 0.1; // additive raise an answer, slow next to the cut
     private static final double VALVE_CUT = 0.85; // multiplicative cut, at most once a smoothed latency
     private static final double VALVE_HIGH = 0.7; // of the aim: the next in line would be late
@@ -119,11 +119,7 @@
         }
 
         double of(Request request) {
-            return perUnit > 0 ? perUnit * units(request) : untold;
-        }
-
-        static double units(Request request) {
-            return request.costNs() > 0 ? request.costNs() : 1;
+            return perUnit > 0 ? perUnit * Math.max(1, request.costNs()) : untold;
         }
     }
 
@@ -160,6 +156,8 @@
         private int inFlight;
         private double valve = VALVE_START;
         private double lateness; // smoothed latency over the class's aim
+        private double latencyNs; // smoothed
+        private long lastSentAt;
         private long valveCutAt;
         private long heardAt;
         private int overdue; // attempts past their patience since the last timely answer
@@ -179,8 +177,10 @@
             this.hash = mix(id.hashCode());
         }
 
-        boolean belowValve(double bound) {
-            return inFlight < valve && inFlight <= bound;
+        /** Below one, the valve lets one through each so many times the smoothed latency. */
+        boolean belowValve(double bound, double over, long now) {
+            return inFlight < Math.max(1, over * valve) && inFlight <= bound
+                && (valve >= 1 || (now - lastSentAt) * valve * over >= latencyNs);
         }
     }
 
@@ -409,20 +409,20 @@
         String function = r.request.function();
         double mean = eligible.stream().mapToInt(w -> w.inFlight).average().orElse(0);
         double bound = NEAR_IDLE * (mean + 1);
-        WorkerState warm = fewest(eligible, w -> w.belowValve(bound) && standing(w, function)
+        WorkerState warm = fewest(eligible, w -> w.belowValve(bound, 1, now) && standing(w, function)
             && freeLane(w, r.request));
         if (warm != null) {
             return warm;
         }
         WorkerState home = home(eligible, r, bound);
         if (onlyOrdersLoad()) {
-            warm = fewest(eligible, w -> w.inFlight < w.valve && standing(w, function));
+            warm = fewest(eligible, w -> w.belowValve(Double.MAX_VALUE, 1, now) && standing(w, function));
             if (warm != null && home != null && eligible.stream().noneMatch(w -> loading(w, function))) {
                 order(record(home, r.request));
             }
             warm = warm != null ? warm : fewest(eligible, w -> loading(w, function));
         } else if (loadsOut >= loadLimit) {
-            warm = fewest(eligible, w -> w.belowValve(bound) && believedWarm(w, function));
+            warm = fewest(eligible, w -> w.belowValve(bound, 1, now) && believedWarm(w, function));
         }
         home = warm != null ? warm : home;
         return home != null ? home : fewest(eligible, w -> true);
@@ -459,7 +459,7 @@
     private WorkerState home(List<WorkerState> eligible, RequestState r, double bound) {
         WorkerState best = null;
         for (WorkerState w : eligible) {
-            if (w.belowValve(bound) && !believedWarm(w, r.request.function())
+            if (w.belowValve(bound, 1, now) && !believedWarm(w, r.request.function())
                 && (best == null || mix(w.hash ^ r.hash) > mix(best.hash ^ r.hash))) {
                 best = w;
             }
@@ -477,6 +477,7 @@
     /** The valve follows the smoothed latency against the aim, worker by worker. */
     private void turnValve(WorkerState w, RequestState r, long tookNs) {
         double late = tookNs / (double) r.type.onTimeNs();
+        w.latencyNs += SMOOTH_LATENCY * (tookNs - w.latencyNs);
         w.lateness += SMOOTH_LATENCY * (late - w.lateness);
         if (w.lateness > VALVE_HIGH && now - w.valveCutAt > w.lateness * r.type.onTimeNs()) {
             w.valve = Math.max(VALVE_MIN, w.valve * VALVE_CUT);
@@ -557,7 +558,7 @@
         boolean bad = c.outcome() != Outcome.SERVED && c.note() != Note.LOAD_FAILED;
         w.failures += SMOOTH_FAILURES * ((bad ? 1 : 0) - w.failures);
         if (!bad && (c.note() == Note.NONE || c.note() == Note.FOUND_LOADED)) {
-            usual.get(a.request.type.name()).learn(c.tookNs() / Usual.units(a.request.request));
+            usual.get(a.request.type.name()).learn(c.tookNs() / Math.max(1.0, a.request.request.costNs()));
             turnValve(w, a.request, c.tookNs());
         }
         boolean timely = !bad && c.tookNs() <= a.patience;
@@ -716,6 +717,7 @@
         Attempt a = new Attempt(r, w, r.attempts.size(), now, patience(r, e), trial, loads);
         e.inFlight++;
         w.inFlight++;
+        w.lastSentAt = now;
         w.onTrial |= trial;
         if (cold(w)) {
             w.coldTokens--;
@@ -919,8 +921,7 @@
 
     /** Even the least busy worker is so full that the answer would come too late. */
     private boolean refuses(List<WorkerState> eligible, RequestState r) {
-        WorkerState least = fewest(eligible, w -> true);
-        return least.inFlight >= REFUSE_OVER * least.valve;
+        return eligible.stream().noneMatch(w -> w.belowValve(Double.MAX_VALUE, REFUSE_OVER, now));
     }
 
     private void decline(RequestState r) {
