--- a/src/test/java/wharfhinge/ChoiceTest.java
+++ b/src/test/java/wharfhinge/ChoiceTest.java
@@ -224,6 +224,19 @@
         assertTrue(sent > 0 && sent <= 17, "sent " + sent);
     }
 
+    @Test
+    void requestsThatAreNotServedDoNotEnlargeTheColdBudget() {
+        Recorder t = loading();
+        t.fleet("b");
+        t.change("c", UP, t.now);
+        int sent = 0;
+        for (int i = 0; i < 200; i++) {
+            sent += "c".equals(t.sentTo(t.query("f"))) ? 1 : 0;
+            t.pass(10);
+        }
+        assertTrue(sent <= 1, "sent " + sent);
+    }
+
     @Test
     void aMissOrdersOneAndResendsOnceAnswered() {
         Recorder t = new Recorder(Recorder.settings(IDEMPOTENT, "miss", false));
