A function's share of own calls sets how many of its hash homes count as warm

Cause: at full size each front end sends a few calls a second, own in flight is 0 or 1, and all of them meet at a hot function's one home (busiest worker 4 to 9 times the mean). Now share x workers x 2 homes, less the part that own sends show (1 - 1/group). Also: one trial that passes ends an ejection, fewer lines.

Hurts: a share taken too high from few calls loads copies that idle; hence the prior of 20 calls.

--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -5,13 +5,16 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 /** The decisions of one dispatcher. One thread at a time; needs nothing but its events. */
 public final class Choice implements Dispatcher {
@@ -27,6 +30,10 @@
     private static final double VALVE_LOW = 0.45; // of the aim: there is room for more
     private static final double NEAR_IDLE = 1.5; // a home may hold this multiple of the mean, and this more
 
+    private static final long SHARE_WINDOW = 15_000 * MS; // memory of each function's share of own calls
+    private static final double SHARE_PRIOR = 20; // calls without a share, so that few calls spread nothing
+    private static final double SPREAD = 2; // homes for each worker that its share would fill
+
     // Eligibility. Weights of a smoothed value: recent ten to five answers decide.
     private static final double SMOOTH_LATENCY = 0.1;
     private static final double SMOOTH_USUAL = 0.02; // a class's usual: slow, since it is the yardstick
@@ -34,9 +41,7 @@
     private static final double FAILING = 0.45; // smoothed share of failures: three in a row from none
     private static final int OVERDUE = 3; // attempts past their patience with no timely answer between
     private static final double MOST = 0.5; // never shut out more than this share of the fleet
-    private static final long EJECT_FIRST = 1000 * MS; // first pause before a trial; doubles to the last
-    private static final long EJECT_LAST = 8000 * MS;
-    private static final int TRIALS = 2; // trials in a row that must pass
+    private static final long EJECT_FIRST = 1000 * MS, EJECT_LAST = 8000 * MS; // before a trial; doubles
     private static final double COLD_MARGIN = 0.6; // of the told multiple: chance and uneven peers
     private static final long RATE_WINDOW = 5000 * MS; // the memory of the rate of answers
 
@@ -49,8 +54,7 @@
     private static final long LOAD_UNTOLD = 1000 * MS; // where no usual time of a load is told
 
     // Loads. Own loads out at once: additive raise, multiplicative cut when the store looks crowded.
-    private static final double LOADS_START = 8;
-    private static final double LOADS_MIN = 2;
+    private static final double LOADS_START = 8, LOADS_MIN = 2;
     private static final double LOADS_CUT = 0.7;
     private static final double CROWDED = 3; // times the told load time: others stand in line
     private static final double ORDER_PATIENCE = 4; // times the told load time before another worker is tried
@@ -59,9 +63,7 @@
     private static final double REFUSE_OVER = 1.25; // times the valve on the least busy worker
 
     private static final long SWEEP = 25 * MS; // pace of looking after what is held
-    private static final String SWEEP_TOKEN = "sweep";
-    private static final String END_TOKEN = "end:";
-    private static final String PATIENCE_TOKEN = "wait:";
+    private static final String SWEEP_TOKEN = "sweep", END_TOKEN = "end:";
 
     private final Settings settings;
     private final Actions actions;
@@ -71,13 +73,14 @@
     private final Map<String, WorkerState> workers = new LinkedHashMap<>();
     private final Map<String, RequestState> requests = new HashMap<>();
     private final LinkedHashSet<RequestState> held = new LinkedHashSet<>();
+    private final Map<String, Decayed> calls = new LinkedHashMap<>();
+    private final Decayed allCalls = new Decayed(SHARE_WINDOW);
     private final ArrayDeque<Entry> pendingOrders = new ArrayDeque<>();
     private final ArrayDeque<Long> orderTimes = new ArrayDeque<>();
     private final ArrayDeque<Long> arrivalTimes = new ArrayDeque<>();
     private final long keepNs;
     private long now;
-    private double served; // decayed count over RATE_WINDOW
-    private long servedAt;
+    private final Decayed served = new Decayed(RATE_WINDOW);
     private double retryTokens = RETRY_BURST;
     private double loadLimit = LOADS_START;
     private int loadsOut;
@@ -93,7 +96,6 @@
         this.random = new Random(seed);
         this.keepNs = settings.familyInfo().keepNs();
         this.now = now;
-        this.servedAt = now;
         for (RequestClass c : settings.classes()) {
             classes.put(c.name(), c);
             usual.put(c.name(), new Usual(c.onTimeNs()));
@@ -104,6 +106,27 @@
         actions.timer(SWEEP_TOKEN, SWEEP);
     }
 
+    /** A count that fades over a window. */
+    private static final class Decayed {
+        private final long window;
+        private double count;
+        private long at;
+
+        Decayed(long window) {
+            this.window = window;
+        }
+
+        double at(long now) {
+            count *= Math.exp((at - now) / (double) window);
+            at = now;
+            return count;
+        }
+
+        void add(double more, long now) {
+            count = at(now) + more;
+        }
+    }
+
     /** The usual time of a warm answer of a class, for each unit of told cost where costs are told. */
     private static final class Usual {
         private final double untold;
@@ -128,16 +151,17 @@
         private final RequestClass type;
         private final long arrived;
         private final long hash;
+        private final double share; // of own calls, before this one
         private final List<Attempt> attempts = new ArrayList<>();
         private final List<Attempt> exposed = new ArrayList<>(); // may have run, or still may
         private final LinkedHashSet<WorkerState> tried = new LinkedHashSet<>();
         private Entry waitsFor;
         private int live;
-        private boolean streaming;
-        private boolean done;
+        private boolean streaming, done;
 
-        RequestState(Request request, RequestClass type, long arrived) {
+        RequestState(Request request, RequestClass type, long arrived, double share) {
             this.request = request;
+            this.share = share;
             this.type = type;
             this.arrived = arrived;
             this.hash = mix(request.function().hashCode());
@@ -154,19 +178,15 @@
         private Worker told;
         private boolean up;
         private int inFlight;
+        private double homeScore; // for the request being ranked; least first
         private double valve = VALVE_START;
         private double lateness; // smoothed latency over the class's aim
         private double latencyNs; // smoothed
-        private long lastSentAt;
-        private long valveCutAt;
-        private long heardAt;
+        private long lastSentAt, valveCutAt, heardAt;
         private int overdue; // attempts past their patience since the last timely answer
         private double failures;
-        private boolean ejected;
-        private boolean onTrial;
-        private int trialsPassed;
-        private long trialAt;
-        private long pause = EJECT_FIRST;
+        private boolean ejected, onTrial;
+        private long trialAt, pause = EJECT_FIRST;
         private double coldTokens;
         private long coldAt;
 
@@ -193,17 +213,10 @@
             actions.listen(true);
             return;
         }
-        LinkedHashSet<String> named = new LinkedHashSet<>();
-        for (Worker entry : entries) {
-            named.add(entry.id());
-            update(entry);
-        }
+        entries.forEach(this::update);
         if (mode != ListMode.CHANGES) {
-            for (WorkerState w : workers.values()) {
-                if (!named.contains(w.id)) {
-                    leave(w);
-                }
-            }
+            Set<String> named = entries.stream().map(Worker::id).collect(Collectors.toSet());
+            workers.values().stream().filter(w -> !named.contains(w.id)).forEach(this::leave);
         }
         retryHeld();
     }
@@ -233,9 +246,12 @@
         if (type == null) {
             throw new IllegalArgumentException("unknown class " + request.requestClass());
         }
-        RequestState r = new RequestState(request, type, now);
+        RequestState r = new RequestState(request, type, now, countCall(request.function()));
         requests.put(request.id(), r);
-        arrived();
+        retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
+        if (settings.familyInfo().loadPeriodNs() > 0) {
+            arrivalTimes.add(now);
+        }
         actions.timer(END_TOKEN + request.id(), Math.max(0, request.remainingNs() - 2 * settings.tickNs()));
         route(r);
     }
@@ -273,17 +289,14 @@
         now = at;
         if (token.equals(SWEEP_TOKEN)) {
             sweep();
-        } else if (token.startsWith(END_TOKEN)) {
-            RequestState r = requests.get(token.substring(END_TOKEN.length()));
-            if (r != null && !r.done && !r.streaming) {
-                decline(r);
-            }
-        } else if (token.startsWith(PATIENCE_TOKEN)) {
-            int colon = token.indexOf(':', PATIENCE_TOKEN.length());
-            RequestState r = requests.get(token.substring(colon + 1));
-            if (r != null) {
-                overdue(r, Integer.parseInt(token.substring(PATIENCE_TOKEN.length(), colon)));
-            }
+            return;
+        }
+        int colon = token.indexOf(':');
+        RequestState r = requests.get(token.substring(colon + 1));
+        if (r != null && !token.startsWith(END_TOKEN)) {
+            overdue(r, Integer.parseInt(token.substring(0, colon)));
+        } else if (r != null && !r.done && !r.streaming) {
+            decline(r);
         }
     }
 
@@ -347,6 +360,15 @@
         return believedWarm(w, function) && !loading(w, function);
     }
 
+    /** Counts a call and tells the share of own calls that its function had before. */
+    private double countCall(String function) {
+        Decayed count = calls.computeIfAbsent(function, f -> new Decayed(SHARE_WINDOW));
+        double share = count.at(now) / (allCalls.at(now) + SHARE_PRIOR);
+        count.add(1, now);
+        allCalls.add(1, now);
+        return share;
+    }
+
     private Entry record(WorkerState w, Request request) {
         Entry e = w.warm.get(request.function());
         if (e == null || !believedWarm(w, request.function())) {
@@ -375,6 +397,7 @@
             }
         }
         workers.values().removeIf(w -> !w.up && w.inFlight == 0 && w.warm.isEmpty());
+        calls.values().removeIf(count -> count.at(now) < 0.05);
     }
 
     private void dropEntry(Entry e) {
@@ -409,12 +432,15 @@
         String function = r.request.function();
         double mean = eligible.stream().mapToInt(w -> w.inFlight).average().orElse(0);
         double bound = NEAR_IDLE * (mean + 1);
-        WorkerState warm = fewest(eligible, w -> w.belowValve(bound, 1, now) && standing(w, function)
-            && freeLane(w, r.request));
+        List<WorkerState> order = inHomeOrder(eligible, r);
+        List<WorkerState> homes = order.subList(0, homes(eligible, r));
+        WorkerState warm = fewest(eligible, w -> w.belowValve(bound, 1, now)
+            && (standing(w, function) || homes.contains(w)) && freeLane(w, r.request));
         if (warm != null) {
             return warm;
         }
-        WorkerState home = home(eligible, r, bound);
+        WorkerState home = order.stream().filter(w -> w.belowValve(bound, 1, now) && !believedWarm(w, function))
+            .findFirst().orElse(null);
         if (onlyOrdersLoad()) {
             warm = fewest(eligible, w -> w.belowValve(Double.MAX_VALUE, 1, now) && standing(w, function));
             if (warm != null && home != null && eligible.stream().noneMatch(w -> loading(w, function))) {
@@ -424,14 +450,14 @@
         } else if (loadsOut >= loadLimit) {
             warm = fewest(eligible, w -> w.belowValve(bound, 1, now) && believedWarm(w, function));
         }
-        home = warm != null ? warm : home;
-        return home != null ? home : fewest(eligible, w -> true);
+        WorkerState found = warm != null ? warm : home;
+        return found != null ? found : fewest(eligible, w -> true);
     }
 
     /** A worker that loads by itself starts a copy for one that waits; where only orders do, one may. */
     private boolean freeLane(WorkerState w, Request request) {
         Entry e = w.warm.get(request.function());
-        return e.inFlight < (onlyOrdersLoad() ? 2 : 1) * Math.max(1, request.lanes());
+        return e == null || e.inFlight < (onlyOrdersLoad() ? 2 : 1) * Math.max(1, request.lanes());
     }
 
     /** The one with the fewest own in flight among those that qualify, random among equals; or null. */
@@ -439,32 +465,35 @@
         WorkerState best = null;
         int ties = 0;
         for (WorkerState w : eligible) {
-            if (!qualifies.test(w)) {
-                continue;
-            }
-            if (best == null || w.inFlight < best.inFlight) {
-                best = w;
-                ties = 1;
-            } else if (w.inFlight == best.inFlight && random.nextInt(++ties) == 0) {
-                best = w;
+            if (qualifies.test(w) && (best == null || w.inFlight <= best.inFlight)) {
+                ties = best == null || w.inFlight < best.inFlight ? 1 : ties + 1;
+                best = ties == 1 || random.nextInt(ties) == 0 ? w : best;
             }
         }
         return best;
     }
 
     /**
-     * Departure: where nothing is believed warm, near-idle workers tie and the tie is broken by a hash
-     * of function and worker, so that front ends that share nothing, and a restarted one, meet.
+     * Departure: all front ends derive the same order of homes for a function (weighted rendezvous hashing,
+     * in proportion to the told sizes), so that those that share nothing, and a restarted one, meet there.
      */
-    private WorkerState home(List<WorkerState> eligible, RequestState r, double bound) {
-        WorkerState best = null;
+    private List<WorkerState> inHomeOrder(List<WorkerState> eligible, RequestState r) {
         for (WorkerState w : eligible) {
-            if (w.belowValve(bound, 1, now) && !believedWarm(w, r.request.function())
-                && (best == null || mix(w.hash ^ r.hash) > mix(best.hash ^ r.hash))) {
-                best = w;
-            }
+            double uniform = ((mix(w.hash ^ r.hash) >>> 11) + 0.5) / (1L << 53);
+            w.homeScore = -Math.log(uniform) / (w.told.weight() > 0 ? w.told.weight() : 1);
         }
-        return best;
+        return eligible.stream().sorted(Comparator.comparingDouble(w -> w.homeScore)).toList();
+    }
+
+    /**
+     * Departure: a function that draws a share of all calls needs that share of the workers. So many of its
+     * homes count as believed warm: peers see like shares and send there too. Guards against many front
+     * ends that each see little meeting on one full worker; a share taken too high spends memory.
+     */
+    private int homes(List<WorkerState> eligible, RequestState r) {
+        double unseen = 1 - 1.0 / Math.max(1, settings.groupSize()); // what own sends do not show
+        int count = (int) Math.min(eligible.size(), SPREAD * unseen * r.share * eligible.size());
+        return onlyOrdersLoad() || count < 2 ? 0 : count;
     }
 
     private static long mix(long x) {
@@ -527,7 +556,6 @@
             return;
         }
         w.ejected = true;
-        w.trialsPassed = 0;
         w.trialAt = now + w.pause;
         actions.remark("ejected " + w.id + " " + symptom);
     }
@@ -542,9 +570,8 @@
     private void judge(Attempt a, Completion c) {
         WorkerState w = a.worker;
         boolean alive = c.outcome() == Outcome.FULL || c.outcome() == Outcome.MISS;
-        if (alive || c.outcome() == Outcome.SERVED || c.outcome() == Outcome.ERROR) {
-            w.heardAt = now;
-        }
+        boolean heard = alive || c.outcome() == Outcome.SERVED || c.outcome() == Outcome.ERROR;
+        w.heardAt = heard ? now : w.heardAt;
         if (c.outcome() == Outcome.FULL) {
             w.valve = Math.max(VALVE_MIN, Math.min(w.valve, w.inFlight + 1) * VALVE_CUT);
         }
@@ -554,7 +581,7 @@
             w.onTrial &= !a.trial;
             return;
         }
-        servedPerNs(c.outcome() == Outcome.SERVED ? 1 : 0);
+        served.add(c.outcome() == Outcome.SERVED ? 1 : 0, now);
         boolean bad = c.outcome() != Outcome.SERVED && c.note() != Note.LOAD_FAILED;
         w.failures += SMOOTH_FAILURES * ((bad ? 1 : 0) - w.failures);
         if (!bad && (c.note() == Note.NONE || c.note() == Note.FOUND_LOADED)) {
@@ -573,18 +600,13 @@
         }
     }
 
+    /** A trial that passes ends the ejection; one that fails doubles the pause. */
     private void trialEnded(WorkerState w, boolean bad) {
-        if (!w.ejected) {
-            return;
-        }
-        if (bad) {
+        if (w.ejected && bad) {
             w.pause = Math.min(EJECT_LAST, 2 * w.pause);
-            w.trialsPassed = 0;
             w.trialAt = now + w.pause;
-        } else if (++w.trialsPassed >= TRIALS) {
+        } else if (w.ejected) {
             restore(w);
-        } else {
-            w.trialAt = now;
         }
     }
 
@@ -605,7 +627,7 @@
         double age = Math.max(0, now - w.told.startedAt()) / (double) rules.warmAfterNs();
         double share = rules.coldFrom() + (1 - rules.coldFrom()) * age;
         long up = workers.values().stream().filter(other -> other.up).count();
-        double perNs = COLD_MARGIN * rules.overloadFactor() * share * servedPerNs(0) / Math.max(1, up);
+        double perNs = COLD_MARGIN * rules.overloadFactor() * share * served.at(now) / RATE_WINDOW / up;
         perNs = Math.max(perNs, 1.0 / rules.warmAfterNs()); // a fleet that is cold as a whole must start
         double most = Math.max(1, perNs * rules.tipAfterNs() / 2);
         w.coldTokens = Math.min(most, w.coldTokens + perNs * (now - w.coldAt));
@@ -613,20 +635,6 @@
         return w.coldTokens >= 1;
     }
 
-    private void arrived() {
-        retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
-        if (settings.familyInfo().loadPeriodNs() > 0) {
-            arrivalTimes.add(now);
-        }
-    }
-
-    /** Adds to the decayed count of served answers, and tells their rate. */
-    private double servedPerNs(int more) {
-        served = served * Math.exp((servedAt - now) / (double) RATE_WINDOW) + more;
-        servedAt = now;
-        return served / RATE_WINDOW;
-    }
-
     // ---- 4. Attempts ------------------------------------------------------------------------
 
     /** Rule 2, for every path: may this request be sent to this worker now? */
@@ -663,11 +671,8 @@
         };
     }
 
-    private static boolean provesNeverRan(Outcome outcome) {
-        return switch (outcome) {
-            case FULL, CONNECT_FAILED, MOOT, MISS -> true;
-            default -> false;
-        };
+    private static boolean provesNeverRan(Outcome o) {
+        return o == Outcome.FULL || o == Outcome.CONNECT_FAILED || o == Outcome.MOOT || o == Outcome.MISS;
     }
 
     private void route(RequestState r) {
@@ -728,7 +733,7 @@
         held.remove(r);
         loadsOut += a.loads ? 1 : 0;
         actions.attempt(r.request.id(), w.id, 0);
-        actions.timer(PATIENCE_TOKEN + a.index + ":" + r.request.id(), a.patience);
+        actions.timer(a.index + ":" + r.request.id(), a.patience);
     }
 
     private long patience(RequestState r, Entry e) {
@@ -813,10 +818,9 @@
     }
 
     private void retryHeld() {
-        for (RequestState r : List.copyOf(held)) {
-            held.remove(r);
-            route(r);
-        }
+        List<RequestState> waiting = List.copyOf(held);
+        held.clear();
+        waiting.forEach(this::route);
     }
 
     private void finish(RequestState r) {
--- a/src/test/java/wharfhinge/ChoiceTest.java
+++ b/src/test/java/wharfhinge/ChoiceTest.java
@@ -44,7 +44,26 @@
             String next = t.query("f1");
             assertEquals(t.sentTo(first), t.sentTo(next));
             t.served(next);
+            for (int k = 0; k < 9; k++) {
+                t.served(t.query("g" + k));
+            }
+        }
+    }
+
+    /** Peers send a like share to the same homes, which own sends do not show. */
+    @Test
+    void aFunctionThatDrawsAShareOfCallsHasThatShareOfTheWorkers() {
+        Recorder t = loading();
+        t.fleet("b", "c", "d", "e", "g", "h", "i", "j", "k", "l", "m", "x");
+        Set<String> used = new HashSet<>();
+        for (int i = 0; i < 200; i++) {
+            String q = t.query(i % 2 == 0 ? "hot" : "f" + i % 40);
+            t.served(q);
+            if (i % 2 == 0 && i > 40) {
+                used.add(t.sentTo(q));
+            }
         }
+        assertTrue(used.size() >= 3 && used.size() <= 6, "homes used " + used.size());
     }
 
     @Test
@@ -158,7 +177,7 @@
         t.fleet("b", "c");
         String q = t.query("f");
         t.pass(2000);
-        t.due("wait:0:" + q);
+        t.due("0:" + q);
         assertEquals(1, t.attempts(q));
         assertTrue(t.did("cancel " + q + " 0"));
         t.end(q, 0, Dispatcher.Outcome.CANCELLED, NONE, 2000);
@@ -310,7 +329,7 @@
         for (String q : out) {
             assertEquals(home, t.sentTo(q));
             assertFalse(t.did("remark ejected " + home + " silent"));
-            t.due("wait:0:" + q);
+            t.due("0:" + q);
             assertEquals(2, t.attempts(q));
             assertNotEquals(home, t.sentTo(q));
         }
