--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -439,8 +439,8 @@
         if (warm != null) {
             return warm;
         }
-        WorkerState home = order.stream().filter(w -> w.belowValve(bound, 1, now) && !believedWarm(w, function))
-            .findFirst().orElse(null);
+        WorkerState home = order.stream()
+            .filter(w -> w.belowValve(bound, 1, now) && !believedWarm(w, function)).findFirst().orElse(null);
         if (onlyOrdersLoad()) {
             warm = fewest(eligible, w -> w.belowValve(Double.MAX_VALUE, 1, now) && standing(w, function));
             if (warm != null && home != null && eligible.stream().noneMatch(w -> loading(w, function))) {
