Saturation from few samples: valve by time, full answers, pressure

Cause: at full size a front end meets a worker every few seconds. Its valve started at 8, moved by a tenth of an answer and could not rise again below one (nothing is in flight when an answer has come).

Might hurt: a trouble that makes most warm answers late without load (slow handshakes) sheds some.

--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -23,9 +24,11 @@
 
     // Ranking. The valve starts at the design's eight and follows latency against the aim.
     private static final double VALVE_START = 8;
-    private static final double VALVE_MIN = 0.25; // many front ends on a worker: one at a time is too many
+    private static final double FEW = 4; // front ends that the figures for one front end are meant for
+    private static final double VALVE_MIN = 0.03; // many front ends on a worker: one at a time is too many
     private static final double VALVE_STEP = 0.1; // additive raise an answer, slow next to the cut
     private static final double VALVE_CUT = 0.85; // multiplicative cut, at most once a smoothed latency
+    private static final double VALVE_PACE = 0.5; // below one, where answers are rare: cut; inverted, raise
     private static final double VALVE_HIGH = 0.7; // of the aim: the next in line would be late
     private static final double VALVE_LOW = 0.45; // of the aim: there is room for more
     private static final double NEAR_IDLE = 1.5; // a home may hold this multiple of the mean, and this more
@@ -36,6 +39,7 @@
 
     // Eligibility. Weights of a smoothed value: recent ten to five answers decide.
     private static final double SMOOTH_LATENCY = 0.1;
+    private static final long SMOOTH_WINDOW = 4000 * MS; // where answers are rarer, a new one weighs more
     private static final double SMOOTH_USUAL = 0.02; // a class's usual: slow, since it is the yardstick
     private static final double SMOOTH_FAILURES = 0.2;
     private static final double FAILING = 0.45; // smoothed share of failures: three in a row from none
@@ -51,6 +55,7 @@
     private static final double PATIENCE_LOAD = 2; // times the told time of a load
     private static final double RETRY_SHARE = 0.25; // retries for each request, as a token bucket
     private static final double RETRY_BURST = 20;
+    private static final double RETRY_UNSEEN = 0.4; // tokens for a retry of what was turned away unseen
     private static final long LOAD_UNTOLD = 1000 * MS; // where no usual time of a load is told
 
     // Loads. Own loads out at once: additive raise, multiplicative cut when the store looks crowded.
@@ -61,9 +66,12 @@
 
     // Admission.
     private static final double REFUSE_OVER = 1.25; // times the valve on the least busy worker
+    private static final long PRESSURE_WINDOW = 4000 * MS; // memory of what share of answers told saturation
+    private static final double PRESSURE_FREE = 0.4; // that share is borne without refusing
+    private static final double PRESSURE_SLOPE = 1.5; // refused for each share above it
 
-    private static final long SWEEP = 25 * MS; // pace of looking after what is held
-    private static final String SWEEP_TOKEN = "sweep", END_TOKEN = "end:";
+    private static final long SWEEP = 25 * MS, LAPSE = 500 * MS; // pace of looking after what is held, warm
+    private static final String SWEEP_TOKEN = "sweep", LAPSE_TOKEN = "lapse", END_TOKEN = "end:";
 
     private final Settings settings;
     private final Actions actions;
@@ -76,25 +84,28 @@
     private final Map<String, Decayed> calls = new LinkedHashMap<>();
     private final Decayed allCalls = new Decayed(SHARE_WINDOW);
     private final ArrayDeque<Entry> pendingOrders = new ArrayDeque<>();
-    private final ArrayDeque<Long> orderTimes = new ArrayDeque<>();
-    private final ArrayDeque<Long> arrivalTimes = new ArrayDeque<>();
+    private final ArrayDeque<Long> orderTimes = new ArrayDeque<>(), arrivalTimes = new ArrayDeque<>();
     private final long keepNs;
+    private final double few; // of a figure meant for a few front ends, the part for one of so many
     private long now;
     private final Decayed served = new Decayed(RATE_WINDOW);
+    private final Decayed answers = new Decayed(PRESSURE_WINDOW), saturated = new Decayed(PRESSURE_WINDOW);
     private double retryTokens = RETRY_BURST;
     private double loadLimit = LOADS_START;
-    private int loadsOut;
+    private int loadsOut, up; // up: workers
+    private boolean sweepSet;
 
     /** A dispatcher that knows nothing yet; draws only from {@code seed}. */
     public Choice(long now, long seed, Settings settings, Actions actions) {
-        if (settings == null || settings.classes() == null || settings.familyInfo() == null
-            || settings.limits() == null || settings.obligations() == null) {
+        if (settings == null || settings.classes() == null || settings.classes().isEmpty()
+            || settings.familyInfo() == null || settings.limits() == null || settings.obligations() == null) {
             throw new IllegalArgumentException("classes, family_info, limits and obligations are needed");
         }
         this.settings = settings;
         this.actions = actions;
         this.random = new Random(seed);
         this.keepNs = settings.familyInfo().keepNs();
+        this.few = Math.min(1, FEW / Math.max(1, settings.groupSize()));
         this.now = now;
         for (RequestClass c : settings.classes()) {
             classes.put(c.name(), c);
@@ -103,7 +114,7 @@
         if ("on_request".equals(settings.discovery())) {
             actions.listen(true);
         }
-        actions.timer(SWEEP_TOKEN, SWEEP);
+        actions.timer(LAPSE_TOKEN, LAPSE);
     }
 
     /** A count that fades over a window. */
@@ -149,8 +160,7 @@
     private static final class RequestState {
         private final Request request;
         private final RequestClass type;
-        private final long arrived;
-        private final long hash;
+        private final long arrived, hash;
         private final double share; // of own calls, before this one
         private final List<Attempt> attempts = new ArrayList<>();
         private final List<Attempt> exposed = new ArrayList<>(); // may have run, or still may
@@ -179,19 +189,17 @@
         private boolean up;
         private int inFlight;
         private double homeScore; // for the request being ranked; least first
-        private double valve = VALVE_START;
-        private double lateness; // smoothed latency over the class's aim
-        private double latencyNs; // smoothed
-        private long lastSentAt, valveCutAt, heardAt;
+        private double valve, lateness, latencyNs; // latency, and over the class's aim, smoothed
+        private long lastSentAt, valveCutAt, heardAt, sampledAt;
         private int overdue; // attempts past their patience since the last timely answer
-        private double failures;
+        private double failures, coldTokens;
         private boolean ejected, onTrial;
-        private long trialAt, pause = EJECT_FIRST;
-        private double coldTokens;
-        private long coldAt;
+        private long trialAt, coldAt, pause = EJECT_FIRST;
 
-        WorkerState(String id, long now) {
+        WorkerState(String id, long now, double valve, long aim) {
             this.id = id;
+            this.valve = valve;
+            this.latencyNs = aim / 4.0; // until it is known
             this.heardAt = now;
             this.coldAt = now;
             this.hash = mix(id.hashCode());
@@ -218,14 +226,16 @@
             Set<String> named = entries.stream().map(Worker::id).collect(Collectors.toSet());
             workers.values().stream().filter(w -> !named.contains(w.id)).forEach(this::leave);
         }
+        up = (int) workers.values().stream().filter(w -> w.up).count();
         retryHeld();
     }
 
-    /** Takes an entry; a worker that came back under its name is empty, cold and unjudged. */
+    /** A worker that came back under its name is empty, cold and unjudged. */
     private void update(Worker entry) {
         WorkerState old = workers.get(entry.id());
         boolean fresh = old == null || entry.startedAt() != 0 && entry.startedAt() != old.told.startedAt();
-        WorkerState w = fresh ? new WorkerState(entry.id(), now) : old;
+        WorkerState w = fresh ? new WorkerState(entry.id(), now, Math.max(1, VALVE_START * few),
+            settings.classes().get(0).onTimeNs()) : old;
         w.told = entry;
         w.up = entry.availability() == Availability.UP;
         workers.put(entry.id(), w);
@@ -249,11 +259,13 @@
         RequestState r = new RequestState(request, type, now, countCall(request.function()));
         requests.put(request.id(), r);
         retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
-        if (settings.familyInfo().loadPeriodNs() > 0) {
-            arrivalTimes.add(now);
-        }
+        arrivalTimes.add(now);
         actions.timer(END_TOKEN + request.id(), Math.max(0, request.remainingNs() - 2 * settings.tickNs()));
-        route(r);
+        if (sheds()) {
+            decline(r);
+        } else {
+            route(r);
+        }
     }
 
     @Override
@@ -265,11 +277,6 @@
         }
     }
 
-    @Override
-    public void probed(long at, String worker, Outcome outcome, long tookNs, Map<String, Double> report) {
-        now = at;
-    }
-
     @Override
     public void established(long at, String request, int attempt, String worker) {
         now = at;
@@ -279,16 +286,11 @@
         }
     }
 
-    @Override
-    public void inbox(long at, int peer, byte[] payload) {
-        now = at;
-    }
-
     @Override
     public void due(long at, String token) {
         now = at;
-        if (token.equals(SWEEP_TOKEN)) {
-            sweep();
+        if (token.equals(SWEEP_TOKEN) || token.equals(LAPSE_TOKEN)) {
+            sweep(token.equals(LAPSE_TOKEN));
             return;
         }
         int colon = token.indexOf(':');
@@ -319,11 +321,22 @@
         }
     }
 
-    private void sweep() {
-        actions.timer(SWEEP_TOKEN, SWEEP);
+    private void sweep(boolean full) {
+        sweepSet &= full;
+        if (full) {
+            actions.timer(LAPSE_TOKEN, LAPSE);
+            lapse();
+        }
         retryHeld();
         givePendingOrders();
-        lapse();
+    }
+
+    private void hold(RequestState r) {
+        held.add(r);
+        if (!sweepSet) {
+            sweepSet = true;
+            actions.timer(SWEEP_TOKEN, SWEEP);
+        }
     }
 
     // ---- 1. Warm lists ----------------------------------------------------------------------
@@ -336,8 +349,7 @@
         private long lastSend;
         private boolean loading;
         private boolean ordered;
-        private long orderedAt;
-        private long loadNs;
+        private long orderedAt, loadNs;
         private int inFlight;
 
         Entry(WorkerState worker, String function) {
@@ -397,6 +409,7 @@
             }
         }
         workers.values().removeIf(w -> !w.up && w.inFlight == 0 && w.warm.isEmpty());
+        withinRation(); // forgets
         calls.values().removeIf(count -> count.at(now) < 0.05);
     }
 
@@ -506,37 +519,31 @@
     /** The valve follows the smoothed latency against the aim, worker by worker. */
     private void turnValve(WorkerState w, RequestState r, long tookNs) {
         double late = tookNs / (double) r.type.onTimeNs();
-        w.latencyNs += SMOOTH_LATENCY * (tookNs - w.latencyNs);
-        w.lateness += SMOOTH_LATENCY * (late - w.lateness);
+        double weight = Math.max(SMOOTH_LATENCY, 1 - Math.exp((w.sampledAt - now) / (double) SMOOTH_WINDOW));
+        w.sampledAt = now;
+        w.latencyNs += weight * (tookNs - w.latencyNs);
+        w.lateness += weight * (late - w.lateness);
         if (w.lateness > VALVE_HIGH && now - w.valveCutAt > w.lateness * r.type.onTimeNs()) {
-            w.valve = Math.max(VALVE_MIN, w.valve * VALVE_CUT);
-            w.valveCutAt = now;
-        } else if (w.lateness < VALVE_LOW && w.inFlight >= w.valve / 2) {
-            w.valve += VALVE_STEP;
+            cutValve(w);
+        } else if (w.lateness < VALVE_LOW && (w.valve <= 1 || w.inFlight >= w.valve / 2)) {
+            w.valve = w.valve < VALVE_PACE ? w.valve / VALVE_PACE : w.valve + VALVE_STEP;
         }
     }
 
+    private void cutValve(WorkerState w) {
+        w.valve = Math.max(VALVE_MIN, w.valve * (w.valve > 1 ? VALVE_CUT : VALVE_PACE));
+        w.valveCutAt = now;
+    }
+
     // ---- 3. Eligibility ---------------------------------------------------------------------
 
     /** Workers that may get this request now; healthy ones where they are not too few. */
     private List<WorkerState> eligible(RequestState r) {
-        List<WorkerState> open = new ArrayList<>(workers.size());
-        List<WorkerState> healthy = new ArrayList<>(workers.size());
-        int up = 0;
-        for (WorkerState w : workers.values()) {
-            if (!w.up) {
-                continue;
-            }
-            up++;
-            if (!mayResend(r, w) || !withinColdBudget(w)) {
-                continue;
-            }
-            open.add(w);
-            if (!w.ejected) {
-                healthy.add(w);
-            }
-        }
-        List<WorkerState> pool = healthy.size() >= MOST * up ? healthy : open;
+        List<WorkerState> pool = new ArrayList<>(workers.values());
+        pool.removeIf(w -> !w.up || !mayResend(r, w) || !withinColdBudget(w));
+        List<WorkerState> healthy = new ArrayList<>(pool);
+        healthy.removeIf(w -> w.ejected);
+        pool = healthy.size() >= MOST * up ? healthy : pool;
         List<WorkerState> untried = new ArrayList<>(pool);
         untried.removeAll(r.tried);
         return untried.isEmpty() ? pool : untried;
@@ -552,12 +559,11 @@
     }
 
     private void eject(WorkerState w, String symptom) {
-        if (w.ejected) {
-            return;
+        if (!w.ejected) {
+            w.ejected = true;
+            w.trialAt = now + w.pause;
+            actions.remark("ejected " + w.id + " " + symptom);
         }
-        w.ejected = true;
-        w.trialAt = now + w.pause;
-        actions.remark("ejected " + w.id + " " + symptom);
     }
 
     private void restore(WorkerState w) {
@@ -573,7 +579,8 @@
         boolean heard = alive || c.outcome() == Outcome.SERVED || c.outcome() == Outcome.ERROR;
         w.heardAt = heard ? now : w.heardAt;
         if (c.outcome() == Outcome.FULL) {
-            w.valve = Math.max(VALVE_MIN, Math.min(w.valve, w.inFlight + 1) * VALVE_CUT);
+            w.valve = Math.min(w.valve, w.inFlight + 1);
+            cutValve(w);
         }
         // a time-out at the client's deadline tells nothing that its patience did not tell before
         alive |= c.outcome() == Outcome.TIMEOUT;
@@ -626,7 +633,6 @@
         Obligations rules = settings.obligations();
         double age = Math.max(0, now - w.told.startedAt()) / (double) rules.warmAfterNs();
         double share = rules.coldFrom() + (1 - rules.coldFrom()) * age;
-        long up = workers.values().stream().filter(other -> other.up).count();
         double perNs = COLD_MARGIN * rules.overloadFactor() * share * served.at(now) / RATE_WINDOW / up;
         perNs = Math.max(perNs, 1.0 / rules.warmAfterNs()); // a fleet that is cold as a whole must start
         double most = Math.max(1, perNs * rules.tipAfterNs() / 2);
@@ -664,11 +670,8 @@
     }
 
     private static boolean sameGroup(RequestClass type, WorkerState a, WorkerState b) {
-        return switch (type.group() == null ? Group.CELL : type.group()) {
-            case ALL -> true;
-            case ZONE -> a.told.zone() != null && a.told.zone().equals(b.told.zone());
-            case CELL -> a.told.cell() == b.told.cell();
-        };
+        return type.group() == Group.ALL || (type.group() == Group.ZONE
+            ? Objects.equals(a.told.zone(), b.told.zone()) : a.told.cell() == b.told.cell());
     }
 
     private static boolean provesNeverRan(Outcome o) {
@@ -676,9 +679,6 @@
     }
 
     private void route(RequestState r) {
-        if (r.done) {
-            return;
-        }
         if (r.attempts.size() >= settings.limits().maxAttempts()) {
             decline(r);
             return;
@@ -691,20 +691,17 @@
         List<WorkerState> eligible = eligible(r);
         WorkerState w = eligible.isEmpty() ? null : rank(eligible, r);
         boolean mustLoad = w != null && !onlyOrdersLoad() && !believedWarm(w, r.request.function());
-        if (w == null || mustLoad && loadsOut >= loadLimit) {
-            boolean inTime = w == null || now - r.arrived < PATIENCE_AIM * r.type.onTimeNs();
-            if (mayStillRun(r) && inTime) {
-                held.add(r);
-            } else {
-                decline(r);
-            }
+        boolean paced = mustLoad && loadsOut >= loadLimit;
+        boolean inTime = w == null || now - r.arrived < PATIENCE_AIM * r.type.onTimeNs();
+        if (mayStillRun(r) && (w == null || paced) && inTime) {
+            hold(r);
             return;
         }
-        Entry e = w.warm.get(r.request.function());
+        Entry e = w == null ? null : w.warm.get(r.request.function());
         if (e != null && e.ordered && e.loading && onlyOrdersLoad()) {
             e.waiting.add(r);
             r.waitsFor = e;
-        } else if (refuses(eligible, r)) {
+        } else if (w == null || paced || refuses(eligible, r)) {
             decline(r);
         } else {
             send(r, w, false);
@@ -742,7 +739,6 @@
         return (long) (Math.max(PATIENCE_AIM * r.type.onTimeNs(), usualNs) + load);
     }
 
-    /** The books of an attempt that ended, also after the request's end. */
     private void settle(Attempt a, Completion c) {
         RequestState r = a.request;
         WorkerState w = a.worker;
@@ -764,21 +760,22 @@
                 e.lastSend = c.note() == Note.FOUND_LOADED ? now : e.lastSend;
             }
         }
+        pressure(a, c);
         judge(a, c);
     }
 
-    /** An attempt failed and none is out: order a load, try another worker, or give the final answer. */
     private void again(RequestState r, Attempt a, Completion c) {
         if (c.outcome() == Outcome.MISS && onlyOrdersLoad() && c.note() != Note.LOAD_FAILED && a.worker.up) {
             missed(r, a.worker);
             return;
         }
         r.tried.add(a.worker);
-        if (c.outcome() == Outcome.MOOT || retryTokens < 1 || !mayStillRun(r)) {
+        double cost = c.outcome() == Outcome.FULL ? RETRY_UNSEEN : 1;
+        if (c.outcome() == Outcome.MOOT || retryTokens < cost || !mayStillRun(r)) {
             decline(r);
             return;
         }
-        retryTokens--;
+        retryTokens -= cost;
         route(r);
     }
 
@@ -820,7 +817,7 @@
     private void retryHeld() {
         List<RequestState> waiting = List.copyOf(held);
         held.clear();
-        waiting.forEach(this::route);
+        waiting.stream().filter(r -> !r.done).forEach(this::route);
     }
 
     private void finish(RequestState r) {
@@ -828,7 +825,6 @@
         held.remove(r);
         if (r.waitsFor != null) {
             r.waitsFor.waiting.remove(r);
-            r.waitsFor = null;
         }
         if (r.live == 0) {
             requests.remove(r.request.id());
@@ -868,9 +864,7 @@
             pendingOrders.remove(e);
             e.orderedAt = now;
             loadsOut++;
-            if (settings.familyInfo().loadPeriodNs() > 0) {
-                orderTimes.add(now);
-            }
+            orderTimes.add(now);
             actions.hold(e.worker.id, e.function, 1);
         }
     }
@@ -878,16 +872,10 @@
     /** Rule 5: own orders of the told span, this one included, against own requests of that span. */
     private boolean withinRation() {
         FamilyInfo info = settings.familyInfo();
-        if (info.loadPeriodNs() <= 0) {
-            return true;
-        }
-        while (!orderTimes.isEmpty() && orderTimes.peek() < now - info.loadPeriodNs()) {
-            orderTimes.poll();
-        }
-        while (!arrivalTimes.isEmpty() && arrivalTimes.peek() <= now - info.loadPeriodNs()) {
-            arrivalTimes.poll();
-        }
-        return orderTimes.size() + 1 <= info.loadsAnyway() + info.loadRatio() * arrivalTimes.size();
+        orderTimes.removeIf(at -> at < now - info.loadPeriodNs());
+        arrivalTimes.removeIf(at -> at <= now - info.loadPeriodNs());
+        double ration = info.loadsAnyway() + info.loadRatio() * arrivalTimes.size();
+        return info.loadPeriodNs() <= 0 || orderTimes.size() + 1 <= ration;
     }
 
     @Override
@@ -928,6 +916,21 @@
         return eligible.stream().noneMatch(w -> w.belowValve(Double.MAX_VALUE, REFUSE_OVER, now));
     }
 
+    /** Counts answers that tell saturation: full, or a warm copy that answered after the aim. */
+    private void pressure(Attempt a, Completion c) {
+        boolean full = c.outcome() == Outcome.FULL;
+        if (!a.trial && (full || c.outcome() == Outcome.SERVED && !a.loads)) {
+            answers.add(1, now);
+            saturated.add(full || c.tookNs() > a.request.type.onTimeNs() ? 1 : 0, now);
+        }
+    }
+
+    /** Overload: own answers tell that queues are long all over, and more requests would all be late. */
+    private boolean sheds() {
+        double share = saturated.at(now) / (answers.at(now) + 2);
+        return random.nextDouble() < PRESSURE_SLOPE * (share - PRESSURE_FREE);
+    }
+
     private void decline(RequestState r) {
         if (mayRefuse(r)) {
             actions.refuse(r.request.id(), 0);
--- a/src/main/java/wharfhinge/Dispatcher.java
+++ b/src/main/java/wharfhinge/Dispatcher.java
@@ -51,13 +51,13 @@
     void clientLeft(long now, String request);
 
     /** A probe ended. */
-    void probed(long now, String worker, Outcome outcome, long tookNs, Map<String, Double> report);
+    default void probed(long now, String worker, Outcome outcome, long tookNs, Map<String, Double> report) { }
 
     /** A streamed answer began; the client deadline no longer runs. */
     void established(long now, String request, int attempt, String worker);
 
     /** Another dispatcher sent bytes. */
-    void inbox(long now, int peer, byte[] payload);
+    default void inbox(long now, int peer, byte[] payload) { }
 
     /** A timer is due. */
     void due(long now, String token);
--- a/src/test/java/wharfhinge/ChoiceTest.java
+++ b/src/test/java/wharfhinge/ChoiceTest.java
@@ -347,7 +347,10 @@
         String q = t.query("g");
         assertNull(t.sentTo(q));
         assertTrue(t.sentTo(t.query("f0")) != null);
-        t.pass(301);
+        t.pass(200);
+        t.due("sweep");
+        assertNull(t.sentTo(q));
+        t.pass(101);
         t.due("sweep");
         assertTrue(t.did("refuse " + q));
     }
@@ -412,6 +415,41 @@
         }
     }
 
+    /** Many front ends meet a worker rarely: each full answer has to tell for longer. */
+    @Test
+    void fullAnswersKeepAFrontEndThatSendsRarelyAwayForLongerEachTime() {
+        Recorder t = loading();
+        t.fleet("b", "c", "d", "e");
+        String first = t.query("f");
+        String home = t.sentTo(first);
+        for (int i = 0; i < 3; i++) {
+            t.pass(i == 0 ? 0 : 700);
+            t.end(i == 0 ? first : t.query("f"), 0, FULL, NONE, 1);
+        }
+        t.pass(700);
+        assertNotEquals(home, t.sentTo(t.query("f")));
+        t.pass(6000);
+        assertEquals(home, t.sentTo(t.query("f")));
+    }
+
+    /** Overload: a front end whose answers come late or full takes fewer requests. */
+    @Test
+    void shedsWhenMostOwnAnswersTellSaturation() {
+        Recorder t = loading();
+        t.fleet("b", "c", "d", "e");
+        int refused = 0;
+        for (int i = 0; i < 60; i++) {
+            String q = t.query("f" + i % 3);
+            if (t.sentTo(q) != null) {
+                t.end(q, 0, SERVED, FOUND_LOADED, 700);
+            } else {
+                refused += t.did("refuse " + q) ? 1 : 0;
+            }
+            t.pass(20);
+        }
+        assertTrue(refused > 10 && refused < 55, "refused " + refused);
+    }
+
     @Test
     void theModuleKeepsItsLimits() throws Exception {
         List<String> lines = Files.readAllLines(Path.of("src/main/java/wharfhinge/Choice.java"));
