--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -5,13 +5,17 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 /** The decisions of one dispatcher. One thread at a time; needs nothing but its events. */
 public final class Choice implements Dispatcher {
@@ -20,23 +24,28 @@
 
     // Ranking. The valve starts at the design's eight and follows latency against the aim.
     private static final double VALVE_START = 8;
-    private static final double VALVE_MIN = 0.25; // many front ends on a worker: one at a time is too many
+    private static final double FEW = 4; // front ends that the figures for one front end are meant for
+    private static final double VALVE_MIN = 0.03; // many front ends on a worker: one at a time is too many
     private static final double VALVE_STEP = 0.1; // additive raise an answer, slow next to the cut
     private static final double VALVE_CUT = 0.85; // multiplicative cut, at most once a smoothed latency
+    private static final double VALVE_PACE = 0.5; // below one, where answers are rare: cut; inverted, raise
     private static final double VALVE_HIGH = 0.7; // of the aim: the next in line would be late
     private static final double VALVE_LOW = 0.45; // of the aim: there is room for more
     private static final double NEAR_IDLE = 1.5; // a home may hold this multiple of the mean, and this more
 
+    private static final long SHARE_WINDOW = 15_000 * MS; // memory of each function's share of own calls
+    private static final double SHARE_PRIOR = 20; // calls without a share, so that few calls spread nothing
+    private static final double SPREAD = 2; // homes for each worker that its share would fill
+
     // Eligibility. Weights of a smoothed value: recent ten to five answers decide.
     private static final double SMOOTH_LATENCY = 0.1;
+    private static final long SMOOTH_WINDOW = 4000 * MS; // where answers are rarer, a new one weighs more
     private static final double SMOOTH_USUAL = 0.02; // a class's usual: slow, since it is the yardstick
     private static final double SMOOTH_FAILURES = 0.2;
     private static final double FAILING = 0.45; // smoothed share of failures: three in a row from none
     private static final int OVERDUE = 3; // attempts past their patience with no timely answer between
     private static final double MOST = 0.5; // never shut out more than this share of the fleet
-    private static final long EJECT_FIRST = 1000 * MS; // first pause before a trial; doubles to the last
-    private static final long EJECT_LAST = 8000 * MS;
-    private static final int TRIALS = 2; // trials in a row that must pass
+    private static final long EJECT_FIRST = 1000 * MS, EJECT_LAST = 8000 * MS; // before a trial; doubles
     private static final double COLD_MARGIN = 0.6; // of the told multiple: chance and uneven peers
     private static final long RATE_WINDOW = 5000 * MS; // the memory of the rate of answers
 
@@ -46,22 +55,23 @@
     private static final double PATIENCE_LOAD = 2; // times the told time of a load
     private static final double RETRY_SHARE = 0.25; // retries for each request, as a token bucket
     private static final double RETRY_BURST = 20;
+    private static final double RETRY_UNSEEN = 0.4; // tokens for a retry of what was turned away unseen
     private static final long LOAD_UNTOLD = 1000 * MS; // where no usual time of a load is told
 
     // Loads. Own loads out at once: additive raise, multiplicative cut when the store looks crowded.
-    private static final double LOADS_START = 8;
-    private static final double LOADS_MIN = 2;
+    private static final double LOADS_START = 8, LOADS_MIN = 2;
     private static final double LOADS_CUT = 0.7;
     private static final double CROWDED = 3; // times the told load time: others stand in line
     private static final double ORDER_PATIENCE = 4; // times the told load time before another worker is tried
 
     // Admission.
     private static final double REFUSE_OVER = 1.25; // times the valve on the least busy worker
+    private static final long PRESSURE_WINDOW = 4000 * MS; // memory of what share of answers told saturation
+    private static final double PRESSURE_FREE = 0.4; // that share is borne without refusing
+    private static final double PRESSURE_SLOPE = 1.5; // refused for each share above it
 
-    private static final long SWEEP = 25 * MS; // pace of looking after what is held
-    private static final String SWEEP_TOKEN = "sweep";
-    private static final String END_TOKEN = "end:";
-    private static final String PATIENCE_TOKEN = "wait:";
+    private static final long SWEEP = 25 * MS, LAPSE = 500 * MS; // pace of looking after what is held, warm
+    private static final String SWEEP_TOKEN = "sweep", LAPSE_TOKEN = "lapse", END_TOKEN = "end:";
 
     private final Settings settings;
     private final Actions actions;
@@ -71,29 +81,32 @@
     private final Map<String, WorkerState> workers = new LinkedHashMap<>();
     private final Map<String, RequestState> requests = new HashMap<>();
     private final LinkedHashSet<RequestState> held = new LinkedHashSet<>();
+    private final Map<String, Decayed> calls = new LinkedHashMap<>();
+    private final Decayed allCalls = new Decayed(SHARE_WINDOW);
     private final ArrayDeque<Entry> pendingOrders = new ArrayDeque<>();
-    private final ArrayDeque<Long> orderTimes = new ArrayDeque<>();
-    private final ArrayDeque<Long> arrivalTimes = new ArrayDeque<>();
+    private final ArrayDeque<Long> orderTimes = new ArrayDeque<>(), arrivalTimes = new ArrayDeque<>();
     private final long keepNs;
+    private final double few; // of a figure meant for a few front ends, the part for one of so many
     private long now;
-    private double served; // decayed count over RATE_WINDOW
-    private long servedAt;
+    private final Decayed served = new Decayed(RATE_WINDOW);
+    private final Decayed answers = new Decayed(PRESSURE_WINDOW), saturated = new Decayed(PRESSURE_WINDOW);
     private double retryTokens = RETRY_BURST;
     private double loadLimit = LOADS_START;
-    private int loadsOut;
+    private int loadsOut, up; // up: workers
+    private boolean sweepSet;
 
     /** A dispatcher that knows nothing yet; draws only from {@code seed}. */
     public Choice(long now, long seed, Settings settings, Actions actions) {
-        if (settings == null || settings.classes() == null || settings.familyInfo() == null
-            || settings.limits() == null || settings.obligations() == null) {
+        if (settings == null || settings.classes() == null || settings.classes().isEmpty()
+            || settings.familyInfo() == null || settings.limits() == null || settings.obligations() == null) {
             throw new IllegalArgumentException("classes, family_info, limits and obligations are needed");
         }
         this.settings = settings;
         this.actions = actions;
         this.random = new Random(seed);
         this.keepNs = settings.familyInfo().keepNs();
+        this.few = Math.min(1, FEW / Math.max(1, settings.groupSize()));
         this.now = now;
-        this.servedAt = now;
         for (RequestClass c : settings.classes()) {
             classes.put(c.name(), c);
             usual.put(c.name(), new Usual(c.onTimeNs()));
@@ -101,7 +114,28 @@
         if ("on_request".equals(settings.discovery())) {
             actions.listen(true);
         }
-        actions.timer(SWEEP_TOKEN, SWEEP);
+        actions.timer(LAPSE_TOKEN, LAPSE);
+    }
+
+    /** A count that fades over a window. */
+    private static final class Decayed {
+        private final long window;
+        private double count;
+        private long at;
+
+        Decayed(long window) {
+            this.window = window;
+        }
+
+        double at(long now) {
+            count *= Math.exp((at - now) / (double) window);
+            at = now;
+            return count;
+        }
+
+        void add(double more, long now) {
+            count = at(now) + more;
+        }
     }
 
     /** The usual time of a warm answer of a class, for each unit of told cost where costs are told. */
@@ -126,18 +160,18 @@
     private static final class RequestState {
         private final Request request;
         private final RequestClass type;
-        private final long arrived;
-        private final long hash;
+        private final long arrived, hash;
+        private final double share; // of own calls, before this one
         private final List<Attempt> attempts = new ArrayList<>();
         private final List<Attempt> exposed = new ArrayList<>(); // may have run, or still may
         private final LinkedHashSet<WorkerState> tried = new LinkedHashSet<>();
         private Entry waitsFor;
         private int live;
-        private boolean streaming;
-        private boolean done;
+        private boolean streaming, done;
 
-        RequestState(Request request, RequestClass type, long arrived) {
+        RequestState(Request request, RequestClass type, long arrived, double share) {
             this.request = request;
+            this.share = share;
             this.type = type;
             this.arrived = arrived;
             this.hash = mix(request.function().hashCode());
@@ -154,24 +188,18 @@
         private Worker told;
         private boolean up;
         private int inFlight;
-        private double valve = VALVE_START;
-        private double lateness; // smoothed latency over the class's aim
-        private double latencyNs; // smoothed
-        private long lastSentAt;
-        private long valveCutAt;
-        private long heardAt;
+        private double homeScore; // for the request being ranked; least first
+        private double valve, lateness, latencyNs; // latency, and over the class's aim, smoothed
+        private long lastSentAt, valveCutAt, heardAt, sampledAt;
         private int overdue; // attempts past their patience since the last timely answer
-        private double failures;
-        private boolean ejected;
-        private boolean onTrial;
-        private int trialsPassed;
-        private long trialAt;
-        private long pause = EJECT_FIRST;
-        private double coldTokens;
-        private long coldAt;
-
-        WorkerState(String id, long now) {
+        private double failures, coldTokens;
+        private boolean ejected, onTrial;
+        private long trialAt, coldAt, pause = EJECT_FIRST;
+
+        WorkerState(String id, long now, double valve, long aim) {
             this.id = id;
+            this.valve = valve;
+            this.latencyNs = aim / 4.0; // until it is known
             this.heardAt = now;
             this.coldAt = now;
             this.hash = mix(id.hashCode());
@@ -193,26 +221,21 @@
             actions.listen(true);
             return;
         }
-        LinkedHashSet<String> named = new LinkedHashSet<>();
-        for (Worker entry : entries) {
-            named.add(entry.id());
-            update(entry);
-        }
+        entries.forEach(this::update);
         if (mode != ListMode.CHANGES) {
-            for (WorkerState w : workers.values()) {
-                if (!named.contains(w.id)) {
-                    leave(w);
-                }
-            }
+            Set<String> named = entries.stream().map(Worker::id).collect(Collectors.toSet());
+            workers.values().stream().filter(w -> !named.contains(w.id)).forEach(this::leave);
         }
+        up = (int) workers.values().stream().filter(w -> w.up).count();
         retryHeld();
     }
 
-    /** Takes an entry; a worker that came back under its name is empty, cold and unjudged. */
+    /** A worker that came back under its name is empty, cold and unjudged. */
     private void update(Worker entry) {
         WorkerState old = workers.get(entry.id());
         boolean fresh = old == null || entry.startedAt() != 0 && entry.startedAt() != old.told.startedAt();
-        WorkerState w = fresh ? new WorkerState(entry.id(), now) : old;
+        WorkerState w = fresh ? new WorkerState(entry.id(), now, Math.max(1, VALVE_START * few),
+            settings.classes().get(0).onTimeNs()) : old;
         w.told = entry;
         w.up = entry.availability() == Availability.UP;
         workers.put(entry.id(), w);
@@ -233,11 +256,16 @@
         if (type == null) {
             throw new IllegalArgumentException("unknown class " + request.requestClass());
         }
-        RequestState r = new RequestState(request, type, now);
+        RequestState r = new RequestState(request, type, now, countCall(request.function()));
         requests.put(request.id(), r);
-        arrived();
+        retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
+        arrivalTimes.add(now);
         actions.timer(END_TOKEN + request.id(), Math.max(0, request.remainingNs() - 2 * settings.tickNs()));
-        route(r);
+        if (sheds()) {
+            decline(r);
+        } else {
+            route(r);
+        }
     }
 
     @Override
@@ -249,11 +277,6 @@
         }
     }
 
-    @Override
-    public void probed(long at, String worker, Outcome outcome, long tookNs, Map<String, Double> report) {
-        now = at;
-    }
-
     @Override
     public void established(long at, String request, int attempt, String worker) {
         now = at;
@@ -263,27 +286,19 @@
         }
     }
 
-    @Override
-    public void inbox(long at, int peer, byte[] payload) {
-        now = at;
-    }
-
     @Override
     public void due(long at, String token) {
         now = at;
-        if (token.equals(SWEEP_TOKEN)) {
-            sweep();
-        } else if (token.startsWith(END_TOKEN)) {
-            RequestState r = requests.get(token.substring(END_TOKEN.length()));
-            if (r != null && !r.done && !r.streaming) {
-                decline(r);
-            }
-        } else if (token.startsWith(PATIENCE_TOKEN)) {
-            int colon = token.indexOf(':', PATIENCE_TOKEN.length());
-            RequestState r = requests.get(token.substring(colon + 1));
-            if (r != null) {
-                overdue(r, Integer.parseInt(token.substring(PATIENCE_TOKEN.length(), colon)));
-            }
+        if (token.equals(SWEEP_TOKEN) || token.equals(LAPSE_TOKEN)) {
+            sweep(token.equals(LAPSE_TOKEN));
+            return;
+        }
+        int colon = token.indexOf(':');
+        RequestState r = requests.get(token.substring(colon + 1));
+        if (r != null && !token.startsWith(END_TOKEN)) {
+            overdue(r, Integer.parseInt(token.substring(0, colon)));
+        } else if (r != null && !r.done && !r.streaming) {
+            decline(r);
         }
     }
 
@@ -306,11 +321,22 @@
         }
     }
 
-    private void sweep() {
-        actions.timer(SWEEP_TOKEN, SWEEP);
+    private void sweep(boolean full) {
+        sweepSet &= full;
+        if (full) {
+            actions.timer(LAPSE_TOKEN, LAPSE);
+            lapse();
+        }
         retryHeld();
         givePendingOrders();
-        lapse();
+    }
+
+    private void hold(RequestState r) {
+        held.add(r);
+        if (!sweepSet) {
+            sweepSet = true;
+            actions.timer(SWEEP_TOKEN, SWEEP);
+        }
     }
 
     // ---- 1. Warm lists ----------------------------------------------------------------------
@@ -323,8 +349,7 @@
         private long lastSend;
         private boolean loading;
         private boolean ordered;
-        private long orderedAt;
-        private long loadNs;
+        private long orderedAt, loadNs;
         private int inFlight;
 
         Entry(WorkerState worker, String function) {
@@ -347,6 +372,15 @@
         return believedWarm(w, function) && !loading(w, function);
     }
 
+    /** Counts a call and tells the share of own calls that its function had before. */
+    private double countCall(String function) {
+        Decayed count = calls.computeIfAbsent(function, f -> new Decayed(SHARE_WINDOW));
+        double share = count.at(now) / (allCalls.at(now) + SHARE_PRIOR);
+        count.add(1, now);
+        allCalls.add(1, now);
+        return share;
+    }
+
     private Entry record(WorkerState w, Request request) {
         Entry e = w.warm.get(request.function());
         if (e == null || !believedWarm(w, request.function())) {
@@ -375,6 +409,8 @@
             }
         }
         workers.values().removeIf(w -> !w.up && w.inFlight == 0 && w.warm.isEmpty());
+        withinRation(); // forgets
+        calls.values().removeIf(count -> count.at(now) < 0.05);
     }
 
     private void dropEntry(Entry e) {
@@ -409,12 +445,15 @@
         String function = r.request.function();
         double mean = eligible.stream().mapToInt(w -> w.inFlight).average().orElse(0);
         double bound = NEAR_IDLE * (mean + 1);
-        WorkerState warm = fewest(eligible, w -> w.belowValve(bound, 1, now) && standing(w, function)
-            && freeLane(w, r.request));
+        List<WorkerState> order = inHomeOrder(eligible, r);
+        List<WorkerState> homes = order.subList(0, homes(eligible, r));
+        WorkerState warm = fewest(eligible, w -> w.belowValve(bound, 1, now)
+            && (standing(w, function) || homes.contains(w)) && freeLane(w, r.request));
         if (warm != null) {
             return warm;
         }
-        WorkerState home = home(eligible, r, bound);
+        WorkerState home = order.stream()
+            .filter(w -> w.belowValve(bound, 1, now) && !believedWarm(w, function)).findFirst().orElse(null);
         if (onlyOrdersLoad()) {
             warm = fewest(eligible, w -> w.belowValve(Double.MAX_VALUE, 1, now) && standing(w, function));
             if (warm != null && home != null && eligible.stream().noneMatch(w -> loading(w, function))) {
@@ -424,14 +463,14 @@
         } else if (loadsOut >= loadLimit) {
             warm = fewest(eligible, w -> w.belowValve(bound, 1, now) && believedWarm(w, function));
         }
-        home = warm != null ? warm : home;
-        return home != null ? home : fewest(eligible, w -> true);
+        WorkerState found = warm != null ? warm : home;
+        return found != null ? found : fewest(eligible, w -> true);
     }
 
     /** A worker that loads by itself starts a copy for one that waits; where only orders do, one may. */
     private boolean freeLane(WorkerState w, Request request) {
         Entry e = w.warm.get(request.function());
-        return e.inFlight < (onlyOrdersLoad() ? 2 : 1) * Math.max(1, request.lanes());
+        return e == null || e.inFlight < (onlyOrdersLoad() ? 2 : 1) * Math.max(1, request.lanes());
     }
 
     /** The one with the fewest own in flight among those that qualify, random among equals; or null. */
@@ -439,32 +478,35 @@
         WorkerState best = null;
         int ties = 0;
         for (WorkerState w : eligible) {
-            if (!qualifies.test(w)) {
-                continue;
-            }
-            if (best == null || w.inFlight < best.inFlight) {
-                best = w;
-                ties = 1;
-            } else if (w.inFlight == best.inFlight && random.nextInt(++ties) == 0) {
-                best = w;
+            if (qualifies.test(w) && (best == null || w.inFlight <= best.inFlight)) {
+                ties = best == null || w.inFlight < best.inFlight ? 1 : ties + 1;
+                best = ties == 1 || random.nextInt(ties) == 0 ? w : best;
             }
         }
         return best;
     }
 
     /**
-     * Departure: where nothing is believed warm, near-idle workers tie and the tie is broken by a hash
-     * of function and worker, so that front ends that share nothing, and a restarted one, meet.
+     * Departure: all front ends derive the same order of homes for a function (weighted rendezvous hashing,
+     * in proportion to the told sizes), so that those that share nothing, and a restarted one, meet there.
      */
-    private WorkerState home(List<WorkerState> eligible, RequestState r, double bound) {
-        WorkerState best = null;
+    private List<WorkerState> inHomeOrder(List<WorkerState> eligible, RequestState r) {
         for (WorkerState w : eligible) {
-            if (w.belowValve(bound, 1, now) && !believedWarm(w, r.request.function())
-                && (best == null || mix(w.hash ^ r.hash) > mix(best.hash ^ r.hash))) {
-                best = w;
-            }
+            double uniform = ((mix(w.hash ^ r.hash) >>> 11) + 0.5) / (1L << 53);
+            w.homeScore = -Math.log(uniform) / (w.told.weight() > 0 ? w.told.weight() : 1);
         }
-        return best;
+        return eligible.stream().sorted(Comparator.comparingDouble(w -> w.homeScore)).toList();
+    }
+
+    /**
+     * Departure: a function that draws a share of all calls needs that share of the workers. So many of its
+     * homes count as believed warm: peers see like shares and send there too. Guards against many front
+     * ends that each see little meeting on one full worker; a share taken too high spends memory.
+     */
+    private int homes(List<WorkerState> eligible, RequestState r) {
+        double unseen = 1 - 1.0 / Math.max(1, settings.groupSize()); // what own sends do not show
+        int count = (int) Math.min(eligible.size(), SPREAD * unseen * r.share * eligible.size());
+        return onlyOrdersLoad() || count < 2 ? 0 : count;
     }
 
     private static long mix(long x) {
@@ -477,37 +519,31 @@
     /** The valve follows the smoothed latency against the aim, worker by worker. */
     private void turnValve(WorkerState w, RequestState r, long tookNs) {
         double late = tookNs / (double) r.type.onTimeNs();
-        w.latencyNs += SMOOTH_LATENCY * (tookNs - w.latencyNs);
-        w.lateness += SMOOTH_LATENCY * (late - w.lateness);
+        double weight = Math.max(SMOOTH_LATENCY, 1 - Math.exp((w.sampledAt - now) / (double) SMOOTH_WINDOW));
+        w.sampledAt = now;
+        w.latencyNs += weight * (tookNs - w.latencyNs);
+        w.lateness += weight * (late - w.lateness);
         if (w.lateness > VALVE_HIGH && now - w.valveCutAt > w.lateness * r.type.onTimeNs()) {
-            w.valve = Math.max(VALVE_MIN, w.valve * VALVE_CUT);
-            w.valveCutAt = now;
-        } else if (w.lateness < VALVE_LOW && w.inFlight >= w.valve / 2) {
-            w.valve += VALVE_STEP;
+            cutValve(w);
+        } else if (w.lateness < VALVE_LOW && (w.valve <= 1 || w.inFlight >= w.valve / 2)) {
+            w.valve = w.valve < VALVE_PACE ? w.valve / VALVE_PACE : w.valve + VALVE_STEP;
         }
     }
 
+    private void cutValve(WorkerState w) {
+        w.valve = Math.max(VALVE_MIN, w.valve * (w.valve > 1 ? VALVE_CUT : VALVE_PACE));
+        w.valveCutAt = now;
+    }
+
     // ---- 3. Eligibility ---------------------------------------------------------------------
 
     /** Workers that may get this request now; healthy ones where they are not too few. */
     private List<WorkerState> eligible(RequestState r) {
-        List<WorkerState> open = new ArrayList<>(workers.size());
-        List<WorkerState> healthy = new ArrayList<>(workers.size());
-        int up = 0;
-        for (WorkerState w : workers.values()) {
-            if (!w.up) {
-                continue;
-            }
-            up++;
-            if (!mayResend(r, w) || !withinColdBudget(w)) {
-                continue;
-            }
-            open.add(w);
-            if (!w.ejected) {
-                healthy.add(w);
-            }
-        }
-        List<WorkerState> pool = healthy.size() >= MOST * up ? healthy : open;
+        List<WorkerState> pool = new ArrayList<>(workers.values());
+        pool.removeIf(w -> !w.up || !mayResend(r, w) || !withinColdBudget(w));
+        List<WorkerState> healthy = new ArrayList<>(pool);
+        healthy.removeIf(w -> w.ejected);
+        pool = healthy.size() >= MOST * up ? healthy : pool;
         List<WorkerState> untried = new ArrayList<>(pool);
         untried.removeAll(r.tried);
         return untried.isEmpty() ? pool : untried;
@@ -523,13 +559,11 @@
     }
 
     private void eject(WorkerState w, String symptom) {
-        if (w.ejected) {
-            return;
+        if (!w.ejected) {
+            w.ejected = true;
+            w.trialAt = now + w.pause;
+            actions.remark("ejected " + w.id + " " + symptom);
         }
-        w.ejected = true;
-        w.trialsPassed = 0;
-        w.trialAt = now + w.pause;
-        actions.remark("ejected " + w.id + " " + symptom);
     }
 
     private void restore(WorkerState w) {
@@ -542,11 +576,11 @@
     private void judge(Attempt a, Completion c) {
         WorkerState w = a.worker;
         boolean alive = c.outcome() == Outcome.FULL || c.outcome() == Outcome.MISS;
-        if (alive || c.outcome() == Outcome.SERVED || c.outcome() == Outcome.ERROR) {
-            w.heardAt = now;
-        }
+        boolean heard = alive || c.outcome() == Outcome.SERVED || c.outcome() == Outcome.ERROR;
+        w.heardAt = heard ? now : w.heardAt;
         if (c.outcome() == Outcome.FULL) {
-            w.valve = Math.max(VALVE_MIN, Math.min(w.valve, w.inFlight + 1) * VALVE_CUT);
+            w.valve = Math.min(w.valve, w.inFlight + 1);
+            cutValve(w);
         }
         // a time-out at the client's deadline tells nothing that its patience did not tell before
         alive |= c.outcome() == Outcome.TIMEOUT;
@@ -554,7 +588,7 @@
             w.onTrial &= !a.trial;
             return;
         }
-        servedPerNs(c.outcome() == Outcome.SERVED ? 1 : 0);
+        served.add(c.outcome() == Outcome.SERVED ? 1 : 0, now);
         boolean bad = c.outcome() != Outcome.SERVED && c.note() != Note.LOAD_FAILED;
         w.failures += SMOOTH_FAILURES * ((bad ? 1 : 0) - w.failures);
         if (!bad && (c.note() == Note.NONE || c.note() == Note.FOUND_LOADED)) {
@@ -573,18 +607,13 @@
         }
     }
 
+    /** A trial that passes ends the ejection; one that fails doubles the pause. */
     private void trialEnded(WorkerState w, boolean bad) {
-        if (!w.ejected) {
-            return;
-        }
-        if (bad) {
+        if (w.ejected && bad) {
             w.pause = Math.min(EJECT_LAST, 2 * w.pause);
-            w.trialsPassed = 0;
             w.trialAt = now + w.pause;
-        } else if (++w.trialsPassed >= TRIALS) {
+        } else if (w.ejected) {
             restore(w);
-        } else {
-            w.trialAt = now;
         }
     }
 
@@ -604,8 +633,7 @@
         Obligations rules = settings.obligations();
         double age = Math.max(0, now - w.told.startedAt()) / (double) rules.warmAfterNs();
         double share = rules.coldFrom() + (1 - rules.coldFrom()) * age;
-        long up = workers.values().stream().filter(other -> other.up).count();
-        double perNs = COLD_MARGIN * rules.overloadFactor() * share * servedPerNs(0) / Math.max(1, up);
+        double perNs = COLD_MARGIN * rules.overloadFactor() * share * served.at(now) / RATE_WINDOW / up;
         perNs = Math.max(perNs, 1.0 / rules.warmAfterNs()); // a fleet that is cold as a whole must start
         double most = Math.max(1, perNs * rules.tipAfterNs() / 2);
         w.coldTokens = Math.min(most, w.coldTokens + perNs * (now - w.coldAt));
@@ -613,20 +641,6 @@
         return w.coldTokens >= 1;
     }
 
-    private void arrived() {
-        retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
-        if (settings.familyInfo().loadPeriodNs() > 0) {
-            arrivalTimes.add(now);
-        }
-    }
-
-    /** Adds to the decayed count of served answers, and tells their rate. */
-    private double servedPerNs(int more) {
-        served = served * Math.exp((servedAt - now) / (double) RATE_WINDOW) + more;
-        servedAt = now;
-        return served / RATE_WINDOW;
-    }
-
     // ---- 4. Attempts ------------------------------------------------------------------------
 
     /** Rule 2, for every path: may this request be sent to this worker now? */
@@ -656,24 +670,15 @@
     }
 
     private static boolean sameGroup(RequestClass type, WorkerState a, WorkerState b) {
-        return switch (type.group() == null ? Group.CELL : type.group()) {
-            case ALL -> true;
-            case ZONE -> a.told.zone() != null && a.told.zone().equals(b.told.zone());
-            case CELL -> a.told.cell() == b.told.cell();
-        };
+        return type.group() == Group.ALL || (type.group() == Group.ZONE
+            ? Objects.equals(a.told.zone(), b.told.zone()) : a.told.cell() == b.told.cell());
     }
 
-    private static boolean provesNeverRan(Outcome outcome) {
-        return switch (outcome) {
-            case FULL, CONNECT_FAILED, MOOT, MISS -> true;
-            default -> false;
-        };
+    private static boolean provesNeverRan(Outcome o) {
+        return o == Outcome.FULL || o == Outcome.CONNECT_FAILED || o == Outcome.MOOT || o == Outcome.MISS;
     }
 
     private void route(RequestState r) {
-        if (r.done) {
-            return;
-        }
         if (r.attempts.size() >= settings.limits().maxAttempts()) {
             decline(r);
             return;
@@ -686,20 +691,17 @@
         List<WorkerState> eligible = eligible(r);
         WorkerState w = eligible.isEmpty() ? null : rank(eligible, r);
         boolean mustLoad = w != null && !onlyOrdersLoad() && !believedWarm(w, r.request.function());
-        if (w == null || mustLoad && loadsOut >= loadLimit) {
-            boolean inTime = w == null || now - r.arrived < PATIENCE_AIM * r.type.onTimeNs();
-            if (mayStillRun(r) && inTime) {
-                held.add(r);
-            } else {
-                decline(r);
-            }
+        boolean paced = mustLoad && loadsOut >= loadLimit;
+        boolean inTime = w == null || now - r.arrived < PATIENCE_AIM * r.type.onTimeNs();
+        if (mayStillRun(r) && (w == null || paced) && inTime) {
+            hold(r);
             return;
         }
-        Entry e = w.warm.get(r.request.function());
+        Entry e = w == null ? null : w.warm.get(r.request.function());
         if (e != null && e.ordered && e.loading && onlyOrdersLoad()) {
             e.waiting.add(r);
             r.waitsFor = e;
-        } else if (refuses(eligible, r)) {
+        } else if (w == null || paced || refuses(eligible, r)) {
             decline(r);
         } else {
             send(r, w, false);
@@ -728,7 +730,7 @@
         held.remove(r);
         loadsOut += a.loads ? 1 : 0;
         actions.attempt(r.request.id(), w.id, 0);
-        actions.timer(PATIENCE_TOKEN + a.index + ":" + r.request.id(), a.patience);
+        actions.timer(a.index + ":" + r.request.id(), a.patience);
     }
 
     private long patience(RequestState r, Entry e) {
@@ -737,7 +739,6 @@
         return (long) (Math.max(PATIENCE_AIM * r.type.onTimeNs(), usualNs) + load);
     }
 
-    /** The books of an attempt that ended, also after the request's end. */
     private void settle(Attempt a, Completion c) {
         RequestState r = a.request;
         WorkerState w = a.worker;
@@ -759,21 +760,22 @@
                 e.lastSend = c.note() == Note.FOUND_LOADED ? now : e.lastSend;
             }
         }
+        pressure(a, c);
         judge(a, c);
     }
 
-    /** An attempt failed and none is out: order a load, try another worker, or give the final answer. */
     private void again(RequestState r, Attempt a, Completion c) {
         if (c.outcome() == Outcome.MISS && onlyOrdersLoad() && c.note() != Note.LOAD_FAILED && a.worker.up) {
             missed(r, a.worker);
             return;
         }
         r.tried.add(a.worker);
-        if (c.outcome() == Outcome.MOOT || retryTokens < 1 || !mayStillRun(r)) {
+        double cost = c.outcome() == Outcome.FULL ? RETRY_UNSEEN : 1;
+        if (c.outcome() == Outcome.MOOT || retryTokens < cost || !mayStillRun(r)) {
             decline(r);
             return;
         }
-        retryTokens--;
+        retryTokens -= cost;
         route(r);
     }
 
@@ -813,10 +815,9 @@
     }
 
     private void retryHeld() {
-        for (RequestState r : List.copyOf(held)) {
-            held.remove(r);
-            route(r);
-        }
+        List<RequestState> waiting = List.copyOf(held);
+        held.clear();
+        waiting.stream().filter(r -> !r.done).forEach(this::route);
     }
 
     private void finish(RequestState r) {
@@ -824,7 +825,6 @@
         held.remove(r);
         if (r.waitsFor != null) {
             r.waitsFor.waiting.remove(r);
-            r.waitsFor = null;
         }
         if (r.live == 0) {
             requests.remove(r.request.id());
@@ -864,9 +864,7 @@
             pendingOrders.remove(e);
             e.orderedAt = now;
             loadsOut++;
-            if (settings.familyInfo().loadPeriodNs() > 0) {
-                orderTimes.add(now);
-            }
+            orderTimes.add(now);
             actions.hold(e.worker.id, e.function, 1);
         }
     }
@@ -874,16 +872,10 @@
     /** Rule 5: own orders of the told span, this one included, against own requests of that span. */
     private boolean withinRation() {
         FamilyInfo info = settings.familyInfo();
-        if (info.loadPeriodNs() <= 0) {
-            return true;
-        }
-        while (!orderTimes.isEmpty() && orderTimes.peek() < now - info.loadPeriodNs()) {
-            orderTimes.poll();
-        }
-        while (!arrivalTimes.isEmpty() && arrivalTimes.peek() <= now - info.loadPeriodNs()) {
-            arrivalTimes.poll();
-        }
-        return orderTimes.size() + 1 <= info.loadsAnyway() + info.loadRatio() * arrivalTimes.size();
+        orderTimes.removeIf(at -> at < now - info.loadPeriodNs());
+        arrivalTimes.removeIf(at -> at <= now - info.loadPeriodNs());
+        double ration = info.loadsAnyway() + info.loadRatio() * arrivalTimes.size();
+        return info.loadPeriodNs() <= 0 || orderTimes.size() + 1 <= ration;
     }
 
     @Override
@@ -924,6 +916,21 @@
         return eligible.stream().noneMatch(w -> w.belowValve(Double.MAX_VALUE, REFUSE_OVER, now));
     }
 
+    /** Counts answers that tell saturation: full, or a warm copy that answered after the aim. */
+    private void pressure(Attempt a, Completion c) {
+        boolean full = c.outcome() == Outcome.FULL;
+        if (!a.trial && (full || c.outcome() == Outcome.SERVED && !a.loads)) {
+            answers.add(1, now);
+            saturated.add(full || c.tookNs() > a.request.type.onTimeNs() ? 1 : 0, now);
+        }
+    }
+
+    /** Overload: own answers tell that queues are long all over, and more requests would all be late. */
+    private boolean sheds() {
+        double share = saturated.at(now) / (answers.at(now) + 2);
+        return random.nextDouble() < PRESSURE_SLOPE * (share - PRESSURE_FREE);
+    }
+
     private void decline(RequestState r) {
         if (mayRefuse(r)) {
             actions.refuse(r.request.id(), 0);
--- a/src/test/java/wharfhinge/ChoiceTest.java
+++ b/src/test/java/wharfhinge/ChoiceTest.java
@@ -44,7 +44,26 @@
             String next = t.query("f1");
             assertEquals(t.sentTo(first), t.sentTo(next));
             t.served(next);
+            for (int k = 0; k < 9; k++) {
+                t.served(t.query("g" + k));
+            }
+        }
+    }
+
+    /** Peers send a like share to the same homes, which own sends do not show. */
+    @Test
+    void aFunctionThatDrawsAShareOfCallsHasThatShareOfTheWorkers() {
+        Recorder t = loading();
+        t.fleet("b", "c", "d", "e", "g", "h", "i", "j", "k", "l", "m", "x");
+        Set<String> used = new HashSet<>();
+        for (int i = 0; i < 200; i++) {
+            String q = t.query(i % 2 == 0 ? "hot" : "f" + i % 40);
+            t.served(q);
+            if (i % 2 == 0 && i > 40) {
+                used.add(t.sentTo(q));
+            }
         }
+        assertTrue(used.size() >= 3 && used.size() <= 6, "homes used " + used.size());
     }
 
     @Test
@@ -158,7 +177,7 @@
         t.fleet("b", "c");
         String q = t.query("f");
         t.pass(2000);
-        t.due("wait:0:" + q);
+        t.due("0:" + q);
         assertEquals(1, t.attempts(q));
         assertTrue(t.did("cancel " + q + " 0"));
         t.end(q, 0, Dispatcher.Outcome.CANCELLED, NONE, 2000);
@@ -310,7 +329,7 @@
         for (String q : out) {
             assertEquals(home, t.sentTo(q));
             assertFalse(t.did("remark ejected " + home + " silent"));
-            t.due("wait:0:" + q);
+            t.due("0:" + q);
             assertEquals(2, t.attempts(q));
             assertNotEquals(home, t.sentTo(q));
         }
@@ -328,7 +347,10 @@
         String q = t.query("g");
         assertNull(t.sentTo(q));
         assertTrue(t.sentTo(t.query("f0")) != null);
-        t.pass(301);
+        t.pass(200);
+        t.due("sweep");
+        assertNull(t.sentTo(q));
+        t.pass(101);
         t.due("sweep");
         assertTrue(t.did("refuse " + q));
     }
@@ -393,6 +415,41 @@
         }
     }
 
+    /** Many front ends meet a worker rarely: each full answer has to tell for longer. */
+    @Test
+    void fullAnswersKeepAFrontEndThatSendsRarelyAwayForLongerEachTime() {
+        Recorder t = loading();
+        t.fleet("b", "c", "d", "e");
+        String first = t.query("f");
+        String home = t.sentTo(first);
+        for (int i = 0; i < 3; i++) {
+            t.pass(i == 0 ? 0 : 700);
+            t.end(i == 0 ? first : t.query("f"), 0, FULL, NONE, 1);
+        }
+        t.pass(700);
+        assertNotEquals(home, t.sentTo(t.query("f")));
+        t.pass(6000);
+        assertEquals(home, t.sentTo(t.query("f")));
+    }
+
+    /** Overload: a front end whose answers come late or full takes fewer requests. */
+    @Test
+    void shedsWhenMostOwnAnswersTellSaturation() {
+        Recorder t = loading();
+        t.fleet("b", "c", "d", "e");
+        int refused = 0;
+        for (int i = 0; i < 60; i++) {
+            String q = t.query("f" + i % 3);
+            if (t.sentTo(q) != null) {
+                t.end(q, 0, SERVED, FOUND_LOADED, 700);
+            } else {
+                refused += t.did("refuse " + q) ? 1 : 0;
+            }
+            t.pass(20);
+        }
+        assertTrue(refused > 10 && refused < 55, "refused " + refused);
+    }
+
     @Test
     void theModuleKeepsItsLimits() throws Exception {
         List<String> lines = Files.readAllLines(Path.of("src/main/java/wharfhinge/Choice.java"));
