Trials bounded to one in twenty own requests; a miss passes a trial

Now a miss is an answer and passes, full or overdue fails, and the request goes elsewhere. Might hurt: a front end with one request in ten seconds takes minutes to find a worker well again.

--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -38,14 +38,14 @@
     private static final double SPREAD = 2; // homes for each worker that its share would fill
 
     // Eligibility. Weights of a smoothed value: recent ten to five answers decide.
-    private static final double SMOOTH_LATENCY = 0.1;
+    private static final double SMOOTH_LATENCY = 0.1, SMOOTH_FAILURES = 0.2;
     private static final long SMOOTH_WINDOW = 4000 * MS; // where answers are rarer, a new one weighs more
     private static final double SMOOTH_USUAL = 0.02; // a class's usual: slow, since it is the yardstick
-    private static final double SMOOTH_FAILURES = 0.2;
     private static final double FAILING = 0.45; // smoothed share of failures: three in a row from none
     private static final int OVERDUE = 3; // attempts past their patience with no timely answer between
     private static final double MOST = 0.5; // never shut out more than this share of the fleet
     private static final long EJECT_FIRST = 1000 * MS, EJECT_LAST = 8000 * MS; // before a trial; doubles
+    private static final double TRIAL_SHARE = 0.05; // of own requests at most are trials
     private static final double COLD_MARGIN = 0.6; // of the told multiple: chance and uneven peers
     private static final long RATE_WINDOW = 5000 * MS; // the memory of the rate of answers
 
@@ -90,7 +90,7 @@
     private long now;
     private final Decayed served = new Decayed(RATE_WINDOW);
     private final Decayed answers = new Decayed(PRESSURE_WINDOW), saturated = new Decayed(PRESSURE_WINDOW);
-    private double retryTokens = RETRY_BURST;
+    private double trialTokens = 1, retryTokens = RETRY_BURST;
     private double loadLimit = LOADS_START;
     private int loadsOut, up; // up: workers
     private boolean sweepSet;
@@ -259,6 +259,7 @@
         RequestState r = new RequestState(request, type, now, countCall(request.function()));
         requests.put(request.id(), r);
         retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
+        trialTokens = Math.min(1, trialTokens + TRIAL_SHARE);
         arrivalTimes.add(now);
         actions.timer(END_TOKEN + request.id(), Math.max(0, request.remainingNs() - 2 * settings.tickNs()));
         if (sheds()) {
@@ -414,9 +415,7 @@
     }
 
     private void dropEntry(Entry e) {
-        if (e.worker.warm.get(e.function) == e) {
-            e.worker.warm.remove(e.function);
-        }
+        e.worker.warm.remove(e.function, e);
         pendingOrders.remove(e);
         release(e, true);
     }
@@ -551,11 +550,9 @@
 
     /** A worker whose pause is over and that waits for its one trial, or null. */
     private WorkerState trialDue(RequestState r) {
-        if (r.live > 0 || !r.attempts.isEmpty() || r.type.effect() != Effect.IDEMPOTENT) {
-            return null;
-        }
-        return workers.values().stream().filter(w -> w.up && w.ejected && !w.onTrial && now >= w.trialAt
-            && withinColdBudget(w)).findFirst().orElse(null);
+        boolean may = trialTokens >= 1 && r.attempts.isEmpty() && r.type.effect() == Effect.IDEMPOTENT;
+        return !may ? null : workers.values().stream().filter(w -> w.up && w.ejected && !w.onTrial
+            && now >= w.trialAt && withinColdBudget(w)).findFirst().orElse(null);
     }
 
     private void eject(WorkerState w, String symptom) {
@@ -576,16 +573,17 @@
     private void judge(Attempt a, Completion c) {
         WorkerState w = a.worker;
         boolean alive = c.outcome() == Outcome.FULL || c.outcome() == Outcome.MISS;
-        boolean heard = alive || c.outcome() == Outcome.SERVED || c.outcome() == Outcome.ERROR;
-        w.heardAt = heard ? now : w.heardAt;
+        w.heardAt = alive || c.outcome() == Outcome.SERVED || c.outcome() == Outcome.ERROR ? now : w.heardAt;
         if (c.outcome() == Outcome.FULL) {
             w.valve = Math.min(w.valve, w.inFlight + 1);
             cutValve(w);
         }
-        // a time-out at the client's deadline tells nothing that its patience did not tell before
-        alive |= c.outcome() == Outcome.TIMEOUT;
+        alive |= c.outcome() == Outcome.TIMEOUT; // tells nothing that its patience did not tell before
         if (alive || c.outcome() == Outcome.CANCELLED || c.outcome() == Outcome.MOOT) {
-            w.onTrial &= !a.trial;
+            if (a.trial && w.onTrial) {
+                w.onTrial = false;
+                trialEnded(w, c.outcome() != Outcome.MISS); // a miss is an answer; a full one may hang
+            }
             return;
         }
         served.add(c.outcome() == Outcome.SERVED ? 1 : 0, now);
@@ -721,6 +719,7 @@
         w.inFlight++;
         w.lastSentAt = now;
         w.onTrial |= trial;
+        trialTokens -= trial ? 1 : 0;
         if (cold(w)) {
             w.coldTokens--;
         }
@@ -765,7 +764,8 @@
     }
 
     private void again(RequestState r, Attempt a, Completion c) {
-        if (c.outcome() == Outcome.MISS && onlyOrdersLoad() && c.note() != Note.LOAD_FAILED && a.worker.up) {
+        boolean lacks = c.outcome() == Outcome.MISS && onlyOrdersLoad() && c.note() != Note.LOAD_FAILED;
+        if (lacks && !a.trial && a.worker.up) {
             missed(r, a.worker);
             return;
         }
