--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -34,8 +34,8 @@
     private static final double NEAR_IDLE = 1.5; // a home may hold this multiple of the mean, and this more
 
     private static final long SHARE_WINDOW = 15_000 * MS; // memory of each function's share of own calls
-    private static final double SHARE_PRIOR = 20; // calls without a share, so that few calls spread nothing
-    private static final double SPREAD = 2; // homes for each worker that its share would fill
+    private static final double SHARE_PRIOR = 10; // calls without a share, so that few calls spread nothing
+    private static final double SPREAD = 5; // homes for each worker that its share fills; 4, 8 alike, 2 worse
 
     // Eligibility. Weights of a smoothed value: recent ten to five answers decide.
     private static final double SMOOTH_LATENCY = 0.1, SMOOTH_FAILURES = 0.2;
