--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -61,8 +61,7 @@
     // Loads. Own loads out at once: additive raise, multiplicative cut when the store looks crowded.
     private static final double LOADS_START = 8, LOADS_MIN = 2;
     private static final double LOADS_CUT = 0.7;
-    private static final double CROWDED = 3; // times the told load time: others stand in line
-    private static final double ORDER_PATIENCE = 4; // times the told load time before another worker is tried
+    private static final double CROWDED = 3, ORDER_PATIENCE = 4; // times the told load time: line, given up
 
     // Admission.
     private static final double REFUSE_OVER = 1.25; // times the valve on the least busy worker
@@ -330,11 +329,11 @@
         }
         retryHeld();
         givePendingOrders();
+        setSweep();
     }
 
-    private void hold(RequestState r) {
-        held.add(r);
-        if (!sweepSet) {
+    private void setSweep() {
+        if (!sweepSet && !held.isEmpty()) {
             sweepSet = true;
             actions.timer(SWEEP_TOKEN, SWEEP);
         }
@@ -420,7 +419,6 @@
         release(e, true);
     }
 
-    /** Routes anew what waited for a load; elsewhere if that load came to nothing. */
     private void release(Entry e, boolean elsewhere) {
         List<RequestState> waiting = List.copyOf(e.waiting);
         e.waiting.clear();
@@ -445,9 +443,10 @@
         double mean = eligible.stream().mapToInt(w -> w.inFlight).average().orElse(0);
         double bound = NEAR_IDLE * (mean + 1);
         List<WorkerState> order = inHomeOrder(eligible, r);
-        List<WorkerState> homes = order.subList(0, homes(eligible, r));
+        int homes = homes(eligible, r);
+        double lastHome = homes == 0 ? -1 : order.get(homes - 1).homeScore;
         WorkerState warm = fewest(eligible, w -> w.belowValve(bound, 1, now)
-            && (standing(w, function) || homes.contains(w)) && freeLane(w, r.request));
+            && (standing(w, function) || w.homeScore <= lastHome) && freeLane(w, r.request));
         if (warm != null) {
             return warm;
         }
@@ -548,7 +547,6 @@
         return untried.isEmpty() ? pool : untried;
     }
 
-    /** A worker whose pause is over and that waits for its one trial, or null. */
     private WorkerState trialDue(RequestState r) {
         boolean may = trialTokens >= 1 && r.attempts.isEmpty() && r.type.effect() == Effect.IDEMPOTENT;
         return !may ? null : workers.values().stream().filter(w -> w.up && w.ejected && !w.onTrial
@@ -692,21 +690,21 @@
         boolean paced = mustLoad && loadsOut >= loadLimit;
         boolean inTime = w == null || now - r.arrived < PATIENCE_AIM * r.type.onTimeNs();
         if (mayStillRun(r) && (w == null || paced) && inTime) {
-            hold(r);
+            held.add(r);
+            setSweep();
             return;
         }
         Entry e = w == null ? null : w.warm.get(r.request.function());
         if (e != null && e.ordered && e.loading && onlyOrdersLoad()) {
             e.waiting.add(r);
             r.waitsFor = e;
-        } else if (w == null || paced || refuses(eligible, r)) {
+        } else if (w == null || paced || refuses(eligible)) {
             decline(r);
         } else {
             send(r, w, false);
         }
     }
 
-    /** Whether waiting can help: rule 2 leaves room for another attempt on some worker. */
     private boolean mayStillRun(RequestState r) {
         return r.live == 0 && (r.exposed.isEmpty() || r.type.effect() != Effect.AT_MOST_ONCE);
     }
@@ -779,7 +777,7 @@
         route(r);
     }
 
-    /** No answer within patience: the worker may hang, and the request deserves another worker. */
+    /** No answer within patience: the worker may hang. */
     private void overdue(RequestState r, int index) {
         if (index >= r.attempts.size()) {
             return;
@@ -800,24 +798,27 @@
             || r.type.effect() == Effect.AT_MOST_ONCE || index != r.attempts.size() - 1) {
             return;
         }
-        boolean rescue = silent || a.worker.ejected;
-        if (rescue && settings.limits().secondCopies()) {
-            r.tried.add(a.worker);
-            List<WorkerState> others = eligible(r);
-            others.remove(a.worker);
-            if (!others.isEmpty() && !refuses(others, r)) {
-                retryTokens--;
-                send(r, rank(others, r), false);
-            }
-        } else if (rescue && settings.limits().cancelling()) {
+        if (!silent && !a.worker.ejected) {
+            return;
+        }
+        r.tried.add(a.worker);
+        List<WorkerState> others = settings.limits().secondCopies() ? eligible(r) : List.of();
+        if (!others.isEmpty() && !others.contains(a.worker) && !refuses(others)) {
+            retryTokens--;
+            send(r, rank(others, r), false);
+        } else if (!settings.limits().secondCopies() && settings.limits().cancelling()) {
             actions.cancel(r.request.id(), index);
         }
     }
 
+    /** Only those that can go or whose wait is over: ranking all of them each time is dear. */
     private void retryHeld() {
-        List<RequestState> waiting = List.copyOf(held);
-        held.clear();
-        waiting.stream().filter(r -> !r.done).forEach(this::route);
+        for (RequestState r : List.copyOf(held)) {
+            if (loadsOut < loadLimit || now - r.arrived >= PATIENCE_AIM * r.type.onTimeNs()) {
+                held.remove(r);
+                route(r);
+            }
+        }
     }
 
     private void finish(RequestState r) {
@@ -837,7 +838,6 @@
         return "miss".equals(settings.familyInfo().notLoaded()) && settings.familyInfo().loadControl();
     }
 
-    /** A worker lacks the function: order a hold of one there and let the request wait for it. */
     private void missed(RequestState r, WorkerState w) {
         Entry e = record(w, r.request);
         e.loading = true;
@@ -912,7 +912,7 @@
     // ---- 6. Admission -----------------------------------------------------------------------
 
     /** Even the least busy worker is so full that the answer would come too late. */
-    private boolean refuses(List<WorkerState> eligible, RequestState r) {
+    private boolean refuses(List<WorkerState> eligible) {
         return eligible.stream().noneMatch(w -> w.belowValve(Double.MAX_VALUE, REFUSE_OVER, now));
     }
 
--- a/src/test/java/wharfhinge/ChoiceTest.java
+++ b/src/test/java/wharfhinge/ChoiceTest.java
@@ -23,6 +23,7 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -496,6 +497,28 @@
         assertNotEquals(home, t.sentTo(trial));
     }
 
+    /** What is held for the load limit is looked at again, and is not lost, while nothing else happens. */
+    @Test
+    void whatIsHeldGoesOutOnceALoadMayStart() {
+        Recorder t = loading();
+        t.fleet("b", "c", "d", "e", "g", "h", "i", "j", "k", "l");
+        List<String> out = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            out.add(t.query("f" + i));
+        }
+        String q = t.query("g");
+        for (int i = 0; i < 3; i++) {
+            t.pass(25);
+            long before = t.lines.stream().filter(l -> l.startsWith("timer sweep")).count();
+            t.due("sweep");
+            assertEquals(before + 1, t.lines.stream().filter(l -> l.startsWith("timer sweep")).count());
+        }
+        assertNull(t.sentTo(q));
+        t.served(out.get(0));
+        t.due("sweep");
+        assertTrue(t.sentTo(q) != null);
+    }
+
     @Test
     void theModuleKeepsItsLimits() throws Exception {
         List<String> lines = Files.readAllLines(Path.of("src/main/java/wharfhinge/Choice.java"));
