--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -34,18 +34,18 @@
     private static final double NEAR_IDLE = 1.5; // a home may hold this multiple of the mean, and this more
 
     private static final long SHARE_WINDOW = 15_000 * MS; // memory of each function's share of own calls
-    private static final double SHARE_PRIOR = 20; // calls without a share, so that few calls spread nothing
-    private static final double SPREAD = 2; // homes for each worker that its share would fill
+    private static final double SHARE_PRIOR = 10; // calls without a share, so that few calls spread nothing
+    private static final double SPREAD = 5; // homes for each worker that its share fills; 4, 8 alike, 2 worse
 
     // Eligibility. Weights of a smoothed value: recent ten to five answers decide.
-    private static final double SMOOTH_LATENCY = 0.1;
+    private static final double SMOOTH_LATENCY = 0.1, SMOOTH_FAILURES = 0.2;
     private static final long SMOOTH_WINDOW = 4000 * MS; // where answers are rarer, a new one weighs more
     private static final double SMOOTH_USUAL = 0.02; // a class's usual: slow, since it is the yardstick
-    private static final double SMOOTH_FAILURES = 0.2;
     private static final double FAILING = 0.45; // smoothed share of failures: three in a row from none
     private static final int OVERDUE = 3; // attempts past their patience with no timely answer between
     private static final double MOST = 0.5; // never shut out more than this share of the fleet
     private static final long EJECT_FIRST = 1000 * MS, EJECT_LAST = 8000 * MS; // before a trial; doubles
+    private static final double TRIAL_SHARE = 0.05; // of own requests at most are trials
     private static final double COLD_MARGIN = 0.6; // of the told multiple: chance and uneven peers
     private static final long RATE_WINDOW = 5000 * MS; // the memory of the rate of answers
 
@@ -61,8 +61,7 @@
     // Loads. Own loads out at once: additive raise, multiplicative cut when the store looks crowded.
     private static final double LOADS_START = 8, LOADS_MIN = 2;
     private static final double LOADS_CUT = 0.7;
-    private static final double CROWDED = 3; // times the told load time: others stand in line
-    private static final double ORDER_PATIENCE = 4; // times the told load time before another worker is tried
+    private static final double CROWDED = 3, ORDER_PATIENCE = 4; // times the told load time: line, given up
 
     // Admission.
     private static final double REFUSE_OVER = 1.25; // times the valve on the least busy worker
@@ -90,7 +89,7 @@
     private long now;
     private final Decayed served = new Decayed(RATE_WINDOW);
     private final Decayed answers = new Decayed(PRESSURE_WINDOW), saturated = new Decayed(PRESSURE_WINDOW);
-    private double retryTokens = RETRY_BURST;
+    private double trialTokens = 1, retryTokens = RETRY_BURST;
     private double loadLimit = LOADS_START;
     private int loadsOut, up; // up: workers
     private boolean sweepSet;
@@ -259,6 +258,7 @@
         RequestState r = new RequestState(request, type, now, countCall(request.function()));
         requests.put(request.id(), r);
         retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
+        trialTokens = Math.min(1, trialTokens + TRIAL_SHARE);
         arrivalTimes.add(now);
         actions.timer(END_TOKEN + request.id(), Math.max(0, request.remainingNs() - 2 * settings.tickNs()));
         if (sheds()) {
@@ -329,11 +329,11 @@
         }
         retryHeld();
         givePendingOrders();
+        setSweep();
     }
 
-    private void hold(RequestState r) {
-        held.add(r);
-        if (!sweepSet) {
+    private void setSweep() {
+        if (!sweepSet && !held.isEmpty()) {
             sweepSet = true;
             actions.timer(SWEEP_TOKEN, SWEEP);
         }
@@ -414,14 +414,11 @@
     }
 
     private void dropEntry(Entry e) {
-        if (e.worker.warm.get(e.function) == e) {
-            e.worker.warm.remove(e.function);
-        }
+        e.worker.warm.remove(e.function, e);
         pendingOrders.remove(e);
         release(e, true);
     }
 
-    /** Routes anew what waited for a load; elsewhere if that load came to nothing. */
     private void release(Entry e, boolean elsewhere) {
         List<RequestState> waiting = List.copyOf(e.waiting);
         e.waiting.clear();
@@ -446,9 +443,10 @@
         double mean = eligible.stream().mapToInt(w -> w.inFlight).average().orElse(0);
         double bound = NEAR_IDLE * (mean + 1);
         List<WorkerState> order = inHomeOrder(eligible, r);
-        List<WorkerState> homes = order.subList(0, homes(eligible, r));
+        int homes = homes(eligible, r);
+        double lastHome = homes == 0 ? -1 : order.get(homes - 1).homeScore;
         WorkerState warm = fewest(eligible, w -> w.belowValve(bound, 1, now)
-            && (standing(w, function) || homes.contains(w)) && freeLane(w, r.request));
+            && (standing(w, function) || w.homeScore <= lastHome) && freeLane(w, r.request));
         if (warm != null) {
             return warm;
         }
@@ -549,13 +547,10 @@
         return untried.isEmpty() ? pool : untried;
     }
 
-    /** A worker whose pause is over and that waits for its one trial, or null. */
     private WorkerState trialDue(RequestState r) {
-        if (r.live > 0 || !r.attempts.isEmpty() || r.type.effect() != Effect.IDEMPOTENT) {
-            return null;
-        }
-        return workers.values().stream().filter(w -> w.up && w.ejected && !w.onTrial && now >= w.trialAt
-            && withinColdBudget(w)).findFirst().orElse(null);
+        boolean may = trialTokens >= 1 && r.attempts.isEmpty() && r.type.effect() == Effect.IDEMPOTENT;
+        return !may ? null : workers.values().stream().filter(w -> w.up && w.ejected && !w.onTrial
+            && now >= w.trialAt && withinColdBudget(w)).findFirst().orElse(null);
     }
 
     private void eject(WorkerState w, String symptom) {
@@ -576,16 +571,17 @@
     private void judge(Attempt a, Completion c) {
         WorkerState w = a.worker;
         boolean alive = c.outcome() == Outcome.FULL || c.outcome() == Outcome.MISS;
-        boolean heard = alive || c.outcome() == Outcome.SERVED || c.outcome() == Outcome.ERROR;
-        w.heardAt = heard ? now : w.heardAt;
+        w.heardAt = alive || c.outcome() == Outcome.SERVED || c.outcome() == Outcome.ERROR ? now : w.heardAt;
         if (c.outcome() == Outcome.FULL) {
             w.valve = Math.min(w.valve, w.inFlight + 1);
             cutValve(w);
         }
-        // a time-out at the client's deadline tells nothing that its patience did not tell before
-        alive |= c.outcome() == Outcome.TIMEOUT;
+        alive |= c.outcome() == Outcome.TIMEOUT; // tells nothing that its patience did not tell before
         if (alive || c.outcome() == Outcome.CANCELLED || c.outcome() == Outcome.MOOT) {
-            w.onTrial &= !a.trial;
+            if (a.trial && w.onTrial) {
+                w.onTrial = false;
+                trialEnded(w, c.outcome() != Outcome.MISS); // a miss is an answer; a full one may hang
+            }
             return;
         }
         served.add(c.outcome() == Outcome.SERVED ? 1 : 0, now);
@@ -694,21 +690,21 @@
         boolean paced = mustLoad && loadsOut >= loadLimit;
         boolean inTime = w == null || now - r.arrived < PATIENCE_AIM * r.type.onTimeNs();
         if (mayStillRun(r) && (w == null || paced) && inTime) {
-            hold(r);
+            held.add(r);
+            setSweep();
             return;
         }
         Entry e = w == null ? null : w.warm.get(r.request.function());
         if (e != null && e.ordered && e.loading && onlyOrdersLoad()) {
             e.waiting.add(r);
             r.waitsFor = e;
-        } else if (w == null || paced || refuses(eligible, r)) {
+        } else if (w == null || paced || refuses(eligible)) {
             decline(r);
         } else {
             send(r, w, false);
         }
     }
 
-    /** Whether waiting can help: rule 2 leaves room for another attempt on some worker. */
     private boolean mayStillRun(RequestState r) {
         return r.live == 0 && (r.exposed.isEmpty() || r.type.effect() != Effect.AT_MOST_ONCE);
     }
@@ -721,6 +717,7 @@
         w.inFlight++;
         w.lastSentAt = now;
         w.onTrial |= trial;
+        trialTokens -= trial ? 1 : 0;
         if (cold(w)) {
             w.coldTokens--;
         }
@@ -765,7 +762,8 @@
     }
 
     private void again(RequestState r, Attempt a, Completion c) {
-        if (c.outcome() == Outcome.MISS && onlyOrdersLoad() && c.note() != Note.LOAD_FAILED && a.worker.up) {
+        boolean lacks = c.outcome() == Outcome.MISS && onlyOrdersLoad() && c.note() != Note.LOAD_FAILED;
+        if (lacks && !a.trial && a.worker.up) {
             missed(r, a.worker);
             return;
         }
@@ -779,7 +777,7 @@
         route(r);
     }
 
-    /** No answer within patience: the worker may hang, and the request deserves another worker. */
+    /** No answer within patience: the worker may hang. */
     private void overdue(RequestState r, int index) {
         if (index >= r.attempts.size()) {
             return;
@@ -800,24 +798,27 @@
             || r.type.effect() == Effect.AT_MOST_ONCE || index != r.attempts.size() - 1) {
             return;
         }
-        boolean rescue = silent || a.worker.ejected;
-        if (rescue && settings.limits().secondCopies()) {
-            r.tried.add(a.worker);
-            List<WorkerState> others = eligible(r);
-            others.remove(a.worker);
-            if (!others.isEmpty() && !refuses(others, r)) {
-                retryTokens--;
-                send(r, rank(others, r), false);
-            }
-        } else if (rescue && settings.limits().cancelling()) {
+        if (!silent && !a.worker.ejected) {
+            return;
+        }
+        r.tried.add(a.worker);
+        List<WorkerState> others = settings.limits().secondCopies() ? eligible(r) : List.of();
+        if (!others.isEmpty() && !others.contains(a.worker) && !refuses(others)) {
+            retryTokens--;
+            send(r, rank(others, r), false);
+        } else if (!settings.limits().secondCopies() && settings.limits().cancelling()) {
             actions.cancel(r.request.id(), index);
         }
     }
 
+    /** Only those that can go or whose wait is over: ranking all of them each time is dear. */
     private void retryHeld() {
-        List<RequestState> waiting = List.copyOf(held);
-        held.clear();
-        waiting.stream().filter(r -> !r.done).forEach(this::route);
+        for (RequestState r : List.copyOf(held)) {
+            if (loadsOut < loadLimit || now - r.arrived >= PATIENCE_AIM * r.type.onTimeNs()) {
+                held.remove(r);
+                route(r);
+            }
+        }
     }
 
     private void finish(RequestState r) {
@@ -837,7 +838,6 @@
         return "miss".equals(settings.familyInfo().notLoaded()) && settings.familyInfo().loadControl();
     }
 
-    /** A worker lacks the function: order a hold of one there and let the request wait for it. */
     private void missed(RequestState r, WorkerState w) {
         Entry e = record(w, r.request);
         e.loading = true;
@@ -912,7 +912,7 @@
     // ---- 6. Admission -----------------------------------------------------------------------
 
     /** Even the least busy worker is so full that the answer would come too late. */
-    private boolean refuses(List<WorkerState> eligible, RequestState r) {
+    private boolean refuses(List<WorkerState> eligible) {
         return eligible.stream().noneMatch(w -> w.belowValve(Double.MAX_VALUE, REFUSE_OVER, now));
     }
 
