Among equals in rank a worker that was slow of late comes last

Cause: own in flight is nearly always 0 at full size, so random ties send as much to a queue that peers made as to an idle worker. Might hurt: functions that are slow by nature make their worker come last; only among equals.

--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -31,7 +31,6 @@
     private static final double VALVE_PACE = 0.5; // below one, where answers are rare: cut; inverted, raise
     private static final double VALVE_HIGH = 0.7; // of the aim: the next in line would be late
     private static final double VALVE_LOW = 0.45; // of the aim: there is room for more
-    private static final double NEAR_IDLE = 1.5; // a home may hold this multiple of the mean, and this more
 
     private static final long SHARE_WINDOW = 15_000 * MS; // memory of each function's share of own calls
     private static final double SHARE_PRIOR = 10; // calls without a share, so that few calls spread nothing
@@ -89,7 +88,7 @@
     private long now;
     private final Decayed served = new Decayed(RATE_WINDOW);
     private final Decayed answers = new Decayed(PRESSURE_WINDOW), saturated = new Decayed(PRESSURE_WINDOW);
-    private double trialTokens = 1, retryTokens = RETRY_BURST;
+    private double meanLateness = 0.5, trialTokens = 1, retryTokens = RETRY_BURST;
     private double loadLimit = LOADS_START;
     private int loadsOut, up; // up: workers
     private boolean sweepSet;
@@ -205,8 +204,8 @@
         }
 
         /** Below one, the valve lets one through each so many times the smoothed latency. */
-        boolean belowValve(double bound, double over, long now) {
-            return inFlight < Math.max(1, over * valve) && inFlight <= bound
+        boolean belowValve(double over, long now) {
+            return inFlight < Math.max(1, over * valve)
                 && (valve >= 1 || (now - lastSentAt) * valve * over >= latencyNs);
         }
     }
@@ -311,14 +310,11 @@
             return;
         }
         settle(a, c);
-        if (c.settled()) {
+        if (c.settled() || r.done) {
             finish(r);
-        } else if (!r.done && r.live == 0 && !r.streaming) {
+        } else if (r.live == 0 && !r.streaming) {
             again(r, a, c);
         }
-        if (r.done && r.live == 0) {
-            requests.remove(c.request());
-        }
     }
 
     private void sweep(boolean full) {
@@ -393,7 +389,6 @@
         return e;
     }
 
-    /** Forgets what lapsed and who left, and gives up on orders unanswered for long. */
     private void lapse() {
         for (WorkerState w : List.copyOf(workers.values())) {
             for (Entry e : List.copyOf(w.warm.values())) {
@@ -424,9 +419,7 @@
         e.waiting.clear();
         for (RequestState r : waiting) {
             r.waitsFor = null;
-            if (elsewhere) {
-                r.tried.add(e.worker);
-            }
+            r.tried.addAll(elsewhere ? List.of(e.worker) : List.of());
             route(r);
         }
     }
@@ -440,26 +433,24 @@
      */
     private WorkerState rank(List<WorkerState> eligible, RequestState r) {
         String function = r.request.function();
-        double mean = eligible.stream().mapToInt(w -> w.inFlight).average().orElse(0);
-        double bound = NEAR_IDLE * (mean + 1);
         List<WorkerState> order = inHomeOrder(eligible, r);
         int homes = homes(eligible, r);
         double lastHome = homes == 0 ? -1 : order.get(homes - 1).homeScore;
-        WorkerState warm = fewest(eligible, w -> w.belowValve(bound, 1, now)
+        WorkerState warm = fewest(eligible, w -> w.belowValve(1, now)
             && (standing(w, function) || w.homeScore <= lastHome) && freeLane(w, r.request));
         if (warm != null) {
             return warm;
         }
         WorkerState home = order.stream()
-            .filter(w -> w.belowValve(bound, 1, now) && !believedWarm(w, function)).findFirst().orElse(null);
+            .filter(w -> w.belowValve(1, now) && !believedWarm(w, function)).findFirst().orElse(null);
         if (onlyOrdersLoad()) {
-            warm = fewest(eligible, w -> w.belowValve(Double.MAX_VALUE, 1, now) && standing(w, function));
+            warm = fewest(eligible, w -> w.belowValve(1, now) && standing(w, function));
             if (warm != null && home != null && eligible.stream().noneMatch(w -> loading(w, function))) {
                 order(record(home, r.request));
             }
             warm = warm != null ? warm : fewest(eligible, w -> loading(w, function));
         } else if (loadsOut >= loadLimit) {
-            warm = fewest(eligible, w -> w.belowValve(bound, 1, now) && believedWarm(w, function));
+            warm = fewest(eligible, w -> w.belowValve(1, now) && believedWarm(w, function));
         }
         WorkerState found = warm != null ? warm : home;
         return found != null ? found : fewest(eligible, w -> true);
@@ -476,8 +467,8 @@
         WorkerState best = null;
         int ties = 0;
         for (WorkerState w : eligible) {
-            if (qualifies.test(w) && (best == null || w.inFlight <= best.inFlight)) {
-                ties = best == null || w.inFlight < best.inFlight ? 1 : ties + 1;
+            if (qualifies.test(w) && (best == null || compare(w, best) <= 0)) {
+                ties = best == null || compare(w, best) < 0 ? 1 : ties + 1;
                 best = ties == 1 || random.nextInt(ties) == 0 ? w : best;
             }
         }
@@ -497,16 +488,28 @@
     }
 
     /**
-     * Departure: a function that draws a share of all calls needs that share of the workers. So many of its
-     * homes count as believed warm: peers see like shares and send there too. Guards against many front
-     * ends that each see little meeting on one full worker; a share taken too high spends memory.
+     * Departure: a function with a share of all calls needs that share of the workers. So many of its homes
+     * count as believed warm: peers see like shares. Guards against front ends that each see little meeting
+     * on one full worker; a share taken too high spends memory.
      */
     private int homes(List<WorkerState> eligible, RequestState r) {
         double unseen = 1 - 1.0 / Math.max(1, settings.groupSize()); // what own sends do not show
-        int count = (int) Math.min(eligible.size(), SPREAD * unseen * r.share * eligible.size());
+        int count = (int) (Math.min(1, SPREAD * unseen * r.share) * eligible.size());
         return onlyOrdersLoad() || count < 2 ? 0 : count;
     }
 
+    /**
+     * Own in flight; departure: among equals those whose answers in the last seconds were slower than the
+     * mean come last. Where own in flight is nearly always 0 only answers tell queues that peers made.
+     */
+    private int compare(WorkerState a, WorkerState b) {
+        return a.inFlight != b.inFlight ? a.inFlight - b.inFlight : Boolean.compare(slow(a), slow(b));
+    }
+
+    private boolean slow(WorkerState w) {
+        return now - w.sampledAt < 2 * SMOOTH_WINDOW && w.lateness > meanLateness;
+    }
+
     private static long mix(long x) {
         long z = x * 0x9E3779B97F4A7C15L;
         z = (z ^ (z >>> 30)) * 0xBF58476D1CE4E5B9L;
@@ -521,6 +524,7 @@
         w.sampledAt = now;
         w.latencyNs += weight * (tookNs - w.latencyNs);
         w.lateness += weight * (late - w.lateness);
+        meanLateness += SMOOTH_USUAL * (late - meanLateness);
         if (w.lateness > VALVE_HIGH && now - w.valveCutAt > w.lateness * r.type.onTimeNs()) {
             cutValve(w);
         } else if (w.lateness < VALVE_LOW && (w.valve <= 1 || w.inFlight >= w.valve / 2)) {
@@ -537,11 +541,10 @@
 
     /** Workers that may get this request now; healthy ones where they are not too few. */
     private List<WorkerState> eligible(RequestState r) {
-        List<WorkerState> pool = new ArrayList<>(workers.values());
-        pool.removeIf(w -> !w.up || !mayResend(r, w) || !withinColdBudget(w));
-        List<WorkerState> healthy = new ArrayList<>(pool);
-        healthy.removeIf(w -> w.ejected);
-        pool = healthy.size() >= MOST * up ? healthy : pool;
+        List<WorkerState> open = new ArrayList<>(workers.values());
+        open.removeIf(w -> !w.up || !mayResend(r, w) || !withinColdBudget(w));
+        List<WorkerState> healthy = open.stream().filter(w -> !w.ejected).toList();
+        List<WorkerState> pool = healthy.size() >= MOST * up ? healthy : open;
         List<WorkerState> untried = new ArrayList<>(pool);
         untried.removeAll(r.tried);
         return untried.isEmpty() ? pool : untried;
@@ -913,10 +916,9 @@
 
     /** Even the least busy worker is so full that the answer would come too late. */
     private boolean refuses(List<WorkerState> eligible) {
-        return eligible.stream().noneMatch(w -> w.belowValve(Double.MAX_VALUE, REFUSE_OVER, now));
+        return eligible.stream().noneMatch(w -> w.belowValve(REFUSE_OVER, now));
     }
 
-    /** Counts answers that tell saturation: full, or a warm copy that answered after the aim. */
     private void pressure(Attempt a, Completion c) {
         boolean full = c.outcome() == Outcome.FULL;
         if (!a.trial && (full || c.outcome() == Outcome.SERVED && !a.loads)) {
@@ -925,7 +927,7 @@
         }
     }
 
-    /** Overload: own answers tell that queues are long all over, and more requests would all be late. */
+    /** Overload: own answers (full, late) tell that queues are long all over; more would all be late. */
     private boolean sheds() {
         double share = saturated.at(now) / (answers.at(now) + 2);
         return random.nextDouble() < PRESSURE_SLOPE * (share - PRESSURE_FREE);
--- a/src/test/java/wharfhinge/ChoiceTest.java
+++ b/src/test/java/wharfhinge/ChoiceTest.java
@@ -519,6 +519,24 @@
         assertTrue(t.sentTo(q) != null);
     }
 
+    /** Queues that peers made show only in answers: the slower of two warm workers comes last for a while. */
+    @Test
+    void amongEqualsAWorkerSlowOfLateComesLast() {
+        Recorder t = loading();
+        t.lanes = 1;
+        t.fleet("b", "c");
+        String one = t.query("f");
+        String two = t.query("f");
+        t.end(one, 0, SERVED, FOUND_LOADED, 50);
+        t.end(two, 0, SERVED, FOUND_LOADED, 550);
+        for (int i = 0; i < 10; i++) {
+            t.pass(100);
+            String q = t.query("f");
+            assertEquals(t.sentTo(one), t.sentTo(q));
+            t.served(q);
+        }
+    }
+
     @Test
     void theModuleKeepsItsLimits() throws Exception {
         List<String> lines = Files.readAllLines(Path.of("src/main/java/wharfhinge/Choice.java"));
