Only sends that do load count against the load limit; pressure refuses from a quarter

Now sends to such functions count by the share that was seen to load. Admission under overload, which the limit stood in for, is pressure's: refusing from 0.25 of own answers instead of 0.4.

--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -26,11 +26,9 @@
     private static final double VALVE_START = 8;
     private static final double FEW = 4; // front ends that the figures for one front end are meant for
     private static final double VALVE_MIN = 0.03; // many front ends on a worker: one at a time is too many
-    private static final double VALVE_STEP = 0.1; // additive raise an answer, slow next to the cut
-    private static final double VALVE_CUT = 0.85; // multiplicative cut, at most once a smoothed latency
+    private static final double VALVE_STEP = 0.1, VALVE_CUT = 0.85; // raise an answer, cut a latency
     private static final double VALVE_PACE = 0.5; // below one, where answers are rare: cut; inverted, raise
-    private static final double VALVE_HIGH = 0.7; // of the aim: the next in line would be late
-    private static final double VALVE_LOW = 0.45; // of the aim: there is room for more
+    private static final double VALVE_HIGH = 0.7, VALVE_LOW = 0.45; // of the aim: next is late, there is room
 
     private static final long SHARE_WINDOW = 15_000 * MS; // memory of each function's share of own calls
     private static final double SHARE_PRIOR = 10; // calls without a share, so that few calls spread nothing
@@ -50,23 +48,19 @@
 
     // Attempts.
     private static final double PATIENCE_AIM = 0.5; // of the aim: leaves the other half for a second try
-    private static final double PATIENCE_WORK = 4; // times the usual time of an answer
-    private static final double PATIENCE_LOAD = 2; // times the told time of a load
+    private static final double PATIENCE_WORK = 4, PATIENCE_LOAD = 2; // times usual answer, told load time
     private static final double RETRY_SHARE = 0.25; // retries for each request, as a token bucket
-    private static final double RETRY_BURST = 20;
-    private static final double RETRY_UNSEEN = 0.4; // tokens for a retry of what was turned away unseen
+    private static final double RETRY_BURST = 20, RETRY_UNSEEN = 0.4; // tokens: held, for one after full
     private static final long LOAD_UNTOLD = 1000 * MS; // where no usual time of a load is told
 
     // Loads. Own loads out at once: additive raise, multiplicative cut when the store looks crowded.
-    private static final double LOADS_START = 8, LOADS_MIN = 2;
-    private static final double LOADS_CUT = 0.7;
+    private static final double LOADS_START = 8, LOADS_MIN = 2, LOADS_CUT = 0.7, SMOOTH_LOADS = 0.05;
     private static final double CROWDED = 3, ORDER_PATIENCE = 4; // times the told load time: line, given up
 
     // Admission.
     private static final double REFUSE_OVER = 1.25; // times the valve on the least busy worker
     private static final long PRESSURE_WINDOW = 4000 * MS; // memory of what share of answers told saturation
-    private static final double PRESSURE_FREE = 0.4; // that share is borne without refusing
-    private static final double PRESSURE_SLOPE = 1.5; // refused for each share above it
+    private static final double PRESSURE_FREE = 0.25, PRESSURE_SLOPE = 1.5; // borne; refused above
 
     private static final long SWEEP = 25 * MS, LAPSE = 500 * MS; // pace of looking after what is held, warm
     private static final String SWEEP_TOKEN = "sweep", LAPSE_TOKEN = "lapse", END_TOKEN = "end:";
@@ -88,7 +82,7 @@
     private long now;
     private final Decayed served = new Decayed(RATE_WINDOW);
     private final Decayed answers = new Decayed(PRESSURE_WINDOW), saturated = new Decayed(PRESSURE_WINDOW);
-    private double meanLateness = 0.5, trialTokens = 1, retryTokens = RETRY_BURST;
+    private double meanLateness = 0.5, loadChance = 1, trialTokens = 1, retryTokens = RETRY_BURST;
     private double loadLimit = LOADS_START;
     private int loadsOut, up; // up: workers
     private boolean sweepSet;
@@ -449,7 +443,7 @@
                 order(record(home, r.request));
             }
             warm = warm != null ? warm : fewest(eligible, w -> loading(w, function));
-        } else if (loadsOut >= loadLimit) {
+        } else if (crowdsStore()) {
             warm = fewest(eligible, w -> w.belowValve(1, now) && believedWarm(w, function));
         }
         WorkerState found = warm != null ? warm : home;
@@ -690,7 +684,7 @@
         List<WorkerState> eligible = eligible(r);
         WorkerState w = eligible.isEmpty() ? null : rank(eligible, r);
         boolean mustLoad = w != null && !onlyOrdersLoad() && !believedWarm(w, r.request.function());
-        boolean paced = mustLoad && loadsOut >= loadLimit;
+        boolean paced = mustLoad && crowdsStore();
         boolean inTime = w == null || now - r.arrived < PATIENCE_AIM * r.type.onTimeNs();
         if (mayStillRun(r) && (w == null || paced) && inTime) {
             held.add(r);
@@ -745,6 +739,8 @@
         w.inFlight--;
         r.live--;
         if (a.loads) {
+            loadChance += c.outcome() != Outcome.SERVED ? 0
+                : SMOOTH_LOADS * ((c.note() == Note.FOUND_LOADED ? 0 : 1) - loadChance);
             loaded(c.outcome() == Outcome.SERVED && c.tookNs() <= a.patience);
         }
         if (provesNeverRan(c.outcome())) {
@@ -817,7 +813,7 @@
     /** Only those that can go or whose wait is over: ranking all of them each time is dear. */
     private void retryHeld() {
         for (RequestState r : List.copyOf(held)) {
-            if (loadsOut < loadLimit || now - r.arrived >= PATIENCE_AIM * r.type.onTimeNs()) {
+            if (!crowdsStore() || now - r.arrived >= PATIENCE_AIM * r.type.onTimeNs()) {
                 held.remove(r);
                 route(r);
             }
@@ -837,6 +833,11 @@
 
     // ---- 5. Loads ---------------------------------------------------------------------------
 
+    /** Of own sends that may load only those count that do, as seen: peers keep most functions warm. */
+    private boolean crowdsStore() {
+        return loadsOut * loadChance >= loadLimit;
+    }
+
     private boolean onlyOrdersLoad() {
         return "miss".equals(settings.familyInfo().notLoaded()) && settings.familyInfo().loadControl();
     }
--- a/src/test/java/wharfhinge/ChoiceTest.java
+++ b/src/test/java/wharfhinge/ChoiceTest.java
@@ -537,6 +537,20 @@
         }
     }
 
+    /** Peers keep functions warm that are not on the own list: such sends are no loads and are not rationed. */
+    @Test
+    void sendsThatFindACopyDoNotCountAgainstTheLoadLimit() {
+        Recorder t = loading();
+        t.fleet("b", "c", "d", "e", "g", "h", "i", "j", "k", "l");
+        for (int i = 0; i < 60; i++) {
+            t.served(t.query("f" + i));
+            t.pass(50);
+        }
+        for (int i = 0; i < 20; i++) {
+            assertTrue(t.sentTo(t.query("g" + i)) != null, "held " + i);
+        }
+    }
+
     @Test
     void theModuleKeepsItsLimits() throws Exception {
         List<String> lines = Files.readAllLines(Path.of("src/main/java/wharfhinge/Choice.java"));
