A stall of our own charges nobody; the aim is what the client still waits; time-outs are pressure

Cause: after a stall all patience timers come late together and ejected workers that had answered; a request with little time left was held and judged by its class's aim; impatient clients end as time-outs, which pressure did not see.

--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -39,6 +39,7 @@
     private static final long SMOOTH_WINDOW = 4000 * MS; // where answers are rarer, a new one weighs more
     private static final double SMOOTH_USUAL = 0.02; // a class's usual: slow, since it is the yardstick
     private static final double FAILING = 0.45; // smoothed share of failures: three in a row from none
+    private static final long STALL = 100 * MS; // a timer so late tells of a stall of our own, not of workers
     private static final int OVERDUE = 3; // attempts past their patience with no timely answer between
     private static final double MOST = 0.5; // never shut out more than this share of the fleet
     private static final long EJECT_FIRST = 1000 * MS, EJECT_LAST = 8000 * MS; // before a trial; doubles
@@ -152,7 +153,7 @@
     private static final class RequestState {
         private final Request request;
         private final RequestClass type;
-        private final long arrived, hash;
+        private final long arrived, hash, aim; // or what the client still waits
         private final double share; // of own calls, before this one
         private final List<Attempt> attempts = new ArrayList<>();
         private final List<Attempt> exposed = new ArrayList<>(); // may have run, or still may
@@ -164,6 +165,7 @@
         RequestState(Request request, RequestClass type, long arrived, double share) {
             this.request = request;
             this.share = share;
+            this.aim = Math.min(type.onTimeNs(), request.remainingNs());
             this.type = type;
             this.arrived = arrived;
             this.hash = mix(request.function().hashCode());
@@ -513,13 +515,13 @@
 
     /** The valve follows the smoothed latency against the aim, worker by worker. */
     private void turnValve(WorkerState w, RequestState r, long tookNs) {
-        double late = tookNs / (double) r.type.onTimeNs();
+        double late = tookNs / (double) r.aim;
         double weight = Math.max(SMOOTH_LATENCY, 1 - Math.exp((w.sampledAt - now) / (double) SMOOTH_WINDOW));
         w.sampledAt = now;
         w.latencyNs += weight * (tookNs - w.latencyNs);
         w.lateness += weight * (late - w.lateness);
         meanLateness += SMOOTH_USUAL * (late - meanLateness);
-        if (w.lateness > VALVE_HIGH && now - w.valveCutAt > w.lateness * r.type.onTimeNs()) {
+        if (w.lateness > VALVE_HIGH && now - w.valveCutAt > w.lateness * r.aim) {
             cutValve(w);
         } else if (w.lateness < VALVE_LOW && (w.valve <= 1 || w.inFlight >= w.valve / 2)) {
             w.valve = w.valve < VALVE_PACE ? w.valve / VALVE_PACE : w.valve + VALVE_STEP;
@@ -685,7 +687,7 @@
         WorkerState w = eligible.isEmpty() ? null : rank(eligible, r);
         boolean mustLoad = w != null && !onlyOrdersLoad() && !believedWarm(w, r.request.function());
         boolean paced = mustLoad && crowdsStore();
-        boolean inTime = w == null || now - r.arrived < PATIENCE_AIM * r.type.onTimeNs();
+        boolean inTime = w == null || now - r.arrived < PATIENCE_AIM * r.aim;
         if (mayStillRun(r) && (w == null || paced) && inTime) {
             held.add(r);
             setSweep();
@@ -730,7 +732,7 @@
     private long patience(RequestState r, Entry e) {
         double usualNs = PATIENCE_WORK * usual.get(r.type.name()).of(r.request);
         double load = e.loading && !onlyOrdersLoad() ? PATIENCE_LOAD * e.loadNs : 0;
-        return (long) (Math.max(PATIENCE_AIM * r.type.onTimeNs(), usualNs) + load);
+        return (long) (Math.max(PATIENCE_AIM * r.aim, usualNs) + load);
     }
 
     private void settle(Attempt a, Completion c) {
@@ -782,7 +784,8 @@
             return;
         }
         Attempt a = r.attempts.get(index);
-        if (r.done && r.live == 0 || !r.exposed.contains(a)) {
+        boolean stalled = now - a.sentAt - a.patience > STALL;
+        if (stalled || r.done && r.live == 0 || !r.exposed.contains(a)) {
             return;
         }
         boolean silent = a.worker.heardAt <= a.sentAt;
@@ -794,10 +797,8 @@
             a.worker.onTrial = false;
         }
         if (r.done || r.streaming || retryTokens < 1 || r.attempts.size() >= settings.limits().maxAttempts()
-            || r.type.effect() == Effect.AT_MOST_ONCE || index != r.attempts.size() - 1) {
-            return;
-        }
-        if (!silent && !a.worker.ejected) {
+            || r.type.effect() == Effect.AT_MOST_ONCE || index != r.attempts.size() - 1
+            || !silent && !a.worker.ejected) {
             return;
         }
         r.tried.add(a.worker);
@@ -810,10 +811,9 @@
         }
     }
 
-    /** Only those that can go or whose wait is over: ranking all of them each time is dear. */
     private void retryHeld() {
-        for (RequestState r : List.copyOf(held)) {
-            if (!crowdsStore() || now - r.arrived >= PATIENCE_AIM * r.type.onTimeNs()) {
+        for (RequestState r : List.copyOf(held)) { // only those that can go: to rank all each time is dear
+            if (!crowdsStore() || now - r.arrived >= PATIENCE_AIM * r.aim) {
                 held.remove(r);
                 route(r);
             }
@@ -921,10 +921,10 @@
     }
 
     private void pressure(Attempt a, Completion c) {
-        boolean full = c.outcome() == Outcome.FULL;
+        boolean full = c.outcome() == Outcome.FULL || c.outcome() == Outcome.TIMEOUT;
         if (!a.trial && (full || c.outcome() == Outcome.SERVED && !a.loads)) {
             answers.add(1, now);
-            saturated.add(full || c.tookNs() > a.request.type.onTimeNs() ? 1 : 0, now);
+            saturated.add(full || c.tookNs() > a.request.aim ? 1 : 0, now);
         }
     }
 
--- a/src/test/java/wharfhinge/ChoiceTest.java
+++ b/src/test/java/wharfhinge/ChoiceTest.java
@@ -177,7 +177,7 @@
         Recorder t = new Recorder(Recorder.settings(IDEMPOTENT, "load", false));
         t.fleet("b", "c");
         String q = t.query("f");
-        t.pass(2000);
+        t.pass(1600);
         t.due("0:" + q);
         assertEquals(1, t.attempts(q));
         assertTrue(t.did("cancel " + q + " 0"));
@@ -324,7 +324,7 @@
         t.fleet("b", "c", "d", "e");
         List<String> out = List.of(t.query("f"), t.query("f"), t.query("f"));
         String home = t.sentTo(out.get(0));
-        t.pass(2000);
+        t.pass(1600);
         for (String q : out) {
             assertEquals(home, t.sentTo(q));
             assertFalse(t.did("remark ejected " + home + " silent"));
@@ -551,6 +551,37 @@
         }
     }
 
+    /** After a stall of our own every timer is late: that tells nothing of the workers. */
+    @Test
+    void aStallOfOurOwnChargesNobody() {
+        Recorder t = loading();
+        t.fleet("b", "c", "d", "e");
+        List<String> out = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            out.add(t.query("f"));
+        }
+        t.pass(1900);
+        out.forEach(q -> t.due("0:" + q));
+        assertFalse(t.lines.stream().anyMatch(l -> l.startsWith("remark ejected")));
+        out.forEach(q -> assertEquals(1, t.attempts(q)));
+    }
+
+    /** A client with little time left is not held for half the class's aim. */
+    @Test
+    void aRequestWithLittleTimeLeftIsAnsweredInIt() {
+        Recorder t = loading();
+        t.fleet("b", "c", "d", "e", "g", "h", "i", "j", "k", "l");
+        for (int i = 0; i < 8; i++) {
+            t.query("f" + i);
+        }
+        t.choice.query(t.now, new Dispatcher.Request("short", null, 200 * Recorder.MS, 300, "g", 0, 4, 500, "c",
+            false, false));
+        assertNull(t.sentTo("short"));
+        t.pass(101);
+        t.due("sweep");
+        assertTrue(t.did("refuse short"));
+    }
+
     @Test
     void theModuleKeepsItsLimits() throws Exception {
         List<String> lines = Files.readAllLines(Path.of("src/main/java/wharfhinge/Choice.java"));
