--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -190,8 +190,9 @@
         private boolean ejected, onTrial;
         private long trialAt, coldAt, pause = EJECT_FIRST;
 
-        WorkerState(String id, long now, double valve, long aim) {
+        WorkerState(String id, long now, double valve, long aim, double phase) {
             this.id = id;
+            this.coldTokens = phase; // so that many front ends do not reach their first token together
             this.valve = valve;
             this.latencyNs = aim / 4.0; // until it is known
             this.heardAt = now;
@@ -229,7 +230,7 @@
         WorkerState old = workers.get(entry.id());
         boolean fresh = old == null || entry.startedAt() != 0 && entry.startedAt() != old.told.startedAt();
         WorkerState w = fresh ? new WorkerState(entry.id(), now, Math.max(1, VALVE_START * few),
-            settings.classes().get(0).onTimeNs()) : old;
+            settings.classes().get(0).onTimeNs(), random.nextDouble()) : old;
         w.told = entry;
         w.up = entry.availability() == Availability.UP;
         workers.put(entry.id(), w);
@@ -513,7 +514,6 @@
         return z ^ (z >>> 31);
     }
 
-    /** The valve follows the smoothed latency against the aim, worker by worker. */
     private void turnValve(WorkerState w, RequestState r, long tookNs) {
         double late = tookNs / (double) r.aim;
         double weight = Math.max(SMOOTH_LATENCY, 1 - Math.exp((w.sampledAt - now) / (double) SMOOTH_WINDOW));
@@ -602,7 +602,6 @@
         }
     }
 
-    /** A trial that passes ends the ejection; one that fails doubles the pause. */
     private void trialEnded(WorkerState w, boolean bad) {
         if (w.ejected && bad) {
             w.pause = Math.min(EJECT_LAST, 2 * w.pause);
@@ -629,7 +628,8 @@
         double age = Math.max(0, now - w.told.startedAt()) / (double) rules.warmAfterNs();
         double share = rules.coldFrom() + (1 - rules.coldFrom()) * age;
         double perNs = COLD_MARGIN * rules.overloadFactor() * share * served.at(now) / RATE_WINDOW / up;
-        perNs = Math.max(perNs, 1.0 / rules.warmAfterNs()); // a fleet that is cold as a whole must start
+        // a fleet that is cold as a whole must start: one for the group
+        perNs = Math.max(perNs, 1.0 / rules.warmAfterNs() / Math.max(1, settings.groupSize()));
         double most = Math.max(1, perNs * rules.tipAfterNs() / 2);
         w.coldTokens = Math.min(most, w.coldTokens + perNs * (now - w.coldAt));
         w.coldAt = now;
