--- a/src/test/java/wharfhinge/adapter/SessionTest.java
+++ b/src/test/java/wharfhinge/adapter/SessionTest.java
@@ -67,6 +67,23 @@
         assertTrue(reply.contains("unknown class other"), reply);
     }
 
+    @Test
+    void noSizeOfGroupOrFleetMakesItThrow() throws Exception {
+        StringBuilder many = new StringBuilder("MEMBERS 3 remembered 1 3000\n");
+        for (int k = 0; k < 3000; k++) {
+            many.append("M h:").append(k).append(" nowhere - 0 U - -\n");
+        }
+        String one = "MEMBERS 3 remembered 1 1\nM h:1 z k 0 U 1 -\n";
+        for (String size : new String[] {"", "0", "1", "5000"}) {
+            String group = size.isEmpty() ? "" : "\"group_size\": " + size + ", ";
+            String begin = BEGIN.replace("\"group_size\": 1, ", group);
+            assertTrue(run(begin + QUERY).contains("ATTEMPT 3 t/a 0 h:1\n"), group);
+            String empty = run(begin.replace(one, "MEMBERS 3 remembered 1 0\n") + QUERY);
+            assertTrue(!empty.contains("EXCEPTION") && !empty.contains("ATTEMPT"), empty);
+            assertTrue(run(begin.replace(one, many) + QUERY).contains("ATTEMPT 3 t/a 0 h:"), group);
+        }
+    }
+
     @Test
     void malformedInputNamesLineAndReason() {
         malformed("HELLO\n", "line 1: a batch begins with TICK");
