--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -3,17 +3,7 @@
 // Events, actions and settings: Dispatcher.java. Every decision is in this file, in six parts:
 // 1 warm lists, 2 ranking, 3 eligibility, 4 attempts, 5 loads, 6 admission; docs/design.md has the why.
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
-import java.util.List;
-import java.util.Map;
-import java.util.Objects;
-import java.util.Random;
-import java.util.Set;
+import java.util.*;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
@@ -33,6 +23,11 @@
     private static final long SHARE_WINDOW = 15_000 * MS; // memory of each function's share of own calls
     private static final double SHARE_PRIOR = 10; // calls without a share, so that few calls spread nothing
     private static final double SPREAD = 5; // homes for each worker that its share fills; 4, 8 alike, 2 worse
+    private static final double DOUBT = 12; // times the share of answers that loaded; 8 and 16 alike
+    private static final long REPORT_MEMORY = 3000 * MS; // a reported load fades to the mean; 1 s is worse
+    private static final double REPORT_FULL = 1.5, REPORT_BUSY = 1.1; // times the mean: saturated, slow
+    private static final double REPORT_IDLE = 3; // for each unit of told size: never saturated below
+    private static final long LOOK_FRESH = 300 * MS, LOOK_WAIT = 40 * MS; // needs no probe; waits for one
 
     // Eligibility. Weights of a smoothed value: recent ten to five answers decide.
     private static final double SMOOTH_LATENCY = 0.1, SMOOTH_FAILURES = 0.2;
@@ -52,6 +47,8 @@
     private static final double PATIENCE_WORK = 4, PATIENCE_LOAD = 2; // times usual answer, told load time
     private static final double RETRY_SHARE = 0.25; // retries for each request, as a token bucket
     private static final double RETRY_BURST = 20, RETRY_UNSEEN = 0.4; // tokens: held, for one after full
+    private static final Set<Outcome> NEVER_RAN = // what proves it
+        EnumSet.of(Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.MISS);
     private static final long LOAD_UNTOLD = 1000 * MS; // where no usual time of a load is told
 
     // Loads. Own loads out at once: additive raise, multiplicative cut when the store looks crowded.
@@ -61,10 +58,13 @@
     // Admission.
     private static final double REFUSE_OVER = 1.25; // times the valve on the least busy worker
     private static final long PRESSURE_WINDOW = 4000 * MS; // memory of what share of answers told saturation
+    private static final double TIMEOUT_DOUBT = 0.5; // off a time-out where answers tell of loads
+    private static final double ADVICE_LEAST = 0.1; // of the aim
     private static final double PRESSURE_FREE = 0.25, PRESSURE_SLOPE = 1.5; // borne; refused above
 
     private static final long SWEEP = 25 * MS, LAPSE = 500 * MS; // pace of looking after what is held, warm
-    private static final String SWEEP_TOKEN = "sweep", LAPSE_TOKEN = "lapse", END_TOKEN = "end:";
+    private static final String SWEEP_TOKEN = "sweep", LAPSE_TOKEN = "lapse", END_TOKEN = "end:",
+        LOOK_TOKEN = "look:", REPORT_IN_FLIGHT = "rif";
 
     private final Settings settings;
     private final Actions actions;
@@ -73,18 +73,18 @@
     private final Map<String, Usual> usual = new HashMap<>();
     private final Map<String, WorkerState> workers = new LinkedHashMap<>();
     private final Map<String, RequestState> requests = new HashMap<>();
-    private final LinkedHashSet<RequestState> held = new LinkedHashSet<>();
+    private final LinkedHashSet<RequestState> held = new LinkedHashSet<>(), looking = new LinkedHashSet<>();
     private final Map<String, Decayed> calls = new LinkedHashMap<>();
-    private final Decayed allCalls = new Decayed(SHARE_WINDOW);
     private final ArrayDeque<Entry> pendingOrders = new ArrayDeque<>();
     private final ArrayDeque<Long> orderTimes = new ArrayDeque<>(), arrivalTimes = new ArrayDeque<>();
     private final long keepNs;
+    private final boolean mayLook;
     private final double few; // of a figure meant for a few front ends, the part for one of so many
     private long now;
-    private final Decayed served = new Decayed(RATE_WINDOW);
-    private final Decayed answers = new Decayed(PRESSURE_WINDOW), saturated = new Decayed(PRESSURE_WINDOW);
-    private double meanLateness = 0.5, loadChance = 1, trialTokens = 1, retryTokens = RETRY_BURST;
-    private double loadLimit = LOADS_START;
+    private final Decayed served = new Decayed(RATE_WINDOW), answers = new Decayed(PRESSURE_WINDOW);
+    private final Decayed saturated = new Decayed(PRESSURE_WINDOW), allCalls = new Decayed(SHARE_WINDOW);
+    private double meanLateness = 0.5, meanReported = 2, missShare, loadChance = 1;
+    private double trialTokens = 1, retryTokens = RETRY_BURST, loadLimit = LOADS_START;
     private int loadsOut, up; // up: workers
     private boolean sweepSet;
 
@@ -99,6 +99,8 @@
         this.random = new Random(seed);
         this.keepNs = settings.familyInfo().keepNs();
         this.few = Math.min(1, FEW / Math.max(1, settings.groupSize()));
+        this.mayLook = few < 0.5 && settings.limits().probes() && settings.feedback() != null
+            && settings.feedback().names().contains(REPORT_IN_FLIGHT);
         this.now = now;
         for (RequestClass c : settings.classes()) {
             classes.put(c.name(), c);
@@ -159,8 +161,9 @@
         private final List<Attempt> exposed = new ArrayList<>(); // may have run, or still may
         private final LinkedHashSet<WorkerState> tried = new LinkedHashSet<>();
         private Entry waitsFor;
+        private final LinkedHashSet<WorkerState> looks = new LinkedHashSet<>(); // their probes are waited for
         private int live;
-        private boolean streaming, done;
+        private boolean streaming, done, looked, shed;
 
         RequestState(Request request, RequestClass type, long arrived, double share) {
             this.request = request;
@@ -186,9 +189,10 @@
         private double valve, lateness, latencyNs; // latency, and over the class's aim, smoothed
         private long lastSentAt, valveCutAt, heardAt, sampledAt;
         private int overdue; // attempts past their patience since the last timely answer
+        private double reported; // in flight for each unit of told size, by all front ends
         private double failures, coldTokens;
         private boolean ejected, onTrial;
-        private long trialAt, coldAt, pause = EJECT_FIRST;
+        private long reportedAt, trialAt, coldAt, pause = EJECT_FIRST;
 
         WorkerState(String id, long now, double valve, long aim, double phase) {
             this.id = id;
@@ -199,12 +203,6 @@
             this.coldAt = now;
             this.hash = mix(id.hashCode());
         }
-
-        /** Below one, the valve lets one through each so many times the smoothed latency. */
-        boolean belowValve(double over, long now) {
-            return inFlight < Math.max(1, over * valve)
-                && (valve >= 1 || (now - lastSentAt) * valve * over >= latencyNs);
-        }
     }
 
     // ---- Events -----------------------------------------------------------------------------
@@ -257,29 +255,20 @@
         trialTokens = Math.min(1, trialTokens + TRIAL_SHARE);
         arrivalTimes.add(now);
         actions.timer(END_TOKEN + request.id(), Math.max(0, request.remainingNs() - 2 * settings.tickNs()));
-        if (sheds()) {
-            decline(r);
-        } else {
-            route(r);
-        }
+        r.shed = sheds();
+        route(r);
     }
 
     @Override
     public void clientLeft(long at, String request) {
         now = at;
-        RequestState r = requests.get(request);
-        if (r != null) {
-            finish(r);
-        }
+        Optional.ofNullable(requests.get(request)).ifPresent(this::finish);
     }
 
     @Override
     public void established(long at, String request, int attempt, String worker) {
         now = at;
-        RequestState r = requests.get(request);
-        if (r != null) {
-            r.streaming = true;
-        }
+        Optional.ofNullable(requests.get(request)).ifPresent(r -> r.streaming = true);
     }
 
     @Override
@@ -291,7 +280,9 @@
         }
         int colon = token.indexOf(':');
         RequestState r = requests.get(token.substring(colon + 1));
-        if (r != null && !token.startsWith(END_TOKEN)) {
+        if (token.startsWith(LOOK_TOKEN)) {
+            lookEnds(r);
+        } else if (r != null && !token.startsWith(END_TOKEN)) {
             overdue(r, Integer.parseInt(token.substring(0, colon)));
         } else if (r != null && !r.done && !r.streaming) {
             decline(r);
@@ -306,6 +297,7 @@
         if (a == null) {
             return;
         }
+        learnReport(a.worker, c.report());
         settle(a, c);
         if (c.settled() || r.done) {
             finish(r);
@@ -339,10 +331,8 @@
         private final WorkerState worker;
         private final String function;
         private final LinkedHashSet<RequestState> waiting = new LinkedHashSet<>();
-        private long lastSend;
-        private boolean loading;
-        private boolean ordered;
-        private long orderedAt, loadNs;
+        private boolean loading, ordered;
+        private long lastSend, orderedAt, loadNs;
         private int inFlight;
 
         Entry(WorkerState worker, String function) {
@@ -365,10 +355,20 @@
         return believedWarm(w, function) && !loading(w, function);
     }
 
-    /** Counts a call and tells the share of own calls that its function had before. */
+    // Departure: as answers tell of loads, copies are doubted, up to 1. Acts on any cause of misses: few
+    // calls, full memory, void copies, a slow store. It hurts where new functions are the traffic: less
+    // spread.
+    private double doubt() {
+        return Math.min(1, DOUBT * missShare);
+    }
+
+    // Counts a call and tells the share of own calls that its function had before; where copies are doubted
+    // less the root of the count, its error, so that one call does not make a function hot. May crowd first
+    // homes.
     private double countCall(String function) {
         Decayed count = calls.computeIfAbsent(function, f -> new Decayed(SHARE_WINDOW));
-        double share = count.at(now) / (allCalls.at(now) + SHARE_PRIOR);
+        double seen = count.at(now);
+        double share = Math.max(0, seen - doubt() * Math.sqrt(seen)) / (allCalls.at(now) + SHARE_PRIOR);
         count.add(1, now);
         allCalls.add(1, now);
         return share;
@@ -423,34 +423,31 @@
 
     // ---- 2. Ranking -------------------------------------------------------------------------
 
-    /**
-     * The design's order: believed warm, below the valve and with a free lane, then the function's home
-     * among near-idle workers below it, then, all saturated, the one with the fewest own in flight.
-     * Departure: while as many own loads are out as the store bears, a spill stays on warm workers.
-     */
+    // The design's order: believed warm, below the valve and with a free lane, then the home among workers
+    // below it, then the fewest in flight. Departure: at the load limit a spill stays on warm workers.
     private WorkerState rank(List<WorkerState> eligible, RequestState r) {
         String function = r.request.function();
         List<WorkerState> order = inHomeOrder(eligible, r);
         int homes = homes(eligible, r);
         double lastHome = homes == 0 ? -1 : order.get(homes - 1).homeScore;
-        WorkerState warm = fewest(eligible, w -> w.belowValve(1, now)
+        WorkerState warm = fewest(eligible, function, w -> belowValve(w, 1)
             && (standing(w, function) || w.homeScore <= lastHome) && freeLane(w, r.request));
         if (warm != null) {
             return warm;
         }
         WorkerState home = order.stream()
-            .filter(w -> w.belowValve(1, now) && !believedWarm(w, function)).findFirst().orElse(null);
+            .filter(w -> belowValve(w, 1) && !believedWarm(w, function)).findFirst().orElse(null);
         if (onlyOrdersLoad()) {
-            warm = fewest(eligible, w -> w.belowValve(1, now) && standing(w, function));
+            warm = fewest(eligible, function, w -> belowValve(w, 1) && standing(w, function));
             if (warm != null && home != null && eligible.stream().noneMatch(w -> loading(w, function))) {
                 order(record(home, r.request));
             }
-            warm = warm != null ? warm : fewest(eligible, w -> loading(w, function));
+            warm = warm != null ? warm : fewest(eligible, function, w -> loading(w, function));
         } else if (crowdsStore()) {
-            warm = fewest(eligible, w -> w.belowValve(1, now) && believedWarm(w, function));
+            warm = fewest(eligible, function, w -> belowValve(w, 1) && believedWarm(w, function));
         }
         WorkerState found = warm != null ? warm : home;
-        return found != null ? found : fewest(eligible, w -> true);
+        return found != null ? found : fewest(eligible, function, w -> true);
     }
 
     /** A worker that loads by itself starts a copy for one that waits; where only orders do, one may. */
@@ -460,22 +457,21 @@
     }
 
     /** The one with the fewest own in flight among those that qualify, random among equals; or null. */
-    private WorkerState fewest(List<WorkerState> eligible, Predicate<WorkerState> qualifies) {
+    private WorkerState fewest(List<WorkerState> eligible, String function, Predicate<WorkerState> fits) {
         WorkerState best = null;
         int ties = 0;
         for (WorkerState w : eligible) {
-            if (qualifies.test(w) && (best == null || compare(w, best) <= 0)) {
-                ties = best == null || compare(w, best) < 0 ? 1 : ties + 1;
+            int order = best == null ? -1 : compare(w, best, function);
+            if (order <= 0 && fits.test(w)) {
+                ties = order < 0 ? 1 : ties + 1;
                 best = ties == 1 || random.nextInt(ties) == 0 ? w : best;
             }
         }
         return best;
     }
 
-    /**
-     * Departure: all front ends derive the same order of homes for a function (weighted rendezvous hashing,
-     * in proportion to the told sizes), so that those that share nothing, and a restarted one, meet there.
-     */
+    // Departure: front ends derive one order of homes for a function (rendezvous hashing in proportion to
+    // told sizes), so that those that share nothing, and a restarted one, meet there.
     private List<WorkerState> inHomeOrder(List<WorkerState> eligible, RequestState r) {
         for (WorkerState w : eligible) {
             double uniform = ((mix(w.hash ^ r.hash) >>> 11) + 0.5) / (1L << 53);
@@ -484,27 +480,51 @@
         return eligible.stream().sorted(Comparator.comparingDouble(w -> w.homeScore)).toList();
     }
 
-    /**
-     * Departure: a function with a share of all calls needs that share of the workers. So many of its homes
-     * count as believed warm: peers see like shares. Guards against front ends that each see little meeting
-     * on one full worker; a share taken too high spends memory.
-     */
+    // Departure: a function with a share of all calls needs that share of the workers: so many of its homes
+    // count as believed warm. Guards against meeting on one full worker; a share taken too high spends
+    // memory.
     private int homes(List<WorkerState> eligible, RequestState r) {
         double unseen = 1 - 1.0 / Math.max(1, settings.groupSize()); // what own sends do not show
         int count = (int) (Math.min(1, SPREAD * unseen * r.share) * eligible.size());
         return onlyOrdersLoad() || count < 2 ? 0 : count;
     }
 
-    /**
-     * Own in flight; departure: among equals those whose answers in the last seconds were slower than the
-     * mean come last. Where own in flight is nearly always 0 only answers tell queues that peers made.
-     */
-    private int compare(WorkerState a, WorkerState b) {
-        return a.inFlight != b.inFlight ? a.inFlight - b.inFlight : Boolean.compare(slow(a), slow(b));
+    // Own in flight; departure: where it is equal, as mostly with many front ends, workers that peers keep
+    // busy come last, then those on the own warm list first (not for few, who see enough), then the least
+    // told load.
+    private int compare(WorkerState a, WorkerState b, String function) {
+        int order = a.inFlight != b.inFlight ? a.inFlight - b.inFlight : Boolean.compare(slow(a), slow(b));
+        order = order != 0 || few == 1 ? order
+            : Boolean.compare(standing(b, function), standing(a, function));
+        return order != 0 ? order : Double.compare(load(a), load(b));
     }
 
+    /** By what it told of its load; where nothing is told, by answers slower than the mean. */
     private boolean slow(WorkerState w) {
-        return now - w.sampledAt < 2 * SMOOTH_WINDOW && w.lateness > meanLateness;
+        return w.reportedAt > 0 ? load(w) > REPORT_BUSY * meanReported
+            : now - w.sampledAt < 2 * SMOOTH_WINDOW && w.lateness > meanLateness;
+    }
+
+    /** What it told of all front ends' requests in flight, as far as own sends do not show it; it fades. */
+    private double load(WorkerState w) {
+        double fresh = w.reportedAt == 0 ? 0 : Math.exp((w.reportedAt - now) / (double) REPORT_MEMORY);
+        return meanReported + (1 - few) * fresh * (w.reported - meanReported);
+    }
+
+    private void learnReport(WorkerState w, Map<String, Double> report) {
+        Double inFlight = report.get(REPORT_IN_FLIGHT);
+        if (inFlight != null && inFlight >= 0) {
+            w.reported = inFlight / (w.told.weight() > 0 ? w.told.weight() : 1);
+            w.reportedAt = now;
+            meanReported += SMOOTH_USUAL * (w.reported - meanReported);
+        }
+    }
+
+    /** Own requests, below one paced by the latency, and what the worker told of everybody's. */
+    private boolean belowValve(WorkerState w, double over) {
+        return w.inFlight < Math.max(1, over * w.valve)
+            && (w.valve >= 1 || (now - w.lastSentAt) * w.valve * over >= w.latencyNs)
+            && load(w) <= over * Math.max(REPORT_FULL * meanReported, REPORT_IDLE);
     }
 
     private static long mix(long x) {
@@ -577,10 +597,7 @@
         }
         alive |= c.outcome() == Outcome.TIMEOUT; // tells nothing that its patience did not tell before
         if (alive || c.outcome() == Outcome.CANCELLED || c.outcome() == Outcome.MOOT) {
-            if (a.trial && w.onTrial) {
-                w.onTrial = false;
-                trialEnded(w, c.outcome() != Outcome.MISS); // a miss is an answer; a full one may hang
-            }
+            trialEnded(a, c.outcome() != Outcome.MISS); // a miss is an answer; a full one may hang
             return;
         }
         served.add(c.outcome() == Outcome.SERVED ? 1 : 0, now);
@@ -593,8 +610,7 @@
         boolean timely = !bad && c.tookNs() <= a.patience;
         w.overdue = timely ? 0 : w.overdue;
         if (a.trial) {
-            w.onTrial = false;
-            trialEnded(w, !timely);
+            trialEnded(a, !timely);
         } else if (w.ejected && timely && w.failures <= FAILING) {
             restore(w);
         } else if (bad && w.failures > FAILING) {
@@ -602,7 +618,12 @@
         }
     }
 
-    private void trialEnded(WorkerState w, boolean bad) {
+    private void trialEnded(Attempt a, boolean bad) {
+        WorkerState w = a.worker;
+        if (!a.trial || !w.onTrial) {
+            return;
+        }
+        w.onTrial = false;
         if (w.ejected && bad) {
             w.pause = Math.min(EJECT_LAST, 2 * w.pause);
             w.trialAt = now + w.pause;
@@ -615,11 +636,9 @@
         return w.told.startedAt() > 0 && now - w.told.startedAt() < settings.obligations().warmAfterNs();
     }
 
-    /**
-     * Rule 4: a cold worker gets tokens at the told multiple of its present share of what a warm worker
-     * serves for this dispatcher. Own answers stand for the own share of the group: summed over the
-     * dispatchers they never exceed the capacity, however often clients repeat what is refused.
-     */
+    // Rule 4: a cold worker gets tokens at the told multiple of its present share of what a warm worker
+    // serves for this dispatcher. Answers, not arrivals: summed over all they never exceed capacity,
+    // whatever repeats.
     private boolean withinColdBudget(WorkerState w) {
         if (!cold(w)) {
             return true;
@@ -643,19 +662,9 @@
         if (r.done || r.live > 0 && !settings.limits().secondCopies()) {
             return false;
         }
-        if (r.type.effect() == Effect.IDEMPOTENT || r.exposed.isEmpty()) {
-            return true;
-        }
-        if (r.type.effect() == Effect.AT_MOST_ONCE) {
-            return false;
-        }
-        for (Attempt a : r.exposed) {
-            boolean late = now - a.sentAt >= r.type.windowNs() - 2 * settings.tickNs();
-            if (late || !sameGroup(r.type, a.worker, w)) {
-                return false;
-            }
-        }
-        return true;
+        return r.type.effect() == Effect.IDEMPOTENT || r.exposed.isEmpty()
+            || r.type.effect() == Effect.DEDUPLICATED && r.exposed.stream().allMatch(a -> sameGroup(r.type,
+            a.worker, w) && now - a.sentAt < r.type.windowNs() - 2 * settings.tickNs());
     }
 
     /** Rule 2: may the client be told that a retry is harmless? */
@@ -669,12 +678,8 @@
             ? Objects.equals(a.told.zone(), b.told.zone()) : a.told.cell() == b.told.cell());
     }
 
-    private static boolean provesNeverRan(Outcome o) {
-        return o == Outcome.FULL || o == Outcome.CONNECT_FAILED || o == Outcome.MOOT || o == Outcome.MISS;
-    }
-
     private void route(RequestState r) {
-        if (r.attempts.size() >= settings.limits().maxAttempts()) {
+        if (r.shed || r.attempts.size() >= settings.limits().maxAttempts()) {
             decline(r);
             return;
         }
@@ -695,15 +700,62 @@
         }
         Entry e = w == null ? null : w.warm.get(r.request.function());
         if (e != null && e.ordered && e.loading && onlyOrdersLoad()) {
-            e.waiting.add(r);
-            r.waitsFor = e;
+            await(r, e);
         } else if (w == null || paced || refuses(eligible)) {
             decline(r);
-        } else {
+        } else if (!looks(r, w, eligible)) {
             send(r, w, false);
         }
     }
 
+    // Departure: before a first send the next two workers are probed, unless their load was told just now,
+    // and ranked anew. Acts where probes tell load, the group is large and not most is full. Guards against
+    // front ends that meet on a busy worker, whatever keeps it busy; costs two probes, and LOOK_WAIT at
+    // most.
+    private boolean looks(RequestState r, WorkerState w, List<WorkerState> eligible) {
+        if (!mayLook || r.looked || saturatedShare() > PRESSURE_FREE) {
+            return false;
+        }
+        r.looked = true;
+        List<WorkerState> others = eligible.stream().filter(other -> other != w).toList();
+        for (WorkerState next : others.isEmpty() ? List.of(w) : List.of(w, rank(others, r))) {
+            if (next.reportedAt == 0 || now - next.reportedAt > LOOK_FRESH) {
+                if (looking.stream().noneMatch(other -> other.looks.contains(next))) {
+                    actions.probe(next.id);
+                }
+                r.looks.add(next);
+                looking.add(r);
+            }
+        }
+        if (!r.looks.isEmpty()) {
+            actions.timer(LOOK_TOKEN + r.request.id(), LOOK_WAIT);
+        }
+        return !r.looks.isEmpty();
+    }
+
+    @Override
+    public void probed(long at, String worker, Outcome outcome, long tookNs, Map<String, Double> report) {
+        now = at;
+        WorkerState w = workers.get(worker);
+        if (w != null) {
+            learnReport(w, report);
+            List.copyOf(looking).stream().filter(r -> r.looks.remove(w) && r.looks.isEmpty())
+                .forEach(this::lookEnds);
+        }
+    }
+
+    /** Workers whose probes are late are taken for saturated; the request goes on without them. */
+    private void lookEnds(RequestState r) {
+        if (r != null && looking.remove(r)) {
+            for (WorkerState w : r.looks) {
+                w.reported = Math.max(w.reported, REPORT_FULL * meanReported);
+                w.reportedAt = now;
+            }
+            r.looks.clear();
+            route(r);
+        }
+    }
+
     private boolean mayStillRun(RequestState r) {
         return r.live == 0 && (r.exposed.isEmpty() || r.type.effect() != Effect.AT_MOST_ONCE);
     }
@@ -717,9 +769,7 @@
         w.lastSentAt = now;
         w.onTrial |= trial;
         trialTokens -= trial ? 1 : 0;
-        if (cold(w)) {
-            w.coldTokens--;
-        }
+        w.coldTokens -= cold(w) ? 1 : 0;
         r.attempts.add(a);
         r.exposed.add(a);
         r.live++;
@@ -740,12 +790,15 @@
         WorkerState w = a.worker;
         w.inFlight--;
         r.live--;
+        boolean wasServed = c.outcome() == Outcome.SERVED;
         if (a.loads) {
-            loadChance += c.outcome() != Outcome.SERVED ? 0
-                : SMOOTH_LOADS * ((c.note() == Note.FOUND_LOADED ? 0 : 1) - loadChance);
-            loaded(c.outcome() == Outcome.SERVED && c.tookNs() <= a.patience);
+            double began = c.note() == Note.FOUND_LOADED ? 0 : 1;
+            loadChance += wasServed ? SMOOTH_LOADS * (began - loadChance) : 0;
+            loaded(wasServed && c.tookNs() <= a.patience);
         }
-        if (provesNeverRan(c.outcome())) {
+        double missed = c.note() == Note.NONE || c.note() == Note.FOUND_LOADED ? 0 : 1;
+        missShare += wasServed || c.note() == Note.LOAD_FAILED ? SMOOTH_LOADS * (missed - missShare) : 0;
+        if (NEVER_RAN.contains(c.outcome())) {
             r.exposed.remove(a);
         }
         Entry e = w.warm.get(r.request.function());
@@ -753,7 +806,7 @@
             e.inFlight = Math.max(0, e.inFlight - 1);
             if (c.note() == Note.LOAD_FAILED || c.outcome() == Outcome.MISS && !onlyOrdersLoad()) {
                 dropEntry(e);
-            } else if (c.outcome() == Outcome.SERVED) {
+            } else if (wasServed) {
                 e.loading = e.ordered;
                 e.lastSend = c.note() == Note.FOUND_LOADED ? now : e.lastSend;
             }
@@ -765,7 +818,10 @@
     private void again(RequestState r, Attempt a, Completion c) {
         boolean lacks = c.outcome() == Outcome.MISS && onlyOrdersLoad() && c.note() != Note.LOAD_FAILED;
         if (lacks && !a.trial && a.worker.up) {
-            missed(r, a.worker);
+            Entry e = record(a.worker, r.request);
+            e.loading = true;
+            await(r, e);
+            order(e);
             return;
         }
         r.tried.add(a.worker);
@@ -780,9 +836,6 @@
 
     /** No answer within patience: the worker may hang. */
     private void overdue(RequestState r, int index) {
-        if (index >= r.attempts.size()) {
-            return;
-        }
         Attempt a = r.attempts.get(index);
         boolean stalled = now - a.sentAt - a.patience > STALL;
         if (stalled || r.done && r.live == 0 || !r.exposed.contains(a)) {
@@ -792,10 +845,7 @@
         if (++a.worker.overdue >= OVERDUE) {
             eject(a.worker, silent ? "silent" : "slow");
         }
-        if (a.trial && a.worker.onTrial) {
-            trialEnded(a.worker, true);
-            a.worker.onTrial = false;
-        }
+        trialEnded(a, true);
         if (r.done || r.streaming || retryTokens < 1 || r.attempts.size() >= settings.limits().maxAttempts()
             || r.type.effect() == Effect.AT_MOST_ONCE || index != r.attempts.size() - 1
             || !silent && !a.worker.ejected) {
@@ -811,18 +861,35 @@
         }
     }
 
+    private void await(RequestState r, Entry e) {
+        e.waiting.add(r);
+        r.waitsFor = e;
+        held.add(r);
+        setSweep();
+    }
+
     private void retryHeld() {
         for (RequestState r : List.copyOf(held)) { // only those that can go: to rank all each time is dear
-            if (!crowdsStore() || now - r.arrived >= PATIENCE_AIM * r.aim) {
+            if (hopeless(r)) {
+                decline(r);
+            } else if (r.waitsFor == null && (!crowdsStore() || now - r.arrived >= PATIENCE_AIM * r.aim)) {
                 held.remove(r);
                 route(r);
             }
         }
     }
 
+    /** What it waits for can no longer serve it in time: it gets its answer now, not at its deadline. */
+    private boolean hopeless(RequestState r) {
+        double needs = usual.get(r.type.name()).of(r.request)
+            + (r.waitsFor != null && pendingOrders.contains(r.waitsFor) ? r.waitsFor.loadNs : 0);
+        return now + needs > r.arrived + r.request.remainingNs();
+    }
+
     private void finish(RequestState r) {
         r.done = true;
         held.remove(r);
+        looking.remove(r);
         if (r.waitsFor != null) {
             r.waitsFor.waiting.remove(r);
         }
@@ -842,14 +909,6 @@
         return "miss".equals(settings.familyInfo().notLoaded()) && settings.familyInfo().loadControl();
     }
 
-    private void missed(RequestState r, WorkerState w) {
-        Entry e = record(w, r.request);
-        e.loading = true;
-        e.waiting.add(r);
-        r.waitsFor = e;
-        order(e);
-    }
-
     private void order(Entry e) {
         if (!e.ordered) {
             e.ordered = true;
@@ -861,10 +920,7 @@
 
     private void givePendingOrders() {
         while (!pendingOrders.isEmpty() && loadsOut < loadLimit && withinRation()) {
-            Entry e = pendingOrders.peek();
-            for (Entry other : pendingOrders) {
-                e = other.waiting.size() > e.waiting.size() ? other : e;
-            }
+            Entry e = Collections.max(pendingOrders, Comparator.comparingInt(other -> other.waiting.size()));
             pendingOrders.remove(e);
             e.orderedAt = now;
             loadsOut++;
@@ -906,37 +962,49 @@
     /** A load ended: the limit on loads out at once backs off when it took as long as in a crowd. */
     private void loaded(boolean smoothly) {
         loadsOut = Math.max(0, loadsOut - 1);
-        if (!smoothly) {
-            loadLimit = Math.max(LOADS_MIN, loadLimit * LOADS_CUT);
-        } else if (loadsOut >= loadLimit / 2) {
-            loadLimit += 1 / loadLimit;
-        }
+        loadLimit = !smoothly ? Math.max(LOADS_MIN, loadLimit * LOADS_CUT)
+            : loadLimit + (loadsOut >= loadLimit / 2 ? 1 / loadLimit : 0);
     }
 
     // ---- 6. Admission -----------------------------------------------------------------------
 
     /** Even the least busy worker is so full that the answer would come too late. */
     private boolean refuses(List<WorkerState> eligible) {
-        return eligible.stream().noneMatch(w -> w.belowValve(REFUSE_OVER, now));
+        return eligible.stream().noneMatch(w -> belowValve(w, REFUSE_OVER));
+    }
+
+    private static boolean toldOfLoad(Completion c) {
+        return c.note() != Note.NONE && c.note() != Note.FOUND_LOADED;
     }
 
+    /** A late load is no queue at a worker; a time-out tells nothing and counts less where there is doubt. */
     private void pressure(Attempt a, Completion c) {
-        boolean full = c.outcome() == Outcome.FULL || c.outcome() == Outcome.TIMEOUT;
+        boolean timeout = c.outcome() == Outcome.TIMEOUT, full = timeout || c.outcome() == Outcome.FULL;
         if (!a.trial && (full || c.outcome() == Outcome.SERVED && !a.loads)) {
-            answers.add(1, now);
-            saturated.add(full || c.tookNs() > a.request.aim ? 1 : 0, now);
+            double weight = timeout ? 1 - TIMEOUT_DOUBT * doubt() : 1;
+            answers.add(weight, now);
+            saturated.add(full || c.tookNs() > a.request.aim ? weight : 0, now);
         }
     }
 
     /** Overload: own answers (full, late) tell that queues are long all over; more would all be late. */
     private boolean sheds() {
-        double share = saturated.at(now) / (answers.at(now) + 2);
-        return random.nextDouble() < PRESSURE_SLOPE * (share - PRESSURE_FREE);
+        return random.nextDouble() < PRESSURE_SLOPE * (saturatedShare() - PRESSURE_FREE);
+    }
+
+    private double saturatedShare() {
+        return saturated.at(now) / (answers.at(now) + 2);
+    }
+
+    /** When to come back: later the more answers told saturation, within the aim so that it still pays. */
+    private long advice(RequestState r) {
+        long wait = (long) (Math.max(ADVICE_LEAST, saturatedShare()) * r.aim);
+        return settings.limits().retryAfter() ? Math.min(wait, settings.limits().maxRetryAfterNs()) : 0;
     }
 
     private void decline(RequestState r) {
         if (mayRefuse(r)) {
-            actions.refuse(r.request.id(), 0);
+            actions.refuse(r.request.id(), advice(r));
         } else if (r.live > 0 && now < r.arrived + r.request.remainingNs() - 3 * settings.tickNs()) {
             return; // the attempt still out may serve it; its end or the deadline decides
         } else {
--- a/src/test/java/wharfhinge/Recorder.java
+++ b/src/test/java/wharfhinge/Recorder.java
@@ -11,6 +11,7 @@
     final Choice choice;
     long now = 100_000 * MS;
     int lanes = 4;
+    long advised = -1;
     private int sequence;
 
     Recorder(Dispatcher.Settings settings) {
@@ -41,6 +42,19 @@
             new Dispatcher.Prices(0, 0, 0, 0, 0, 0), new Dispatcher.Callers(false));
     }
 
+    /** A front end among so many, where answers and probes tell load. */
+    static Dispatcher.Settings among(int groupSize, boolean probes, boolean retryAfter) {
+        Dispatcher.Settings s = settings(Dispatcher.Effect.IDEMPOTENT, "load", true);
+        Dispatcher.Limits l = s.limits();
+        return new Dispatcher.Settings(groupSize, 0, s.tickNs(), s.zone(), s.zones(), s.kinds(), s.discovery(),
+            s.weights(), s.worthBy(), s.overShareWorth(), s.classes(), s.realms(), s.familyInfo(),
+            new Dispatcher.Feedback("piggyback", List.of("rif")), s.goal(),
+            new Dispatcher.Limits(l.cancelling(), l.peers(), probes, l.secondCopies(), retryAfter,
+                l.maxAttempts(), l.maxOpen(), 200 * MS, l.dialTimeoutNs(), l.connIdleNs(),
+                l.streamsPerConn(), l.cpuUsPerS(), l.cpuUsPerRequest()),
+            s.obligations(), s.prices(), s.callers());
+    }
+
     static Dispatcher.Worker worker(String id, Dispatcher.Availability availability, long startedAt) {
         return new Dispatcher.Worker(id, id.charAt(0) < 'n' ? "a" : "b", "k", 1, availability, 1, startedAt);
     }
@@ -106,6 +120,18 @@
         end(request, (int) attempts(request) - 1, Dispatcher.Outcome.SERVED, Dispatcher.Note.FOUND_LOADED, 50);
     }
 
+    /** Answers each probe that is out: {@code busy} tells so many in flight, the others none. */
+    void answerProbes(String busy, double inFlight) {
+        for (String line : List.copyOf(lines)) {
+            if (line.startsWith("probe ")) {
+                lines.remove(line);
+                String worker = line.substring(6);
+                choice.probed(now, worker, Dispatcher.Outcome.SERVED, MS,
+                    Map.of("rif", worker.equals(busy) ? inFlight : 0.0));
+            }
+        }
+    }
+
     void due(String token) {
         choice.due(now, token);
     }
@@ -127,6 +153,7 @@
     @Override
     public void refuse(String request, long coolDownNs) {
         lines.add("refuse " + request);
+        advised = coolDownNs;
     }
 
     @Override
