--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -106,7 +106,7 @@
             classes.put(c.name(), c);
             usual.put(c.name(), new Usual(c.onTimeNs()));
         }
-        if ("on_request".equals(settings.discovery())) {
+        if (settings.discovery() == Discovery.ON_REQUEST) {
             actions.listen(true);
         }
         actions.timer(LAPSE_TOKEN, LAPSE);
@@ -906,7 +906,7 @@
     }
 
     private boolean onlyOrdersLoad() {
-        return "miss".equals(settings.familyInfo().notLoaded()) && settings.familyInfo().loadControl();
+        return settings.familyInfo().notLoaded() == NotLoaded.MISS && settings.familyInfo().loadControl();
     }
 
     private void order(Entry e) {
--- a/src/main/java/wharfhinge/Dispatcher.java
+++ b/src/main/java/wharfhinge/Dispatcher.java
@@ -28,6 +28,21 @@
     /** What a served answer says of the copy, or that a load failed. */
     enum Note { NONE, FOUND_LOADED, BEGAN_LOAD, WAITED_FOR_LOAD, LOAD_FAILED }
 
+    /** How lists come: unasked, or only where {@link Actions#listen} or {@link Actions#reload} asked. */
+    enum Discovery { PUSHED, ON_REQUEST }
+
+    /** What a worker does with a request whose function is not loaded: it loads it, or answers a miss. */
+    enum NotLoaded { LOAD, MISS }
+
+    /** Where load reports come: with answers and probes, with probes alone, nowhere. */
+    enum Reports { PIGGYBACK, PULL, SILENT }
+
+    /** What {@link Worker#weight} holds: always 1, the size, the size roughly, or the size less present load. */
+    enum Weights { SILENT, NOMINAL, ROUGH, LIVE }
+
+    /** What a request's worth is counted by. */
+    enum WorthBy { REQUEST, WORK }
+
     /** A worker in a list; {@code startedAt} is 0 if it started long ago. */
     record Worker(String id, String zone, String kind, int cell, Availability availability,
                   double weight, long startedAt) { }
@@ -112,7 +127,7 @@
 
     /** All that is told at the start; absent keys are 0, false or null. */
     record Settings(int groupSize, int myNumber, long tickNs, String zone, List<String> zones,
-                    List<String> kinds, String discovery, String weights, String worthBy,
+                    List<String> kinds, Discovery discovery, Weights weights, WorthBy worthBy,
                     double overShareWorth, List<RequestClass> classes, List<Realm> realms,
                     FamilyInfo familyInfo, Feedback feedback, Goal goal, Limits limits,
                     Obligations obligations, Prices prices, Callers callers) { }
@@ -126,13 +141,13 @@
     record Realm(String name, double share, double quotaPerS) { }
 
     /** How functions are loaded and kept. */
-    record FamilyInfo(long keepNs, boolean loadControl, String notLoaded, long loadWaitNs,
+    record FamilyInfo(long keepNs, boolean loadControl, NotLoaded notLoaded, long loadWaitNs,
                       long loadPeriodNs, double loadRatio, double loadsAnyway, double priceOfIdle,
                       List<Double> ramMbByKind, String reportX0, String reportX1,
                       boolean saysCompany, boolean warmNotes) { }
 
     /** Which load reports there are. */
-    record Feedback(String how, List<String> names) { }
+    record Feedback(Reports how, List<String> names) { }
 
     /** What the result weighs. */
     record Goal(double whole, double worstWindow, double worstClass, double worstTenant) { }
--- a/src/main/java/wharfhinge/adapter/Session.java
+++ b/src/main/java/wharfhinge/adapter/Session.java
@@ -35,6 +35,11 @@
         .setFieldNamingPolicy(FieldNamingPolicy.LOWER_CASE_WITH_UNDERSCORES)
         .registerTypeAdapter(Dispatcher.Effect.class, word(Dispatcher.Effect.class))
         .registerTypeAdapter(Dispatcher.Group.class, word(Dispatcher.Group.class))
+        .registerTypeAdapter(Dispatcher.Discovery.class, word(Dispatcher.Discovery.class))
+        .registerTypeAdapter(Dispatcher.NotLoaded.class, word(Dispatcher.NotLoaded.class))
+        .registerTypeAdapter(Dispatcher.Reports.class, word(Dispatcher.Reports.class))
+        .registerTypeAdapter(Dispatcher.Weights.class, word(Dispatcher.Weights.class))
+        .registerTypeAdapter(Dispatcher.WorthBy.class, word(Dispatcher.WorthBy.class))
         .create();
     private long lineNumber;
     private long now;
--- a/src/test/java/wharfhinge/ChoiceTest.java
+++ b/src/test/java/wharfhinge/ChoiceTest.java
@@ -29,11 +29,12 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import wharfhinge.Dispatcher.NotLoaded;
 
 class ChoiceTest {
 
     private static Recorder loading() {
-        return new Recorder(Recorder.settings(IDEMPOTENT, "load", true));
+        return new Recorder(Recorder.settings(IDEMPOTENT, NotLoaded.LOAD, true));
     }
 
     @Test
@@ -91,8 +92,8 @@
     @Test
     void frontEndsThatShareNothingMeetOnAColdFunction() {
         for (int i = 0; i < 20; i++) {
-            Recorder one = new Recorder(Recorder.settings(IDEMPOTENT, "load", true), 1);
-            Recorder other = new Recorder(Recorder.settings(IDEMPOTENT, "load", true), 2);
+            Recorder one = new Recorder(Recorder.settings(IDEMPOTENT, NotLoaded.LOAD, true), 1);
+            Recorder other = new Recorder(Recorder.settings(IDEMPOTENT, NotLoaded.LOAD, true), 2);
             one.fleet("b", "c", "d", "e");
             other.fleet("e", "d", "c", "b");
             assertEquals(one.sentTo(one.query("f" + i)), other.sentTo(other.query("f" + i)));
@@ -124,7 +125,7 @@
     @Test
     void anUnsafeRequestThatMayHaveRunIsNeitherResentNorRefused() {
         for (Dispatcher.Outcome outcome : List.of(ERROR, RESET, TIMEOUT)) {
-            Recorder t = new Recorder(Recorder.settings(AT_MOST_ONCE, "load", true));
+            Recorder t = new Recorder(Recorder.settings(AT_MOST_ONCE, NotLoaded.LOAD, true));
             t.fleet("b", "c");
             String q = t.query("f");
             t.end(q, 0, outcome, NONE, 10);
@@ -137,7 +138,7 @@
     @Test
     void anUnsafeRequestThatNeverRanIsResent() {
         for (Dispatcher.Outcome outcome : List.of(FULL, CONNECT_FAILED)) {
-            Recorder t = new Recorder(Recorder.settings(AT_MOST_ONCE, "load", true));
+            Recorder t = new Recorder(Recorder.settings(AT_MOST_ONCE, NotLoaded.LOAD, true));
             t.fleet("b", "c");
             String q = t.query("f");
             t.end(q, 0, outcome, NONE, 10);
@@ -147,7 +148,7 @@
 
     @Test
     void anErrorAfterAFailedLoadIsNoProof() {
-        Recorder t = new Recorder(Recorder.settings(AT_MOST_ONCE, "load", true));
+        Recorder t = new Recorder(Recorder.settings(AT_MOST_ONCE, NotLoaded.LOAD, true));
         t.fleet("b", "c");
         String q = t.query("f");
         t.end(q, 0, ERROR, Dispatcher.Note.LOAD_FAILED, 10);
@@ -156,7 +157,7 @@
 
     @Test
     void aKeyedRequestStaysInItsZoneAndWindow() {
-        Dispatcher.Settings zone = Recorder.settings(DEDUPLICATED, Dispatcher.Group.ZONE, "load", true, 0);
+        Dispatcher.Settings zone = Recorder.settings(DEDUPLICATED, Dispatcher.Group.ZONE, NotLoaded.LOAD, true, 0);
         Recorder t = new Recorder(zone);
         t.fleet("b", "c", "x", "y");
         String q = t.query("f");
@@ -175,7 +176,7 @@
 
     @Test
     void neverTwoAttemptsAtOnceWhereSecondCopiesAreNotAllowed() {
-        Recorder t = new Recorder(Recorder.settings(IDEMPOTENT, "load", false));
+        Recorder t = new Recorder(Recorder.settings(IDEMPOTENT, NotLoaded.LOAD, false));
         t.fleet("b", "c");
         String q = t.query("f");
         t.pass(1600);
@@ -217,7 +218,7 @@
 
     @Test
     void noOrderGoesToADrainingWorker() {
-        Recorder t = new Recorder(Recorder.settings(IDEMPOTENT, "miss", false));
+        Recorder t = new Recorder(Recorder.settings(IDEMPOTENT, NotLoaded.MISS, false));
         t.fleet("b");
         String q = t.query("f");
         t.change("b", DRAINING, 0);
@@ -260,7 +261,7 @@
 
     @Test
     void aMissOrdersOneAndResendsOnceAnswered() {
-        Recorder t = new Recorder(Recorder.settings(IDEMPOTENT, "miss", false));
+        Recorder t = new Recorder(Recorder.settings(IDEMPOTENT, NotLoaded.MISS, false));
         t.fleet("b", "c");
         String q = t.query("f");
         String home = t.sentTo(q);
@@ -277,7 +278,7 @@
 
     @Test
     void aFailedHoldSendsTheRequestToTheNextInRank() {
-        Recorder t = new Recorder(Recorder.settings(IDEMPOTENT, "miss", false));
+        Recorder t = new Recorder(Recorder.settings(IDEMPOTENT, NotLoaded.MISS, false));
         t.fleet("b", "c");
         String q = t.query("f");
         String home = t.sentTo(q);
@@ -290,7 +291,7 @@
     @Test
     void ordersStayWithinTheRation() {
         Recorder t = new Recorder(
-            Recorder.settings(IDEMPOTENT, Dispatcher.Group.ALL, "miss", false, 5000 * Recorder.MS));
+            Recorder.settings(IDEMPOTENT, Dispatcher.Group.ALL, NotLoaded.MISS, false, 5000 * Recorder.MS));
         t.fleet("b", "c", "d");
         for (int i = 0; i < 20; i++) {
             t.end(t.query("f" + i), 0, MISS, NONE, 1);
@@ -357,7 +358,7 @@
 
     @Test
     void aSaturatedWarmWorkerKeepsTheRequestAndACopyIsOrderedAhead() {
-        Recorder t = new Recorder(Recorder.settings(IDEMPOTENT, "miss", false));
+        Recorder t = new Recorder(Recorder.settings(IDEMPOTENT, NotLoaded.MISS, false));
         t.fleet("b", "c", "d", "e");
         t.lanes = 1;
         String q = t.query("f");
@@ -482,7 +483,7 @@
     /** A miss shows that the worker answers; the request that tried it does not wait there for a load. */
     @Test
     void aTrialThatMissesPassesAndGoesElsewhere() {
-        Recorder t = new Recorder(Recorder.settings(IDEMPOTENT, "miss", false));
+        Recorder t = new Recorder(Recorder.settings(IDEMPOTENT, NotLoaded.MISS, false));
         t.fleet("b", "c", "d", "e");
         String home = t.sentTo(t.query("f"));
         for (int i = 0; i < 8; i++) {
@@ -593,7 +594,7 @@
     void aHundredFrontEndsTogetherKeepTheColdBudget() {
         int sent = 0;
         for (int seed = 0; seed < 100; seed++) {
-            Recorder t = new Recorder(Recorder.settings(IDEMPOTENT, "load", true), seed);
+            Recorder t = new Recorder(Recorder.settings(IDEMPOTENT, NotLoaded.LOAD, true), seed);
             t.fleet("b", "c", "d", "e");
             for (int i = 0; i < 20; i++) {
                 t.served(t.query("f" + i));
@@ -776,7 +777,7 @@
     /** A request that waits for an order not yet given is refused when the load would end past its deadline. */
     @Test
     void aWaitForAnOrderThatComesTooLateEndsAtOnce() {
-        Recorder t = new Recorder(Recorder.settings(IDEMPOTENT, Dispatcher.Group.ALL, "miss", true,
+        Recorder t = new Recorder(Recorder.settings(IDEMPOTENT, Dispatcher.Group.ALL, NotLoaded.MISS, true,
             5000 * Recorder.MS));
         t.fleet("b", "c", "d", "e");
         String ordered = t.query("f0");
--- a/src/test/java/wharfhinge/RandomEventsTest.java
+++ b/src/test/java/wharfhinge/RandomEventsTest.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
+import wharfhinge.Dispatcher.NotLoaded;
 
 /** Random legal events, without any model of servers, under a check of rules 1, 2, 3 and 5. */
 class RandomEventsTest {
@@ -36,7 +37,7 @@
     @Test
     void theRulesHoldUnderRandomEvents() {
         for (Dispatcher.Effect e : Dispatcher.Effect.values()) {
-            for (String notLoaded : List.of("load", "miss")) {
+            for (NotLoaded notLoaded : NotLoaded.values()) {
                 for (int seed = 0; seed < 6; seed++) {
                     play(e, notLoaded, seed % 2 == 0, seed);
                 }
@@ -44,7 +45,7 @@
         }
     }
 
-    private void play(Dispatcher.Effect e, String notLoaded, boolean second, long seed) {
+    private void play(Dispatcher.Effect e, NotLoaded notLoaded, boolean second, long seed) {
         effect = e;
         secondCopies = second;
         read = 0;
--- a/src/test/java/wharfhinge/Recorder.java
+++ b/src/test/java/wharfhinge/Recorder.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import wharfhinge.Dispatcher.NotLoaded;
 
 /** A dispatcher under test with short ways to tell it events; every action is kept as one line. */
 final class Recorder implements Dispatcher.Actions {
@@ -22,20 +23,20 @@
         choice = new Choice(now, seed, settings, this);
     }
 
-    static Dispatcher.Settings settings(Dispatcher.Effect effect, String notLoaded, boolean secondCopies) {
+    static Dispatcher.Settings settings(Dispatcher.Effect effect, NotLoaded notLoaded, boolean secondCopies) {
         return settings(effect, Dispatcher.Group.ALL, notLoaded, secondCopies, 0);
     }
 
-    static Dispatcher.Settings settings(Dispatcher.Effect effect, Dispatcher.Group group, String notLoaded,
+    static Dispatcher.Settings settings(Dispatcher.Effect effect, Dispatcher.Group group, NotLoaded notLoaded,
                                         boolean secondCopies, long loadPeriodNs) {
-        return new Dispatcher.Settings(2, 0, 4 * MS, "a", List.of("a", "b"), List.of("k"), "pushed", "silent",
-            "request", 0.2,
+        return new Dispatcher.Settings(2, 0, 4 * MS, "a", List.of("a", "b"), List.of("k"), Dispatcher.Discovery.PUSHED,
+            Dispatcher.Weights.SILENT, Dispatcher.WorthBy.REQUEST, 0.2,
             List.of(new Dispatcher.RequestClass("c", effect, group, 500 * MS, 600 * MS, 2500 * MS, 1, 0.2,
                 false, 0)),
             List.of(),
             new Dispatcher.FamilyInfo(8000 * MS, true, notLoaded, 10_000 * MS, loadPeriodNs, 0.1, 1, 0,
                 List.of(1000.0), "", "", false, true),
-            new Dispatcher.Feedback("silent", List.of()), new Dispatcher.Goal(1, 0, 0, 0),
+            new Dispatcher.Feedback(Dispatcher.Reports.SILENT, List.of()), new Dispatcher.Goal(1, 0, 0, 0),
             new Dispatcher.Limits(true, false, false, secondCopies, true, 4, 1000, 2000 * MS, 250 * MS,
                 15_000 * MS, 100, 100_000, 0),
             new Dispatcher.Obligations(10_000 * MS, 0.2, 10_000 * MS, 2, 1000 * MS, 500 * MS, 16 * MS),
@@ -44,11 +45,11 @@
 
     /** A front end among so many, where answers and probes tell load. */
     static Dispatcher.Settings among(int groupSize, boolean probes, boolean retryAfter) {
-        Dispatcher.Settings s = settings(Dispatcher.Effect.IDEMPOTENT, "load", true);
+        Dispatcher.Settings s = settings(Dispatcher.Effect.IDEMPOTENT, NotLoaded.LOAD, true);
         Dispatcher.Limits l = s.limits();
         return new Dispatcher.Settings(groupSize, 0, s.tickNs(), s.zone(), s.zones(), s.kinds(), s.discovery(),
             s.weights(), s.worthBy(), s.overShareWorth(), s.classes(), s.realms(), s.familyInfo(),
-            new Dispatcher.Feedback("piggyback", List.of("rif")), s.goal(),
+            new Dispatcher.Feedback(Dispatcher.Reports.PIGGYBACK, List.of("rif")), s.goal(),
             new Dispatcher.Limits(l.cancelling(), l.peers(), probes, l.secondCopies(), retryAfter,
                 l.maxAttempts(), l.maxOpen(), 200 * MS, l.dialTimeoutNs(), l.connIdleNs(),
                 l.streamsPerConn(), l.cpuUsPerS(), l.cpuUsPerRequest()),
