A cut of the valve at least doubles the own interval of sends to that worker, faded out in small groups

Now the cut starts from what the front end really sends there. Broken by hand both ways: the test fails.

--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -187,7 +187,7 @@
         private int inFlight;
         private double homeScore; // for the request being ranked; least first
         private double valve, lateness, latencyNs; // latency, and over the class's aim, smoothed
-        private long lastSentAt, valveCutAt, heardAt, sampledAt;
+        private long lastSentAt, gapNs, valveCutAt, heardAt, sampledAt; // gap: between the last two sends
         private int overdue; // attempts past their patience since the last timely answer
         private double reported; // in flight for each unit of told size, by all front ends
         private double failures, coldTokens;
@@ -199,8 +199,7 @@
             this.coldTokens = phase; // so that many front ends do not reach their first token together
             this.valve = valve;
             this.latencyNs = aim / 4.0; // until it is known
-            this.heardAt = now;
-            this.coldAt = now;
+            this.heardAt = this.coldAt = now;
             this.hash = mix(id.hashCode());
         }
     }
@@ -446,8 +445,8 @@
         } else if (crowdsStore()) {
             warm = fewest(eligible, function, w -> belowValve(w, 1) && believedWarm(w, function));
         }
-        WorkerState found = warm != null ? warm : home;
-        return found != null ? found : fewest(eligible, function, w -> true);
+        warm = warm != null ? warm : home;
+        return warm != null ? warm : fewest(eligible, function, w -> true);
     }
 
     /** A worker that loads by itself starts a copy for one that waits; where only orders do, one may. */
@@ -489,9 +488,8 @@
         return onlyOrdersLoad() || count < 2 ? 0 : count;
     }
 
-    // Own in flight; departure: where it is equal, as mostly with many front ends, workers that peers keep
-    // busy come last, then those on the own warm list first (not for few, who see enough), then the least
-    // told load.
+    // Own in flight; departure: where it is equal, as with many front ends, busy ones last (told load, slow
+    // answers), the own warm list first (not for few, who see enough), then the least told load.
     private int compare(WorkerState a, WorkerState b, String function) {
         int order = a.inFlight != b.inFlight ? a.inFlight - b.inFlight : Boolean.compare(slow(a), slow(b));
         order = order != 0 || few == 1 ? order
@@ -499,7 +497,6 @@
         return order != 0 ? order : Double.compare(load(a), load(b));
     }
 
-    /** By what it told of its load; where nothing is told, by answers slower than the mean. */
     private boolean slow(WorkerState w) {
         return w.reportedAt > 0 ? load(w) > REPORT_BUSY * meanReported
             : now - w.sampledAt < 2 * SMOOTH_WINDOW && w.lateness > meanLateness;
@@ -548,8 +545,13 @@
         }
     }
 
+    // Departure: a front end that sends to a worker seldom must feel a cut, so it at least doubles the own
+    // interval there. Guards against many front ends that each return too soon, whatever fills the worker; a
+    // single bad answer idles a good worker for an interval or two. It fades out in small groups.
     private void cutValve(WorkerState w) {
-        w.valve = Math.max(VALVE_MIN, w.valve * (w.valve > 1 ? VALVE_CUT : VALVE_PACE));
+        double own = Math.max(few, w.latencyNs / Math.max(w.latencyNs, w.gapNs)); // mean own in flight there
+        w.valve = Math.max(VALVE_MIN, own < 1 ? VALVE_PACE * Math.min(w.valve, own)
+            : w.valve * (w.valve > 1 ? VALVE_CUT : VALVE_PACE));
         w.valveCutAt = now;
     }
 
@@ -561,8 +563,7 @@
         open.removeIf(w -> !w.up || !mayResend(r, w) || !withinColdBudget(w));
         List<WorkerState> healthy = open.stream().filter(w -> !w.ejected).toList();
         List<WorkerState> pool = healthy.size() >= MOST * up ? healthy : open;
-        List<WorkerState> untried = new ArrayList<>(pool);
-        untried.removeAll(r.tried);
+        List<WorkerState> untried = pool.stream().filter(w -> !r.tried.contains(w)).toList();
         return untried.isEmpty() ? pool : untried;
     }
 
@@ -766,6 +767,7 @@
         Attempt a = new Attempt(r, w, r.attempts.size(), now, patience(r, e), trial, loads);
         e.inFlight++;
         w.inFlight++;
+        w.gapNs = w.lastSentAt == 0 ? 0 : now - w.lastSentAt;
         w.lastSentAt = now;
         w.onTrial |= trial;
         trialTokens -= trial ? 1 : 0;
@@ -837,8 +839,7 @@
     /** No answer within patience: the worker may hang. */
     private void overdue(RequestState r, int index) {
         Attempt a = r.attempts.get(index);
-        boolean stalled = now - a.sentAt - a.patience > STALL;
-        if (stalled || r.done && r.live == 0 || !r.exposed.contains(a)) {
+        if (now - a.sentAt - a.patience > STALL || r.done && r.live == 0 || !r.exposed.contains(a)) {
             return;
         }
         boolean silent = a.worker.heardAt <= a.sentAt;
--- a/src/test/java/wharfhinge/ChoiceTest.java
+++ b/src/test/java/wharfhinge/ChoiceTest.java
@@ -739,6 +739,38 @@
         assertFalse(t.lines.stream().anyMatch(l -> l.startsWith("probe ")));
     }
 
+    /** Many front ends that each send seldom: one that finds a worker full leaves it alone for longer than before. */
+    @Test
+    void aCutDoublesTheOwnIntervalAmongManyFrontEnds() {
+        assertTrue(quietAfterFull(300) >= 1800);
+        assertTrue(quietAfterFull(2) < 1000);
+    }
+
+    /** Milliseconds until a worker gets a request again, which had one each second and was then found full. */
+    private static long quietAfterFull(int groupSize) {
+        Recorder t = new Recorder(Recorder.among(groupSize, false, true));
+        t.fleet("b", "c");
+        String first = t.query("f");
+        String home = t.sentTo(first);
+        t.served(first);
+        for (int i = 0; i < 4; i++) {
+            t.pass(1000);
+            String q = t.query("f");
+            assertEquals(home, t.sentTo(q));
+            t.end(q, 0, i < 3 ? SERVED : FULL, i < 3 ? FOUND_LOADED : NONE, 100);
+            if (i == 3) {
+                t.end(q, 1, SERVED, FOUND_LOADED, 100);
+            }
+        }
+        long waited = 0;
+        for (String q = t.query("f"); waited < 10_000 && !home.equals(t.sentTo(q)); q = t.query("f")) {
+            t.end(q, 0, SERVED, FOUND_LOADED, 100);
+            t.pass(100);
+            waited += 100;
+        }
+        return waited;
+    }
+
     /** Given up at once, with a time to come back that the site honours, or none where it honours none. */
     @Test
     void aRefusalTellsWhenToComeBack() {
