One good answer taken for granted in the share that told saturation, not two

May hurt: three or four late answers by chance make a front end refuse most calls for seconds. Test broken by hand: fails.

--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -58,9 +58,9 @@
     // Admission.
     private static final double REFUSE_OVER = 1.25; // times the valve on the least busy worker
     private static final long PRESSURE_WINDOW = 4000 * MS; // memory of what share of answers told saturation
-    private static final double TIMEOUT_DOUBT = 0.5; // off a time-out where answers tell of loads
-    private static final double ADVICE_LEAST = 0.1; // of the aim
+    private static final double TIMEOUT_DOUBT = 0.5, ADVICE_LEAST = 0.1; // off a time-out; of the aim
     private static final double PRESSURE_FREE = 0.25, PRESSURE_SLOPE = 1.5; // borne; refused above
+    private static final double PRESSURE_PRIOR = 1; // good answers taken for granted; 2, 0.5 worse
 
     private static final long SWEEP = 25 * MS, LAPSE = 500 * MS; // pace of looking after what is held, warm
     private static final String SWEEP_TOKEN = "sweep", LAPSE_TOKEN = "lapse", END_TOKEN = "end:",
@@ -994,7 +994,7 @@
     }
 
     private double saturatedShare() {
-        return saturated.at(now) / (answers.at(now) + 2);
+        return saturated.at(now) / (answers.at(now) + PRESSURE_PRIOR);
     }
 
     /** When to come back: later the more answers told saturation, within the aim so that it still pays. */
--- a/src/test/java/wharfhinge/ChoiceTest.java
+++ b/src/test/java/wharfhinge/ChoiceTest.java
@@ -771,6 +771,25 @@
         return waited;
     }
 
+    /** With few answers in memory a front end among many must still shed when all of them tell saturation. */
+    @Test
+    void fewAnswersThatAllTellSaturationShedMostCalls() {
+        int refused = 0;
+        for (int seed = 0; seed < 200; seed++) {
+            Recorder t = new Recorder(Recorder.among(300, false, true), seed);
+            t.fleet(IntStream.range(0, 40).mapToObj(i -> "b" + i).toArray(String[]::new));
+            for (int i = 0, answered = 0; answered < 4; i++) {
+                String q = t.query("f" + i);
+                if (t.sentTo(q) != null) {
+                    t.end(q, 0, FULL, NONE, 5, true);
+                    answered++;
+                }
+            }
+            refused += t.did("refuse " + t.query("g")) ? 1 : 0;
+        }
+        assertTrue(refused > 150 && refused < 190, "refused " + refused);
+    }
+
     /** Given up at once, with a time to come back that the site honours, or none where it honours none. */
     @Test
     void aRefusalTellsWhenToComeBack() {
