--- a/src/main/java/wharfhinge/Choice.java
+++ b/src/main/java/wharfhinge/Choice.java
@@ -550,8 +550,8 @@
     // single bad answer idles a good worker for an interval or two. It fades out in small groups.
     private void cutValve(WorkerState w) {
         double own = Math.max(few, w.latencyNs / Math.max(w.latencyNs, w.gapNs)); // mean own in flight there
-        w.valve = Math.max(VALVE_MIN, own < 1 ? VALVE_PACE * Math.min(w.valve, own)
-            : w.valve * (w.valve > 1 ? VALVE_CUT : VALVE_PACE));
+        w.valve = w.valve > 1 ? w.valve * VALVE_CUT
+            : Math.max(VALVE_MIN, VALVE_PACE * Math.min(w.valve, own));
         w.valveCutAt = now;
     }
 
