A Maven reactor: the decisions and the bench's adapter in modules of their own

Need: the program itself comes next; its modules must not reach into the decisions, and the adapter must stay a small jar that starts fast.

Changed: `Choice` and `Dispatcher` moved to `policy/`, text unchanged; the wire to `bench-adapter/` with its own shaded jar; poms for protocol, config, gateway, stand-ins and app, which get their code next.

--- a/src/main/java/wharfhinge/adapter/Main.java
+++ b/bench-adapter/src/main/java/wharfhinge/adapter/Main.java
@@ -14,7 +14,7 @@
     /** Runs the adapter; exits with 0 at end of input, 1 on malformed input, 2 on wrong usage. */
     public static void main(String[] args) {
         if (args.length != 1 || !args[0].equals("adapter")) {
-            System.err.println("usage: java -jar wharfhinge.jar adapter");
+            System.err.println("usage: java -jar wharfhinge-adapter.jar adapter");
             System.exit(2);
         }
         try {
--- a/src/test/java/wharfhinge/ReadmeTest.java
+++ b/policy/src/test/java/wharfhinge/EmbeddingPageTest.java
@@ -17,11 +17,11 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** The embedding example compiles and runs as the page prints it. */
-class ReadmeTest {
+class EmbeddingPageTest {
 
     @Test
     void theEmbeddingExampleCompilesAndSends(@TempDir Path folder) throws Exception {
-        String page = Files.readString(Path.of("README.md"));
+        String page = Files.readString(Path.of("../docs/embedding.md"));
         int start = page.indexOf("```java\n") + "```java\n".length();
         Path source = folder.resolve("Embedding.java");
         Files.writeString(source, page.substring(start, page.indexOf("```", start)));
@@ -37,7 +37,7 @@
         PrintStream before = System.out;
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         try (URLClassLoader loader = new URLClassLoader(new URL[] {folder.toUri().toURL()},
-            ReadmeTest.class.getClassLoader())) {
+            EmbeddingPageTest.class.getClassLoader())) {
             System.setOut(new PrintStream(out, true, StandardCharsets.UTF_8));
             Method main = loader.loadClass("Embedding").getDeclaredMethod("main", String[].class);
             main.setAccessible(true);
