--- /dev/null
+++ b/app/src/main/java/wharfhinge/app/ServeCommand.java
@@ -0,0 +1,20 @@
+package wharfhinge.app;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import wharfhinge.gateway.loop.DispatcherFactory;
+
+/** Runs a gateway until it is told to stop. */
+@Command(name = "serve", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
+    description = "Runs a gateway until it gets a TERM or INT signal, then answers what is open and ends.")
+final class ServeCommand implements Callable<Integer> {
+    @Option(names = "--config", required = true, paramLabel = "FILE", description = "The settings, an XML file.")
+    private Path config;
+
+    @Override
+    public Integer call() throws InterruptedException {
+        return Serving.serve(config, DispatcherFactory.CHOICE);
+    }
+}
--- /dev/null
+++ b/app/src/main/java/wharfhinge/app/Serving.java
@@ -0,0 +1,40 @@
+package wharfhinge.app;
+
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import wharfhinge.config.GatewayConfig;
+import wharfhinge.config.InvalidFileException;
+import wharfhinge.gateway.Gateway;
+import wharfhinge.gateway.loop.DispatcherFactory;
+
+/** The life of a gateway process. */
+public final class Serving {
+
+    private Serving() { }
+
+    /** Serves with the given decisions; returns once the gateway has stopped. */
+    public static int serve(Path file, DispatcherFactory decisions) throws InterruptedException {
+        GatewayConfig config;
+        try {
+            config = GatewayConfig.load(file);
+        } catch (InvalidFileException e) {
+            System.err.println(e.getMessage());
+            return Main.WANTING;
+        }
+        Logs.set(config.log());
+        Gateway gateway = new Gateway(config, decisions, null);
+        CountDownLatch stopped = new CountDownLatch(1);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            try {
+                gateway.stop();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            Logs.flush();
+            stopped.countDown();
+        }, "stop"));
+        gateway.start();
+        stopped.await();
+        return Main.OK;
+    }
+}
--- /dev/null
+++ b/app/src/main/java/wharfhinge/app/drill/Day.java
@@ -0,0 +1,234 @@
+package wharfhinge.app.drill;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.net.BindException;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import wharfhinge.protocol.RosterEntry;
+import wharfhinge.protocol.RosterEntry.State;
+import wharfhinge.standin.HttpCaller;
+import wharfhinge.standin.LoadClients;
+import wharfhinge.standin.Net;
+import wharfhinge.standin.RosterStandIn;
+import wharfhinge.standin.Scenario;
+import wharfhinge.standin.Scenario.Trouble;
+import wharfhinge.standin.StoreStandIn;
+import wharfhinge.standin.Trace;
+import wharfhinge.standin.WorkerModel;
+import wharfhinge.standin.WorkerStandIn;
+import wharfhinge.standin.judge.Judge;
+
+/** Plays a scenario: gateways in processes of their own, everything else in this one; ends with the judge's verdict. */
+final class Day implements AutoCloseable {
+    private static final int FIRST_PORT = 20_000;
+    private static final int PORTS = 12_000;
+
+    private final Scenario scenario;
+    private final Path folder;
+    private final Trace trace = new Trace(System::nanoTime);
+    private final EventLoopGroup group = Net.group(4);
+    private final Random random;
+    private final ScheduledExecutorService player = Executors.newScheduledThreadPool(8);
+    private final List<WorkerStandIn> workers = new ArrayList<>();
+    private final List<GatewayProcess> gateways = new ArrayList<>();
+    private final RosterStandIn roster;
+    private final StoreStandIn store;
+    private LoadClients clients;
+    private int nextPort;
+
+    Day(Scenario scenario, Mutant mutant, Path folder) throws IOException {
+        this.scenario = scenario;
+        this.folder = folder;
+        this.random = new Random(scenario.seed());
+        roster = new RosterStandIn(group, 0, 0, trace);
+        store = new StoreStandIn(group, 0, scenario.store().fullPace(), scenario.store().most(), trace);
+        HttpCaller fetches = new HttpCaller(group, store.port());
+        for (int i = 0; i < scenario.workers().count(); i++) {
+            workers.add(new WorkerStandIn(group, 0, scenario.worker(i, false), fetches, trace));
+            report(i, State.UP, false);
+        }
+        for (int i = 0; i < scenario.gateways(); i++) {
+            int port = freePort();
+            Path config = GatewaySettings.write(folder, scenario, i, port, roster.port());
+            gateways.add(new GatewayProcess("gw" + i, port, config, mutant, trace));
+        }
+    }
+
+    /** A free port below those that systems hand out by themselves, so that it still is free after a restart. */
+    private int freePort() throws IOException {
+        for (int tries = 0; tries < 200; tries++) {
+            int port = FIRST_PORT + (int) ((ProcessHandle.current().pid() * 131 + 7L * nextPort++) % PORTS);
+            try (ServerSocket socket = new ServerSocket(port)) {
+                return socket.getLocalPort();
+            } catch (BindException e) {
+                continue;
+            }
+        }
+        throw new IOException("no free port from " + FIRST_PORT + " on");
+    }
+
+    /** Plays it to its end and judges it. */
+    Judge.Verdict play() throws IOException, InterruptedException {
+        for (GatewayProcess gateway : gateways) {
+            gateway.start();
+        }
+        Thread.sleep(500);
+        roster.lag(scenario.roster().lagMs());
+        Map<String, Integer> ports = new LinkedHashMap<>();
+        gateways.forEach(g -> ports.put(g.name(), g.port()));
+        clients = new LoadClients(group, ports, scenario.offered(), scenario.seed(), trace);
+        scenario.troubles().forEach(this::plan);
+        clients.start(scenario.seconds());
+        Thread.sleep((long) (scenario.seconds() * 1000));
+        long most = scenario.offered().classes().stream().mapToLong(LoadClients.CallClass::giveUpMs).max().orElse(0);
+        for (long waited = 0; clients.open() > 0 && waited < most + 500; waited += 50) {
+            Thread.sleep(50);
+        }
+        player.shutdownNow();
+        Thread.sleep(200);
+        trace.write(folder.resolve("trace.tsv"));
+        return Judge.judge(scenario.judged(), trace.lines());
+    }
+
+    private void report(int i, State state, boolean fresh) {
+        WorkerStandIn worker = workers.get(i);
+        WorkerModel.Spec spec = scenario.worker(i, false);
+        long age = fresh ? 0 : 2 * spec.coldMs();
+        roster.report(new RosterEntry(worker.id(), spec.zone(), spec.kind(), spec.cell(), state, spec.cores(), age,
+            worker.model().boot()));
+    }
+
+    // ---- Troubles ---------------------------------------------------------------------------
+
+    private interface Step {
+        void take() throws IOException, InterruptedException;
+    }
+
+    private void at(double seconds, Step step) {
+        player.schedule(() -> {
+            try {
+                step.take();
+            } catch (IOException e) {
+                System.err.println("trouble: " + e.getMessage());
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, (long) (seconds * 1000), TimeUnit.MILLISECONDS);
+    }
+
+    private void during(Trouble t, Step begin, Step end) {
+        at(t.at(), begin);
+        at(t.at() + t.length(), end);
+    }
+
+    /** Workers that a trouble befalls, drawn by the scenario's seed. */
+    private List<Integer> some(Trouble t) {
+        List<Integer> all = new ArrayList<>();
+        for (int i = 0; i < workers.size(); i++) {
+            all.add(i);
+        }
+        Collections.shuffle(all, random);
+        return all.subList(0, Math.min(all.size(), (int) Math.ceil(t.part() * all.size())));
+    }
+
+    private void plan(Trouble t) {
+        List<WorkerModel> models = some(t).stream().map(i -> workers.get(i).model()).toList();
+        switch (t.name()) {
+            case "hang" -> during(t, () -> models.forEach(m -> m.hang(true)), () -> models.forEach(m -> m.hang(false)));
+            case "fast_errors" -> during(t, () -> models.forEach(m -> m.errors(t.size())),
+                () -> models.forEach(m -> m.errors(0)));
+            case "answer_lost" -> during(t, () -> models.forEach(m -> m.loseAnswers(t.size(), t.extra() > 0)),
+                () -> models.forEach(m -> m.loseAnswers(0, false)));
+            case "slow" -> during(t, () -> models.forEach(m -> m.slower(t.size())),
+                () -> models.forEach(m -> m.slower(1)));
+            case "neighbour" -> onAndOff(t, on -> models.forEach(m -> m.slower(on ? 1 / (1 - t.size()) : 1)));
+            case "pauses" -> onAndOff(t, on -> {
+                if (on) {
+                    models.forEach(m -> m.pause((long) t.size()));
+                }
+            });
+            case "handshake_slow" -> during(t, () -> models.forEach(m -> m.slowHandshakes((long) t.size())),
+                () -> models.forEach(m -> m.slowHandshakes(0)));
+            case "flush" -> at(t.at(), () -> workers.forEach(w -> w.model().flush(t.size())));
+            case "burst", "overload" -> during(t, () -> clients.rate(t.size()), () -> clients.rate(1));
+            case "hot_key" -> during(t, () -> clients.hot(t.size(), (int) t.extra()), () -> clients.hot(0, 1));
+            case "scan" -> during(t, () -> clients.scan(t.size()), () -> clients.scan(0));
+            case "heavy_tail" -> during(t, () -> clients.heavy(t.part(), t.size()), () -> clients.heavy(0, 1));
+            case "give_up" -> during(t, () -> clients.leave(t.size()), () -> clients.leave(0));
+            case "shift" -> at(t.at(), () -> clients.shift(t.size()));
+            case "discovery_stale" -> during(t, () -> roster.lag(scenario.roster().lagMs() + (long) (t.size() * 1000)),
+                () -> roster.lag(scenario.roster().lagMs()));
+            case "roster_lost" -> during(t, () -> roster.lost(true), () -> roster.lost(false));
+            case "roster_silent" -> during(t, () -> roster.mute(true), () -> roster.mute(false));
+            case "store_shut" -> during(t, () -> store.shut(true), () -> store.shut(false));
+            case "drain" -> some(t).forEach(i -> drain(t, i));
+            case "restart" -> some(t).forEach(i -> restart(t.at(), t.length(), i));
+            case "balancer_roll" -> roll(t);
+            case "balancer_stall" -> gateways.stream().limit((long) Math.ceil(t.part() * gateways.size()))
+                .forEach(g -> during(t, () -> g.stall(true), () -> g.stall(false)));
+            default -> throw new IllegalArgumentException("unknown trouble " + t.name());
+        }
+    }
+
+    private void onAndOff(Trouble t, java.util.function.Consumer<Boolean> set) {
+        boolean on = true;
+        for (double s = 0; s < t.length(); s += t.extra()) {
+            boolean now = on;
+            at(t.at() + s, () -> set.accept(now));
+            on = !on;
+        }
+        at(t.at() + t.length(), () -> set.accept(false));
+    }
+
+    private void drain(Trouble t, int i) {
+        at(t.at(), () -> report(i, State.DRAINING, false));
+        restart(t.at() + t.length(), t.extra(), i);
+    }
+
+    private void restart(double at, double down, int i) {
+        at(at, () -> {
+            workers.get(i).kill();
+            report(i, State.GONE, false);
+        });
+        at(at + down, () -> {
+            workers.get(i).restart();
+            report(i, State.UP, true);
+        });
+    }
+
+    private void roll(Trouble t) {
+        int each = 0;
+        for (GatewayProcess g : gateways.subList(0, (int) Math.ceil(t.part() * gateways.size()))) {
+            at(t.at() + each++ * t.length(), () -> {
+                g.kill();
+                Thread.sleep((long) (t.size() * 1000));
+                g.start();
+            });
+        }
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        player.shutdownNow();
+        if (clients != null) {
+            clients.close();
+        }
+        for (GatewayProcess gateway : gateways) {
+            gateway.stop();
+        }
+        workers.forEach(WorkerStandIn::close);
+        roster.close();
+        store.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(2000);
+    }
+}
--- /dev/null
+++ b/app/src/main/java/wharfhinge/app/drill/GatewayProcess.java
@@ -0,0 +1,89 @@
+package wharfhinge.app.drill;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import wharfhinge.app.Main;
+import wharfhinge.standin.Trace;
+
+/** One gateway in a process of its own, to be killed, stopped and started again. */
+final class GatewayProcess {
+    private static final long START_MS = 20_000;
+
+    private final String name;
+    private final int port;
+    private final Path config;
+    private final Mutant mutant;
+    private final Trace trace;
+    private Process process;
+
+    GatewayProcess(String name, int port, Path config, Mutant mutant, Trace trace) {
+        this.name = name;
+        this.port = port;
+        this.config = config;
+        this.mutant = mutant;
+        this.trace = trace;
+    }
+
+    String name() {
+        return name;
+    }
+
+    int port() {
+        return port;
+    }
+
+    /** Starts it; returns once it takes connections. */
+    void start() throws IOException, InterruptedException {
+        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-Xmx256m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+            Main.class.getName()));
+        command.addAll(mutant == null ? List.of("serve") : List.of("drill-gateway", "--mutant", mutant.name()));
+        command.addAll(List.of("--config", config.toString()));
+        Path log = config.resolveSibling(name + ".log");
+        process = new ProcessBuilder(command).redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
+        long end = System.nanoTime() + START_MS * 1_000_000L;
+        while (System.nanoTime() < end && process.isAlive()) {
+            try (Socket socket = new Socket()) {
+                socket.connect(new InetSocketAddress("127.0.0.1", port), 100);
+                trace.note("gw-up", "gw", name);
+                return;
+            } catch (IOException e) {
+                Thread.sleep(20);
+            }
+        }
+        throw new IOException(name + " did not start, see " + log);
+    }
+
+    /** As a crash would. */
+    void kill() throws InterruptedException {
+        trace.note("gw-down", "gw", name);
+        process.destroyForcibly().waitFor(5, TimeUnit.SECONDS);
+    }
+
+    /** Stands still, or goes on. */
+    void stall(boolean now) throws IOException, InterruptedException {
+        if (now) {
+            trace.note("gw-stalled", "gw", name);
+        }
+        new ProcessBuilder("kill", now ? "-STOP" : "-CONT", Long.toString(process.pid())).start().waitFor();
+        if (!now) {
+            trace.note("gw-resumed", "gw", name);
+        }
+    }
+
+    /** Ends it as an operator would. */
+    void stop() throws InterruptedException {
+        if (process != null && process.isAlive()) {
+            process.destroy();
+            if (!process.waitFor(10, TimeUnit.SECONDS)) {
+                process.destroyForcibly();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/app/src/main/java/wharfhinge/app/drill/GatewaySettings.java
@@ -0,0 +1,48 @@
+package wharfhinge.app.drill;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import wharfhinge.standin.LoadClients;
+import wharfhinge.standin.Scenario;
+import wharfhinge.standin.judge.Judge;
+
+/** Writes the settings file of a scenario's gateway. */
+final class GatewaySettings {
+
+    private GatewaySettings() { }
+
+    static Path write(Path folder, Scenario day, int number, int port, int rosterPort) throws IOException {
+        Judge.Rules r = day.judged();
+        StringBuilder classes = new StringBuilder();
+        for (LoadClients.CallClass c : day.offered().classes()) {
+            classes.append(String.format("    <class name=\"%s\" effect=\"%s\" aim-ms=\"%d\" give-up-ms=\"%d\" "
+                + "late-worth=\"0.2\"/>%n", c.name(), c.effect(), c.aimMs(), c.giveUpMs()));
+        }
+        String ration = r.rationMs() == 0 ? "" : String.format("<ration period-ms=\"%d\" anyway=\"%s\" ratio=\"%s\"/>",
+            r.rationMs(), r.rationAnyway(), r.rationRatio());
+        String text = String.format("""
+            <wharfhinge xmlns="urn:wharfhinge:settings:1">
+              <gateway name="gw%d" zone="%s" number="%d" group="%d" seed="%d"/>
+              <clients port="%d" stop-within-ms="3000"/>
+              <workers probes="true" reports="%s" second-copies="%s" max-attempts="5">
+                <kind name="std" memory-mb="%s"/>
+                <loading not-loaded="%s" keep-ms="%d">%s</loading>
+              </workers>
+              <zones names="zone-a zone-b"/>
+              <classes>
+            %s  </classes>
+              <rules stop-sending-within-ms="%d" cold-from="%s" warm-after-ms="%d" overload-factor="%s" tip-after-ms="%d"
+                     grace-to-answer-ms="%d"/>
+              <roster url="http://127.0.0.1:%d" remembered="gw%d.list" silent-after-ms="2000"/>
+              <log format="plain"/>
+            </wharfhinge>
+            """, number, number % 2 == 0 ? "zone-a" : "zone-b", number, day.gateways(), day.seed() * 100 + number, port,
+            day.workers().reports(), day.secondCopies(), day.workers().memoryMb(), day.workers().notLoaded(),
+            day.workers().keepMs(), ration, classes, r.stopSendingMs(), r.coldFrom(), r.coldMs(), r.overloadFactor(),
+            r.tipMs(), r.graceMs(), rosterPort, number);
+        Path file = folder.resolve("gw" + number + ".xml");
+        Files.writeString(file, text);
+        return file;
+    }
+}
--- /dev/null
+++ b/app/src/main/java/wharfhinge/app/drill/Mutant.java
@@ -0,0 +1,119 @@
+package wharfhinge.app.drill;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import wharfhinge.Choice;
+import wharfhinge.Dispatcher;
+import wharfhinge.Dispatcher.Actions;
+import wharfhinge.Dispatcher.Availability;
+import wharfhinge.Dispatcher.Effect;
+import wharfhinge.Dispatcher.FamilyInfo;
+import wharfhinge.Dispatcher.ListMode;
+import wharfhinge.Dispatcher.RequestClass;
+import wharfhinge.Dispatcher.Settings;
+import wharfhinge.Dispatcher.Worker;
+import wharfhinge.gateway.loop.DispatcherFactory;
+
+/** Gateways with one guard broken on purpose, one for each rule, so that the judge is seen to find it. */
+enum Mutant {
+    /** Rule 1: every third answer that is no worker's is forgotten. */
+    FORGETS_ANSWERS {
+        @Override
+        DispatcherFactory factory() {
+            return (now, seed, settings, actions) -> new Choice(now, seed, settings, new Forgetful(actions));
+        }
+    },
+    /** Rule 2: takes every class for one that is safe to repeat. */
+    REPEATS_UNSAFE {
+        @Override
+        DispatcherFactory factory() {
+            return (now, seed, s, actions) -> new Choice(now, seed, with(s, s.classes().stream().map(c ->
+                new RequestClass(c.name(), Effect.IDEMPOTENT, c.group(), 0, c.onTimeNs(), c.hardLimitNs(), c.worth(),
+                    c.lateWorth(), c.stream(), c.aimStretch())).toList(), s.familyInfo()), actions);
+        }
+    },
+    /** Rule 3: does not hear that a worker leaves. */
+    DEAF_TO_DRAINS {
+        @Override
+        DispatcherFactory factory() {
+            return (now, seed, settings, actions) -> listed(new Choice(now, seed, settings, actions), true);
+        }
+    },
+    /** Rule 4: takes a worker that has just started for a warm one. */
+    COLD_AS_WARM {
+        @Override
+        DispatcherFactory factory() {
+            return (now, seed, settings, actions) -> listed(new Choice(now, seed, settings, actions), false);
+        }
+    },
+    /** Rule 5: knows no ration. */
+    UNRATIONED {
+        @Override
+        DispatcherFactory factory() {
+            return (now, seed, s, actions) -> {
+                FamilyInfo f = s.familyInfo();
+                return new Choice(now, seed, with(s, s.classes(), new FamilyInfo(f.keepNs(), f.loadControl(),
+                    f.notLoaded(), f.loadWaitNs(), 0, 0, 0, f.priceOfIdle(), f.ramMbByKind(), f.reportX0(),
+                    f.reportX1(), f.saysCompany(), f.warmNotes())), actions);
+            };
+        }
+    };
+
+    private static final int FORGETS = 3;
+
+    abstract DispatcherFactory factory();
+
+    /** The rule whose guard is broken. */
+    int rule() {
+        return ordinal() + 1;
+    }
+
+    /** Its name on the command line. */
+    String word() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    private static Settings with(Settings s, List<RequestClass> classes, FamilyInfo family) {
+        return new Settings(s.groupSize(), s.myNumber(), s.tickNs(), s.zone(), s.zones(), s.kinds(), s.discovery(),
+            s.weights(), s.worthBy(), s.overShareWorth(), classes, s.realms(), family, s.feedback(), s.goal(),
+            s.limits(), s.obligations(), s.prices(), s.callers());
+    }
+
+    /** Decisions that are told another list: none that leave, or none that start. */
+    private static Dispatcher listed(Dispatcher to, boolean noneLeave) {
+        return new Forwarding(to) {
+            @Override
+            public void members(long now, ListMode mode, long revision, List<Worker> entries) {
+                List<Worker> told = new ArrayList<>();
+                for (Worker w : entries) {
+                    told.add(new Worker(w.id(), w.zone(), w.kind(), w.cell(),
+                        noneLeave ? Availability.UP : w.availability(), w.weight(), noneLeave ? w.startedAt() : 0));
+                }
+                super.members(now, noneLeave && mode != ListMode.REFUSED ? ListMode.CHANGES : mode, revision, told);
+            }
+        };
+    }
+
+    private static final class Forgetful extends ForwardingActions {
+        private int count;
+
+        Forgetful(Actions to) {
+            super(to);
+        }
+
+        @Override
+        public void refuse(String request, long coolDownNs) {
+            if (++count % FORGETS != 0) {
+                super.refuse(request, coolDownNs);
+            }
+        }
+
+        @Override
+        public void fail(String request) {
+            if (++count % FORGETS != 0) {
+                super.fail(request);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/config/src/main/java/wharfhinge/config/GatewayConfig.java
@@ -0,0 +1,169 @@
+package wharfhinge.config;
+
+import java.net.URI;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import wharfhinge.Dispatcher;
+import wharfhinge.Dispatcher.Settings;
+
+/**
+ * All that one gateway is set to, checked. Times are nanoseconds, sizes bytes.
+ *
+ * @param settings what the decisions are told
+ * @param peers    addresses of other gateways by their number; empty where they don't talk
+ */
+public record GatewayConfig(String name, long seed, Settings settings, Clients clients, Workers workers,
+                            Roster roster, Map<Integer, String> peers, Log log) {
+    private static final long MS = 1_000_000L;
+    private static final int KB = 1024;
+    private static final double ROUNDING = 1e-6;
+
+    /** The clients' side. */
+    public record Clients(String address, int port, int maxConnections, long idleNs, int maxBodyBytes,
+                          int maxHeaderBytes, int maxOpen, int handOver, long stopWithinNs) { }
+
+    /** The workers' side. */
+    public record Workers(long dialTimeoutNs, long idleNs, long probeTimeoutNs, int streamsPerConnection,
+                          int maxConnections, int maxAnswerBytes) { }
+
+    /** The source of the list. */
+    public record Roster(String host, int port, Path remembered, long silentAfterNs, long reconnectLeastNs,
+                         long reconnectMostNs) { }
+
+    /** Logs. */
+    public record Log(boolean json, String level, int remarksPerS) { }
+
+    /**
+     * Loads and checks a settings file.
+     *
+     * @throws InvalidFileException with every fault of the file
+     */
+    public static GatewayConfig load(Path file) throws InvalidFileException {
+        return of(XmlFile.load(file, GatewayConfig.class.getResource("settings.xsd"), SettingsXml.class,
+            GatewayConfig::check), file);
+    }
+
+    /** What no schema says: fields that must fit each other. */
+    private static void check(SettingsXml x, XmlFile.Faults faults) {
+        for (SettingsXml.CallClass c : x.classes.classes) {
+            if (c.aimMs > c.giveUpMs) {
+                faults.accept(c, "class " + c.name + ": found aim-ms " + c.aimMs + ", allowed: at most give-up-ms, "
+                    + c.giveUpMs);
+            }
+            if (x.workers.dialTimeoutMs >= c.aimMs) {
+                faults.accept(x.workers, "found dial-timeout-ms " + x.workers.dialTimeoutMs
+                    + ", allowed: less than the aim of class " + c.name + ", " + c.aimMs);
+            }
+            boolean keyed = c.effect.equals("deduplicated");
+            if (keyed && c.windowMs == 0 || !keyed && c.windowMs != 0) {
+                faults.accept(c, "class " + c.name + ": found effect " + c.effect + " and window-ms " + c.windowMs
+                    + ", allowed: a window with deduplicated, and only there");
+            }
+            if (c.giveUpMs <= 4 * x.gateway.tickMs) {
+                faults.accept(c, "class " + c.name + ": found give-up-ms " + c.giveUpMs
+                    + ", allowed: over four times tick-ms, " + x.gateway.tickMs);
+            }
+        }
+        unique(x.classes.classes, c -> c.name, "class", faults);
+        unique(x.workers.kinds, k -> k.name, "kind", faults);
+        unique(x.tenants.tenants, t -> t.name, "tenant", faults);
+        unique(x.peers.peers, p -> String.valueOf(p.number), "peer", faults);
+        double shares = x.tenants.tenants.stream().mapToDouble(t -> t.share).sum();
+        if (!x.tenants.tenants.isEmpty() && Math.abs(shares - 1) > 0.001) {
+            faults.accept(x.tenants, "found shares that add up to " + shares + ", allowed: 1");
+        }
+        double goal = x.goal.whole + x.goal.worstWindow + x.goal.worstClass + x.goal.worstTenant;
+        if (Math.abs(goal - 1) > ROUNDING) {
+            faults.accept(x.goal, "found goal shares that add up to " + goal + ", allowed: 1");
+        }
+        if (!x.zones.names.contains(x.gateway.zone)) {
+            faults.accept(x.gateway, "found zone " + x.gateway.zone + ", allowed: one of " + x.zones.names);
+        }
+        if (x.gateway.number >= x.gateway.group) {
+            faults.accept(x.gateway, "found number " + x.gateway.number + ", allowed: 0 to " + (x.gateway.group - 1));
+        }
+        if (x.workers.loading.notLoaded.equals("miss") && !x.workers.loading.orders) {
+            faults.accept(x.workers.loading, "found not-loaded miss without orders, allowed: miss with orders only, "
+                + "for nothing else would ever load");
+        }
+        if (x.clients.maxRetryAfterMs > x.classes.classes.stream().mapToLong(c -> c.giveUpMs).max().orElse(0)) {
+            faults.accept(x.clients, "found max-retry-after-ms " + x.clients.maxRetryAfterMs
+                + ", allowed: at most the longest give-up-ms");
+        }
+        if (x.roster.reconnectLeastMs > x.roster.reconnectMostMs) {
+            faults.accept(x.roster, "found reconnect-least-ms " + x.roster.reconnectLeastMs
+                + ", allowed: at most reconnect-most-ms, " + x.roster.reconnectMostMs);
+        }
+        URI url = URI.create(x.roster.url);
+        if (url.getPort() < 1 || url.getPort() > 65_535) {
+            faults.accept(x.roster, "found url " + x.roster.url + ", allowed: a port from 1 to 65535");
+        }
+    }
+
+    private static <T> void unique(List<T> all, java.util.function.Function<T, String> name, String what,
+                                   XmlFile.Faults faults) {
+        Set<String> seen = new HashSet<>();
+        for (T one : all) {
+            if (!seen.add(name.apply(one))) {
+                faults.accept(one, "found " + what + " " + name.apply(one) + " twice, allowed: once");
+            }
+        }
+    }
+
+    private static GatewayConfig of(SettingsXml x, Path file) {
+        SettingsXml.Clients c = x.clients;
+        SettingsXml.Workers w = x.workers;
+        URI url = URI.create(x.roster.url);
+        Path folder = file.toAbsolutePath().getParent();
+        Map<Integer, String> peers = new TreeMap<>();
+        x.peers.peers.forEach(p -> peers.put(p.number, p.address));
+        return new GatewayConfig(x.gateway.name, x.gateway.seed, settings(x),
+            new Clients(c.address, c.port, c.maxConnections, c.idleMs * MS, c.maxBodyKb * KB, c.maxHeaderKb * KB,
+                c.maxOpen, c.handOver, c.stopWithinMs * MS),
+            new Workers(w.dialTimeoutMs * MS, w.idleMs * MS, w.probeTimeoutMs * MS, w.streamsPerConnection,
+                w.maxConnections, w.maxAnswerKb * KB),
+            new Roster(url.getHost(), url.getPort(), folder.resolve(x.roster.remembered), x.roster.silentAfterMs * MS,
+                x.roster.reconnectLeastMs * MS, x.roster.reconnectMostMs * MS),
+            peers, new Log(x.log.format.equals("json"), x.log.level, x.log.remarksPerS));
+    }
+
+    private static Settings settings(SettingsXml x) {
+        SettingsXml.Workers w = x.workers;
+        SettingsXml.Loading l = w.loading;
+        SettingsXml.Ration ration = l.ration == null ? new SettingsXml.Ration() : l.ration;
+        List<Dispatcher.RequestClass> classes = new ArrayList<>();
+        for (SettingsXml.CallClass c : x.classes.classes) {
+            classes.add(new Dispatcher.RequestClass(c.name, word(Dispatcher.Effect.class, c.effect),
+                word(Dispatcher.Group.class, c.group), c.windowMs * MS, c.aimMs * MS, c.giveUpMs * MS, c.worth,
+                c.lateWorth, c.stream, c.aimStretch));
+        }
+        Dispatcher.FamilyInfo family = new Dispatcher.FamilyInfo(l.keepMs * MS, l.orders,
+            word(Dispatcher.NotLoaded.class, l.notLoaded), l.waitMs * MS, ration.periodMs * MS, ration.ratio,
+            ration.anyway, l.priceOfIdle, w.kinds.stream().map(k -> k.memoryMb).toList(), "", "", l.company, l.notes);
+        Dispatcher.Limits limits = new Dispatcher.Limits(w.cancelling, !x.peers.peers.isEmpty(), w.probes,
+            w.secondCopies, x.clients.retryAfter, w.maxAttempts, x.clients.maxOpen, x.clients.maxRetryAfterMs * MS,
+            w.dialTimeoutMs * MS, w.idleMs * MS, w.streamsPerConnection, 0, 0);
+        SettingsXml.Rules r = x.rules;
+        return new Settings(x.gateway.group, x.gateway.number, x.gateway.tickMs * MS, x.gateway.zone, x.zones.names,
+            w.kinds.stream().map(k -> k.name).toList(), word(Dispatcher.Discovery.class, x.roster.discovery),
+            word(Dispatcher.Weights.class, w.weights), word(Dispatcher.WorthBy.class, x.classes.worthBy),
+            x.tenants.overShareWorth, classes, x.tenants.tenants.stream()
+            .map(t -> new Dispatcher.Realm(t.name, t.share, t.quotaPerS)).toList(), family,
+            new Dispatcher.Feedback(word(Dispatcher.Reports.class, w.reports), w.reportNames),
+            new Dispatcher.Goal(x.goal.whole, x.goal.worstWindow, x.goal.worstClass, x.goal.worstTenant), limits,
+            new Dispatcher.Obligations(r.askWithinMs * MS, r.coldFrom, r.warmAfterMs * MS, r.overloadFactor,
+                r.tipAfterMs * MS, r.stopSendingWithinMs * MS, r.graceToAnswerMs * MS),
+            new Dispatcher.Prices(x.prices.crossZone, x.prices.waste, x.prices.origin, x.prices.probe, x.prices.peer,
+                x.prices.lateFail), new Dispatcher.Callers(x.clients.marksRetry));
+    }
+
+    private static <E extends Enum<E>> E word(Class<E> type, String word) {
+        return Enum.valueOf(type, word.replace('-', '_').toUpperCase(Locale.ROOT));
+    }
+}
--- /dev/null
+++ b/config/src/main/java/wharfhinge/config/SettingsXml.java
@@ -0,0 +1,303 @@
+package wharfhinge.config;
+
+import jakarta.xml.bind.annotation.XmlAccessType;
+import jakarta.xml.bind.annotation.XmlAccessorType;
+import jakarta.xml.bind.annotation.XmlAttribute;
+import jakarta.xml.bind.annotation.XmlElement;
+import jakarta.xml.bind.annotation.XmlList;
+import jakarta.xml.bind.annotation.XmlRootElement;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The settings file as it stands, an element a class and an attribute a field of the same name; settings.xsd has the
+ * units, defaults and ranges, docs/operate/settings.md what each is for. {@link GatewayConfig} is what the rest uses.
+ */
+@XmlRootElement(name = "wharfhinge")
+@XmlAccessorType(XmlAccessType.FIELD)
+final class SettingsXml {
+    @XmlElement
+    Gateway gateway;
+    @XmlElement
+    Clients clients;
+    @XmlElement
+    Workers workers;
+    @XmlElement
+    Zones zones;
+    @XmlElement
+    Classes classes;
+    @XmlElement
+    Tenants tenants = new Tenants();
+    @XmlElement
+    Rules rules;
+    @XmlElement
+    GoalShares goal = new GoalShares();
+    @XmlElement
+    PriceList prices = new PriceList();
+    @XmlElement
+    Roster roster;
+    @XmlElement
+    Peers peers = new Peers();
+    @XmlElement
+    Log log = new Log();
+
+    @XmlAccessorType(XmlAccessType.FIELD)
+    static final class Gateway {
+        @XmlAttribute(name = "name")
+        String name;
+        @XmlAttribute(name = "zone")
+        String zone;
+        @XmlAttribute(name = "number")
+        int number;
+        @XmlAttribute(name = "group")
+        int group = 1;
+        @XmlAttribute(name = "seed")
+        long seed;
+        @XmlAttribute(name = "tick-ms")
+        long tickMs = 2;
+    }
+
+    @XmlAccessorType(XmlAccessType.FIELD)
+    static final class Clients {
+        @XmlAttribute(name = "address")
+        String address = "127.0.0.1";
+        @XmlAttribute(name = "port")
+        int port;
+        @XmlAttribute(name = "max-connections")
+        int maxConnections = 10000;
+        @XmlAttribute(name = "idle-ms")
+        long idleMs = 60000;
+        @XmlAttribute(name = "max-body-kb")
+        int maxBodyKb = 1024;
+        @XmlAttribute(name = "max-header-kb")
+        int maxHeaderKb = 16;
+        @XmlAttribute(name = "max-open")
+        int maxOpen = 20000;
+        @XmlAttribute(name = "hand-over")
+        int handOver = 4096;
+        @XmlAttribute(name = "stop-within-ms")
+        long stopWithinMs = 5000;
+        @XmlAttribute(name = "retry-after")
+        boolean retryAfter = true;
+        @XmlAttribute(name = "max-retry-after-ms")
+        long maxRetryAfterMs = 2000;
+        @XmlAttribute(name = "marks-retry")
+        boolean marksRetry = true;
+    }
+
+    @XmlAccessorType(XmlAccessType.FIELD)
+    static final class Kind {
+        @XmlAttribute(name = "name")
+        String name;
+        @XmlAttribute(name = "memory-mb")
+        double memoryMb;
+    }
+
+    @XmlAccessorType(XmlAccessType.FIELD)
+    static final class Ration {
+        @XmlAttribute(name = "period-ms")
+        long periodMs;
+        @XmlAttribute(name = "anyway")
+        double anyway;
+        @XmlAttribute(name = "ratio")
+        double ratio;
+    }
+
+    @XmlAccessorType(XmlAccessType.FIELD)
+    static final class Loading {
+        @XmlAttribute(name = "not-loaded")
+        String notLoaded;
+        @XmlAttribute(name = "keep-ms")
+        long keepMs;
+        @XmlAttribute(name = "orders")
+        boolean orders = true;
+        @XmlAttribute(name = "wait-ms")
+        long waitMs = 10000;
+        @XmlAttribute(name = "price-of-idle")
+        double priceOfIdle;
+        @XmlAttribute(name = "notes")
+        boolean notes = true;
+        @XmlAttribute(name = "company")
+        boolean company;
+        @XmlElement
+        Ration ration;
+    }
+
+    @XmlAccessorType(XmlAccessType.FIELD)
+    static final class Workers {
+        @XmlAttribute(name = "weights")
+        String weights = "nominal";
+        @XmlAttribute(name = "reports")
+        String reports = "piggyback";
+        @XmlList
+        @XmlAttribute(name = "report-names")
+        List<String> reportNames = new ArrayList<>(List.of("rif", "x0"));
+        @XmlAttribute(name = "probes")
+        boolean probes = true;
+        @XmlAttribute(name = "probe-timeout-ms")
+        long probeTimeoutMs = 250;
+        @XmlAttribute(name = "dial-timeout-ms")
+        long dialTimeoutMs = 250;
+        @XmlAttribute(name = "idle-ms")
+        long idleMs = 15000;
+        @XmlAttribute(name = "streams-per-connection")
+        int streamsPerConnection = 100;
+        @XmlAttribute(name = "max-connections")
+        int maxConnections = 8;
+        @XmlAttribute(name = "max-answer-kb")
+        int maxAnswerKb = 16384;
+        @XmlAttribute(name = "max-attempts")
+        int maxAttempts = 3;
+        @XmlAttribute(name = "second-copies")
+        boolean secondCopies;
+        @XmlAttribute(name = "cancelling")
+        boolean cancelling = true;
+        @XmlElement(name = "kind")
+        List<Kind> kinds = new ArrayList<>();
+        @XmlElement
+        Loading loading;
+    }
+
+    @XmlAccessorType(XmlAccessType.FIELD)
+    static final class Zones {
+        @XmlList
+        @XmlAttribute(name = "names")
+        List<String> names = new ArrayList<>();
+    }
+
+    @XmlAccessorType(XmlAccessType.FIELD)
+    static final class CallClass {
+        @XmlAttribute(name = "name")
+        String name;
+        @XmlAttribute(name = "effect")
+        String effect;
+        @XmlAttribute(name = "group")
+        String group = "all";
+        @XmlAttribute(name = "window-ms")
+        long windowMs;
+        @XmlAttribute(name = "aim-ms")
+        long aimMs;
+        @XmlAttribute(name = "give-up-ms")
+        long giveUpMs;
+        @XmlAttribute(name = "worth")
+        double worth = 1;
+        @XmlAttribute(name = "late-worth")
+        double lateWorth;
+        @XmlAttribute(name = "stream")
+        boolean stream;
+        @XmlAttribute(name = "aim-stretch")
+        double aimStretch;
+    }
+
+    @XmlAccessorType(XmlAccessType.FIELD)
+    static final class Classes {
+        @XmlAttribute(name = "worth-by")
+        String worthBy = "request";
+        @XmlElement(name = "class")
+        List<CallClass> classes = new ArrayList<>();
+    }
+
+    @XmlAccessorType(XmlAccessType.FIELD)
+    static final class Tenant {
+        @XmlAttribute(name = "name")
+        String name;
+        @XmlAttribute(name = "share")
+        double share;
+        @XmlAttribute(name = "quota-per-s")
+        double quotaPerS;
+    }
+
+    @XmlAccessorType(XmlAccessType.FIELD)
+    static final class Tenants {
+        @XmlAttribute(name = "over-share-worth")
+        double overShareWorth = 0.1;
+        @XmlElement(name = "tenant")
+        List<Tenant> tenants = new ArrayList<>();
+    }
+
+    @XmlAccessorType(XmlAccessType.FIELD)
+    static final class Rules {
+        @XmlAttribute(name = "stop-sending-within-ms")
+        long stopSendingWithinMs;
+        @XmlAttribute(name = "cold-from")
+        double coldFrom;
+        @XmlAttribute(name = "warm-after-ms")
+        long warmAfterMs;
+        @XmlAttribute(name = "overload-factor")
+        double overloadFactor;
+        @XmlAttribute(name = "tip-after-ms")
+        long tipAfterMs;
+        @XmlAttribute(name = "grace-to-answer-ms")
+        long graceToAnswerMs = 16;
+        @XmlAttribute(name = "ask-within-ms")
+        long askWithinMs = 10000;
+    }
+
+    @XmlAccessorType(XmlAccessType.FIELD)
+    static final class GoalShares {
+        @XmlAttribute(name = "whole")
+        double whole = 0.7;
+        @XmlAttribute(name = "worst-window")
+        double worstWindow = 0.3;
+        @XmlAttribute(name = "worst-class")
+        double worstClass;
+        @XmlAttribute(name = "worst-tenant")
+        double worstTenant;
+    }
+
+    @XmlAccessorType(XmlAccessType.FIELD)
+    static final class PriceList {
+        @XmlAttribute(name = "cross-zone")
+        double crossZone;
+        @XmlAttribute(name = "waste")
+        double waste;
+        @XmlAttribute(name = "origin")
+        double origin;
+        @XmlAttribute(name = "probe")
+        double probe;
+        @XmlAttribute(name = "peer")
+        double peer;
+        @XmlAttribute(name = "late-fail")
+        double lateFail;
+    }
+
+    @XmlAccessorType(XmlAccessType.FIELD)
+    static final class Roster {
+        @XmlAttribute(name = "url")
+        String url;
+        @XmlAttribute(name = "remembered")
+        String remembered;
+        @XmlAttribute(name = "discovery")
+        String discovery = "pushed";
+        @XmlAttribute(name = "silent-after-ms")
+        long silentAfterMs = 5000;
+        @XmlAttribute(name = "reconnect-least-ms")
+        long reconnectLeastMs = 100;
+        @XmlAttribute(name = "reconnect-most-ms")
+        long reconnectMostMs = 5000;
+    }
+
+    @XmlAccessorType(XmlAccessType.FIELD)
+    static final class Peer {
+        @XmlAttribute(name = "number")
+        int number;
+        @XmlAttribute(name = "address")
+        String address;
+    }
+
+    @XmlAccessorType(XmlAccessType.FIELD)
+    static final class Peers {
+        @XmlElement(name = "peer")
+        List<Peer> peers = new ArrayList<>();
+    }
+
+    @XmlAccessorType(XmlAccessType.FIELD)
+    static final class Log {
+        @XmlAttribute(name = "format")
+        String format = "plain";
+        @XmlAttribute(name = "level")
+        String level = "info";
+        @XmlAttribute(name = "remarks-per-s")
+        int remarksPerS = 20;
+    }
+}
--- /dev/null
+++ b/config/src/test/java/wharfhinge/config/GatewayConfigTest.java
@@ -0,0 +1,96 @@
+package wharfhinge.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import wharfhinge.Dispatcher;
+
+class GatewayConfigTest {
+    private static final Path SAMPLES = Path.of("../deploy/samples");
+    @TempDir
+    private Path folder;
+
+    @ParameterizedTest
+    @ValueSource(strings = {"loads-on-call", "silent-workers", "loads-by-order"})
+    void samplesLoad(String name) throws InvalidFileException {
+        assertEquals(3, GatewayConfig.load(SAMPLES.resolve(name + ".xml")).settings().groupSize());
+    }
+
+    @Test
+    void allIsMapped() throws InvalidFileException {
+        GatewayConfig config = GatewayConfig.load(SAMPLES.resolve("loads-by-order.xml"));
+        assertEquals(5_000_000_000L, config.settings().familyInfo().loadPeriodNs());
+        assertEquals(12, config.settings().familyInfo().loadsAnyway());
+        assertEquals(Dispatcher.NotLoaded.MISS, config.settings().familyInfo().notLoaded());
+        assertEquals(java.util.List.of("q", "rif", "x1"), config.settings().feedback().names());
+        assertEquals("127.0.0.1", config.roster().host());
+        assertTrue(config.log().json());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "aim-ms=\"600\"|aim-ms=\"2600\"|found aim-ms 2600, allowed: at most give-up-ms, 2500",
+        "effect=\"idempotent\"|effect=\"safe\"|found 'safe', allowed: idempotent, deduplicated, at-most-once",
+        "effect=\"idempotent\"|effect=\"deduplicated\"|allowed: a window with deduplicated",
+        "port=\"8400\"|port=\"70000\"|found '70000', allowed: maximum 65535",
+        "port=\"8400\"|port=\"many\"|found 'many', allowed: integer",
+        "port=\"8400\"||found no attribute 'port' in clients, allowed: clients with port",
+        "port=\"8400\"|port=\"1\" colour=\"red\"|found attribute 'colour' in clients",
+        "zone=\"zone-a\"|zone=\"zone-x\"|found zone zone-x, allowed: one of [zone-a, zone-b]",
+        "number=\"0\"|number=\"3\"|found number 3, allowed: 0 to 2",
+        "second-copies|dial-timeout-ms=\"700\" second-copies|found dial-timeout-ms 700, allowed: less than the aim",
+        "not-loaded=\"load\"|not-loaded=\"miss\" orders=\"false\"|found not-loaded miss without orders",
+        "name=\"large\"|name=\"small\"|found kind small twice, allowed: once",
+        "127.0.0.1:8500|127.0.0.1:99999|allowed: a port from 1 to 65535",
+        "<roster|<extra/><roster|found element extra, allowed:"})
+    void whatIsWrongIsNamedWithItsPlace(String from, String to, String expected) throws IOException {
+        String text = Files.readString(SAMPLES.resolve("loads-on-call.xml")).replace(from, to == null ? "" : to);
+        InvalidFileException e = refused(text);
+        assertTrue(e.getMessage().contains(expected), e.getMessage());
+        assertTrue(e.faults().get(0).line() > 1, e.getMessage());
+        assertEquals(1, e.faults().size(), e.getMessage());
+    }
+
+    @Test
+    void allFaultsOfAFileComeAtOnce() throws IOException {
+        String text = Files.readString(SAMPLES.resolve("loads-on-call.xml"));
+        assertEquals(3, refused(text.replace("8400", "-1").replace("idempotent", "x").replace("0.2\"", "7\"")
+            .replace("late-worth=\"7\"", "")).faults().size());
+        assertEquals(2, refused(text.replace("number=\"0\"", "number=\"9\"").replace("\"600\"", "\"3000\"")).faults()
+            .size());
+    }
+
+    @Test
+    void sharesMustAddUp() throws IOException {
+        String text = Files.readString(SAMPLES.resolve("loads-on-call.xml")).replace("<rules",
+            "<tenants><tenant name=\"a\" share=\"0.5\"/><tenant name=\"b\" share=\"0.6\"/></tenants><rules");
+        assertTrue(refused(text).getMessage().contains("add up to 1.1, allowed: 1"));
+    }
+
+    @Test
+    void entitiesAndBrokenFilesAreRefused() throws IOException {
+        String text = Files.readString(SAMPLES.resolve("loads-on-call.xml"));
+        String entity = text.replace("?>\n", "?>\n<!DOCTYPE x [<!ENTITY f SYSTEM \"file:///etc/hostname\">]>\n")
+            .replace("name=\"gateway-1\"", "name=\"&f;\"");
+        refused(entity);
+        assertTrue(refused(text.replace("</classes>", "")).getMessage().contains("not well formed"));
+        refused("");
+        assertTrue(assertThrows(InvalidFileException.class, () -> GatewayConfig.load(folder.resolve("none.xml")))
+            .getMessage().contains("can't be read"));
+    }
+
+    private InvalidFileException refused(String text) throws IOException {
+        Path file = folder.resolve("settings.xml");
+        Files.writeString(file, text);
+        return assertThrows(InvalidFileException.class, () -> GatewayConfig.load(file));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/wharfhinge/gateway/Gateway.java
@@ -0,0 +1,161 @@
+package wharfhinge.gateway;
+
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.ServerChannel;
+import io.netty.channel.epoll.Epoll;
+import io.netty.channel.epoll.EpollDatagramChannel;
+import io.netty.channel.epoll.EpollIoHandler;
+import io.netty.channel.epoll.EpollServerSocketChannel;
+import io.netty.channel.epoll.EpollSocketChannel;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.DatagramChannel;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BiConsumer;
+import java.util.function.BiFunction;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wharfhinge.config.GatewayConfig;
+import wharfhinge.gateway.front.Front;
+import wharfhinge.gateway.front.StatusPage;
+import wharfhinge.gateway.loop.DecisionLoop;
+import wharfhinge.gateway.loop.DispatcherFactory;
+import wharfhinge.gateway.loop.PeerLink;
+import wharfhinge.gateway.roster.FleetSource;
+import wharfhinge.gateway.roster.HttpRoster;
+import wharfhinge.gateway.roster.RememberedList;
+import wharfhinge.gateway.upstream.HttpWorkers;
+
+/** One gateway: put together here, begun by {@link #start}, ended by {@link #stop}. Shares nothing with another. */
+public final class Gateway {
+    private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
+    private static final int IO_THREADS = 4;
+
+    private final GatewayConfig config;
+    private final EventLoopGroup acceptor;
+    private final EventLoopGroup group;
+    private final HttpWorkers workers;
+    private final FleetSource source;
+    private final RememberedList remembered;
+    private final DecisionLoop loop;
+    private final Front front;
+    private final Slf4jAnswerLog log;
+    private final UdpPeers peers;
+    private final Thread thread;
+    private InetSocketAddress address;
+
+    /** A gateway whose list comes from the roster of its settings. */
+    public Gateway(GatewayConfig config) throws InterruptedException {
+        this(config, DispatcherFactory.CHOICE, null);
+    }
+
+    /**
+     * A gateway with other decisions or another source of the list.
+     *
+     * @param sourceOf makes the source from an I/O group and its channel type; null for the roster of the settings
+     */
+    public Gateway(GatewayConfig config, DispatcherFactory decisions,
+                   BiFunction<EventLoopGroup, Class<? extends Channel>, FleetSource> sourceOf)
+        throws InterruptedException {
+        this.config = config;
+        boolean epoll = Epoll.isAvailable();
+        Class<? extends Channel> channel = epoll ? EpollSocketChannel.class : NioSocketChannel.class;
+        acceptor = group(epoll, 1);
+        group = group(epoll, IO_THREADS);
+        workers = new HttpWorkers(config, group, channel, System::nanoTime);
+        source = sourceOf == null ? new HttpRoster(config, group, channel) : sourceOf.apply(group, channel);
+        remembered = new RememberedList(config.roster().remembered(), System::currentTimeMillis);
+        log = new Slf4jAnswerLog(config.log().remarksPerS());
+        AtomicReference<PeerLink> link = new AtomicReference<>(PeerLink.NONE);
+        loop = new DecisionLoop(config, decisions, workers, source, (peer, payload) -> link.get().publish(peer, payload),
+            log, System::nanoTime);
+        BiConsumer<Integer, byte[]> inbox = loop::inbox;
+        Class<? extends DatagramChannel> datagrams = epoll ? EpollDatagramChannel.class : NioDatagramChannel.class;
+        peers = config.peers().isEmpty() ? null
+            : new UdpPeers(config.settings().myNumber(), config.peers(), group, datagrams, inbox);
+        if (peers != null) {
+            link.set(peers);
+        }
+        front = new Front(config, loop, new StatusPage(this::figures));
+        thread = new Thread(loop, "decisions");
+    }
+
+    private static EventLoopGroup group(boolean epoll, int threads) {
+        return new MultiThreadIoEventLoopGroup(threads, epoll ? EpollIoHandler.newFactory() : NioIoHandler.newFactory());
+    }
+
+    /** Begins: the remembered list, the loop, the roster, then the port. */
+    public InetSocketAddress start() throws InterruptedException {
+        remembered.read().ifPresent(list -> {
+            LOG.info("remembered list of revision {} with {} workers", list.revision(), list.entries().size());
+            loop.fleet(list);
+        });
+        thread.start();
+        source.start(update -> {
+            loop.fleet(update);
+            remembered.update(update);
+        });
+        Class<? extends ServerChannel> server = Epoll.isAvailable() ? EpollServerSocketChannel.class
+            : NioServerSocketChannel.class;
+        address = front.listen(acceptor, group, server);
+        LOG.info("gateway {} takes calls on {}", config.name(), address);
+        return address;
+    }
+
+    /** Where it listens. */
+    public InetSocketAddress address() {
+        return address;
+    }
+
+    /** What it counts. */
+    public Map<String, Long> figures() {
+        Map<String, Long> figures = new LinkedHashMap<>(loop.stats().figures());
+        figures.put("open_calls", (long) loop.open());
+        figures.put("connections", (long) front.connections());
+        figures.put("connections_turned_away", front.turnedAway());
+        figures.put("remarks_dropped", log.dropped());
+        return figures;
+    }
+
+    /** The loop, for those who put a gateway into a program of their own. */
+    public DecisionLoop loop() {
+        return loop;
+    }
+
+    /**
+     * Takes nothing more, answers what is open within the time that the settings give, and ends.
+     *
+     * @return how many calls had to be ended without a worker's answer
+     */
+    public int stop() throws InterruptedException {
+        long within = config.clients().stopWithinNs();
+        LOG.info("gateway {} stops: {} calls open", config.name(), loop.open());
+        var closed = loop.close(within);
+        front.finish();
+        int ended = 0;
+        try {
+            ended = closed.get(within + TimeUnit.SECONDS.toNanos(1), TimeUnit.NANOSECONDS);
+        } catch (java.util.concurrent.ExecutionException | java.util.concurrent.TimeoutException e) {
+            LOG.error("the loop did not end in time", e);
+        }
+        source.close();
+        remembered.close();
+        workers.close();
+        if (peers != null) {
+            peers.close();
+        }
+        front.close();
+        acceptor.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        group.shutdownGracefully(50, 1000, TimeUnit.MILLISECONDS).awaitUninterruptibly(2000);
+        LOG.info("gateway {} stopped, {} calls were ended", config.name(), ended);
+        return ended;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/wharfhinge/gateway/Slf4jAnswerLog.java
@@ -0,0 +1,62 @@
+package wharfhinge.gateway;
+
+import java.util.concurrent.atomic.LongAdder;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wharfhinge.gateway.loop.AnswerLog;
+
+/** Final answers, remarks and restarts as log lines with fields. */
+final class Slf4jAnswerLog implements AnswerLog {
+    private static final Logger ANSWERS = LoggerFactory.getLogger("wharfhinge.answers");
+    private static final Logger REMARKS = LoggerFactory.getLogger("wharfhinge.remarks");
+    private static final Logger LOOP = LoggerFactory.getLogger("wharfhinge.loop");
+    private static final long SECOND = 1_000_000_000L;
+
+    private final int remarksPerS;
+    private final LongAdder dropped = new LongAdder();
+    private long second;
+    private int inSecond;
+    private int droppedInSecond;
+
+    Slf4jAnswerLog(int remarksPerS) {
+        this.remarksPerS = remarksPerS;
+    }
+
+    long dropped() {
+        return dropped.sum();
+    }
+
+    @Override
+    public void answered(Line line) {
+        if (ANSWERS.isInfoEnabled()) {
+            ANSWERS.atInfo().addKeyValue("call", line.call()).addKeyValue("function", line.function())
+                .addKeyValue("class", line.requestClass()).addKeyValue("tenant", line.tenant())
+                .addKeyValue("answer", line.answer()).addKeyValue("took_us", line.tookNs() / 1000)
+                .addKeyValue("attempts", line.trail()).log("answer");
+        }
+    }
+
+    @Override
+    public void remark(String text) {
+        long now = System.nanoTime() / SECOND;
+        if (now != second) {
+            if (droppedInSecond > 0) {
+                REMARKS.info("{} more remarks in that second", droppedInSecond);
+            }
+            second = now;
+            inSecond = 0;
+            droppedInSecond = 0;
+        }
+        if (++inSecond > remarksPerS) {
+            droppedInSecond++;
+            dropped.increment();
+        } else {
+            REMARKS.info(text);
+        }
+    }
+
+    @Override
+    public void restarted(String event, Throwable cause, int callsEnded) {
+        LOOP.error("the decisions threw on {}; {} open calls were ended, a new life begins", event, callsEnded, cause);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/wharfhinge/gateway/front/CallHandler.java
@@ -0,0 +1,191 @@
+package wharfhinge.gateway.front;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Map;
+import wharfhinge.Dispatcher.RequestClass;
+import wharfhinge.gateway.loop.ClientCall;
+import wharfhinge.gateway.loop.DecisionLoop;
+import wharfhinge.gateway.loop.Responder;
+import wharfhinge.protocol.CallHead;
+import wharfhinge.protocol.ClientProtocol;
+import wharfhinge.protocol.FinalAnswer;
+import wharfhinge.protocol.ProtocolException;
+
+/**
+ * Takes one client's requests, one at a time on HTTP/1.1 (further ones wait in order, a few at most) and one a stream
+ * on HTTP/2; checks them and hands calls over to the loop. Lives on the connection's I/O thread.
+ */
+final class CallHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private static final int PIPELINED = 16;
+    private static final long MS = 1_000_000L;
+
+    /** What all handlers of a gateway share. */
+    record Shared(DecisionLoop loop, Map<String, RequestClass> classes, RequestClass only, StatusPage status) { }
+
+    private final Shared shared;
+    private final boolean http2;
+    private final ArrayDeque<FullHttpRequest> next = new ArrayDeque<>(2);
+    private ClientCall open;
+    private boolean closing;
+
+    CallHandler(Shared shared, boolean http2) {
+        super(false);
+        this.shared = shared;
+        this.http2 = http2;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+        if (open == null && next.isEmpty()) {
+            take(ctx, request);
+        } else if (next.size() < PIPELINED) {
+            next.add(request);
+        } else {
+            request.release();
+            ctx.close(); // a client that sends on without reading answers gets no more memory
+        }
+    }
+
+    private void take(ChannelHandlerContext ctx, FullHttpRequest request) {
+        DecoderResult decoded = request.decoderResult();
+        if (decoded.isFailure()) {
+            broken(ctx, decoded.cause());
+            request.release();
+            return;
+        }
+        String path = request.uri();
+        boolean call = path.startsWith(ClientProtocol.CALL_PATH);
+        if (call && request.method().equals(HttpMethod.POST)) {
+            call(ctx, request, path);
+            return;
+        }
+        if (path.equals(ClientProtocol.STATUS_PATH) && request.method().equals(HttpMethod.GET)) {
+            reply(ctx, HttpResponseStatus.OK, shared.status.text(), true);
+        } else if (call || path.equals(ClientProtocol.STATUS_PATH)) {
+            reply(ctx, HttpResponseStatus.METHOD_NOT_ALLOWED, "method: found '" + request.method() + "', allowed: "
+                + (call ? "POST" : "GET"), true);
+        } else {
+            reply(ctx, HttpResponseStatus.NOT_FOUND, "path: found nothing there, allowed: " + ClientProtocol.CALL_PATH
+                + "{function}, " + ClientProtocol.STATUS_PATH, true);
+        }
+        request.release();
+    }
+
+    private void call(ChannelHandlerContext ctx, FullHttpRequest request, String path) {
+        CallHead head;
+        RequestClass type;
+        try {
+            head = CallHead.parse(path, name -> request.headers().get(name));
+            type = head.requestClass() == null ? shared.only : shared.classes.get(head.requestClass());
+            if (type == null) {
+                throw new ProtocolException(ClientProtocol.CLASS.toString(), head.requestClass(),
+                    "one of " + shared.classes.keySet());
+            }
+        } catch (ProtocolException e) {
+            reply(ctx, HttpResponseStatus.BAD_REQUEST, e.getMessage(), true);
+            request.release();
+            return;
+        }
+        long deadline = head.deadlineMs() == 0 ? type.hardLimitNs() : Math.min(head.deadlineMs() * MS,
+            type.hardLimitNs());
+        Responder responder = new HttpResponder(ctx, () -> answered(ctx), () -> closing && !http2);
+        open = new ClientCall(head, type.name(), deadline, System.nanoTime(), request.content(),
+            request.headers().get(HttpHeaderNames.CONTENT_TYPE), responder);
+        DecisionLoop.Taken taken = shared.loop.offer(open);
+        if (taken != DecisionLoop.Taken.TAKEN) {
+            closing |= taken == DecisionLoop.Taken.CLOSING;
+            request.release();
+            responder.ended(FinalAnswer.REFUSED, 0, new Responder.Facts(null, List.of(
+                "not-taken:" + taken.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-')), 0));
+        }
+    }
+
+    private void answered(ChannelHandlerContext ctx) {
+        open = null;
+        FullHttpRequest waiting = next.poll();
+        if (waiting != null) {
+            take(ctx, waiting);
+        }
+    }
+
+    /** The connection is to end: at once where nothing is open, else after the answer. */
+    void finish(ChannelHandlerContext ctx) {
+        closing = true;
+        if (open == null && !http2) {
+            ctx.close();
+        }
+    }
+
+    private void broken(ChannelHandlerContext ctx, Throwable cause) {
+        boolean headers = cause instanceof TooLongHttpHeaderException;
+        HttpResponseStatus status = headers ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+            : cause instanceof TooLongFrameException ? HttpResponseStatus.REQUEST_URI_TOO_LONG
+            : HttpResponseStatus.BAD_REQUEST;
+        reply(ctx, status, (headers ? "headers" : "request") + ": " + cause.getMessage(), false);
+    }
+
+    private void reply(ChannelHandlerContext ctx, HttpResponseStatus status, String text, boolean keep) {
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+            Unpooled.copiedBuffer(text + '\n', StandardCharsets.UTF_8));
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN)
+            .setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+        if (keep) {
+            ctx.writeAndFlush(response);
+            answered(ctx);
+        } else {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
+        if (event instanceof IdleStateEvent) {
+            if (open == null) {
+                ctx.close();
+            }
+        } else if (event == Finish.NOW) {
+            finish(ctx);
+        } else {
+            super.userEventTriggered(ctx, event);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) throws Exception {
+        if (open != null) {
+            shared.loop.clientLeft(open);
+            open = null;
+        }
+        next.forEach(ReferenceCountUtil::release);
+        next.clear();
+        super.channelInactive(ctx);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        ctx.close();
+    }
+
+    /** Asks a connection to end. */
+    enum Finish { NOW }
+}
--- /dev/null
+++ b/gateway/src/main/java/wharfhinge/gateway/front/Front.java
@@ -0,0 +1,133 @@
+package wharfhinge.gateway.front;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.ServerChannel;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpServerKeepAliveHandler;
+import io.netty.handler.codec.http2.DefaultHttp2GoAwayFrame;
+import io.netty.handler.codec.http2.Http2Error;
+import io.netty.handler.codec.http2.Http2FrameCodecBuilder;
+import io.netty.handler.codec.http2.Http2MultiplexHandler;
+import io.netty.handler.codec.http2.Http2Settings;
+import io.netty.handler.codec.http2.Http2StreamFrameToHttpObjectCodec;
+import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
+import wharfhinge.Dispatcher.RequestClass;
+import wharfhinge.config.GatewayConfig;
+import wharfhinge.gateway.loop.DecisionLoop;
+
+/** The clients' side: HTTP/1.1 and HTTP/2 without TLS on one port. */
+public final class Front {
+    private static final int FIRST_LINE = 4096;
+    private static final int STREAMS = 1000;
+
+    private final GatewayConfig config;
+    private final CallHandler.Shared shared;
+    private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final AtomicInteger connections = new AtomicInteger();
+    private final LongAdder turnedAway = new LongAdder();
+    private Channel listening;
+
+    /** A front that hands calls to {@code loop}. */
+    public Front(GatewayConfig config, DecisionLoop loop, StatusPage status) {
+        this.config = config;
+        List<RequestClass> classes = config.settings().classes();
+        Map<String, RequestClass> byName = new LinkedHashMap<>();
+        classes.forEach(c -> byName.put(c.name(), c));
+        this.shared = new CallHandler.Shared(loop, byName, classes.size() == 1 ? classes.get(0) : null, status);
+    }
+
+    /** Begins to listen; the address tells the port where any was asked for. */
+    public InetSocketAddress listen(EventLoopGroup acceptor, EventLoopGroup group,
+                                    Class<? extends ServerChannel> type) throws InterruptedException {
+        listening = new ServerBootstrap().group(acceptor, group).channel(type)
+            .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel channel) {
+                    accepted(channel);
+                }
+            }).bind(config.clients().address(), config.clients().port()).sync().channel();
+        return (InetSocketAddress) listening.localAddress();
+    }
+
+    /** Connections that stand. */
+    public int connections() {
+        return connections.get();
+    }
+
+    /** Connections closed at once since there were too many. */
+    public long turnedAway() {
+        return turnedAway.sum();
+    }
+
+    private void accepted(Channel channel) {
+        int now = connections.incrementAndGet();
+        channel.closeFuture().addListener(closed -> connections.decrementAndGet());
+        if (now > config.clients().maxConnections()) {
+            turnedAway.increment();
+            channel.close();
+            return;
+        }
+        channels.add(channel);
+        channel.pipeline().addLast(new IdleStateHandler(0, 0, config.clients().idleNs(), TimeUnit.NANOSECONDS),
+            new ProtocolDetector(this::http1, this::http2));
+    }
+
+    private void http1(ChannelHandlerContext ctx) {
+        ctx.pipeline().addLast(new HttpServerCodec(new HttpDecoderConfig().setMaxInitialLineLength(FIRST_LINE)
+                .setMaxHeaderSize(config.clients().maxHeaderBytes())), new HttpServerKeepAliveHandler(),
+            new BodyKeeper(config.clients().maxBodyBytes()), new CallHandler(shared, false));
+    }
+
+    private void http2(ChannelHandlerContext ctx) {
+        ChannelPipeline pipeline = ctx.pipeline();
+        pipeline.addLast(Http2FrameCodecBuilder.forServer().initialSettings(Http2Settings.defaultSettings()
+                .maxConcurrentStreams(STREAMS).maxHeaderListSize(config.clients().maxHeaderBytes())).build(),
+            new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel stream) {
+                    stream.pipeline().addLast(new Http2StreamFrameToHttpObjectCodec(true),
+                        new BodyKeeper(config.clients().maxBodyBytes()), new CallHandler(shared, true));
+                }
+            }), new IdleCloser());
+    }
+
+    /** Takes no new connection, tells HTTP/2 clients to go elsewhere, and ends HTTP/1.1 ones after their answers. */
+    public void finish() {
+        if (listening != null) {
+            listening.close().awaitUninterruptibly(1000);
+        }
+        for (Channel channel : channels) {
+            channel.eventLoop().execute(() -> {
+                if (channel.pipeline().get(Http2MultiplexHandler.class) != null) {
+                    channel.writeAndFlush(new DefaultHttp2GoAwayFrame(Http2Error.NO_ERROR));
+                } else {
+                    channel.pipeline().fireUserEventTriggered(CallHandler.Finish.NOW);
+                }
+            });
+        }
+    }
+
+    /** Closes what is left. */
+    public void close() {
+        channels.close().awaitUninterruptibly(1000);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/AnswerLog.java
@@ -0,0 +1,25 @@
+package wharfhinge.gateway.loop;
+
+import java.util.List;
+
+/** Told of each final answer and of what staff should read; called by the loop's thread, must not block. */
+public interface AnswerLog {
+
+    /**
+     * One final answer.
+     *
+     * @param answer served, refused, failed, or left where the client went first
+     * @param trail  for each attempt its worker, how it ended and how long it took
+     */
+    record Line(String call, String function, String requestClass, String tenant, String answer, long tookNs,
+                List<String> trail) { }
+
+    /** A call ended. */
+    void answered(Line line);
+
+    /** The decisions have something to say. */
+    void remark(String text);
+
+    /** The decisions threw; a new life begins. */
+    void restarted(String event, Throwable cause, int callsEnded);
+}
--- /dev/null
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/DecisionLoop.java
@@ -0,0 +1,530 @@
+package wharfhinge.gateway.loop;
+
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.LongSupplier;
+import wharfhinge.Dispatcher;
+import wharfhinge.Dispatcher.Completion;
+import wharfhinge.Dispatcher.ListMode;
+import wharfhinge.Dispatcher.Note;
+import wharfhinge.Dispatcher.Outcome;
+import wharfhinge.Dispatcher.Request;
+import wharfhinge.config.GatewayConfig;
+import wharfhinge.gateway.loop.LoopStats.Count;
+import wharfhinge.gateway.loop.OpenCall.LiveAttempt;
+import wharfhinge.gateway.loop.WorkerSide.Result;
+import wharfhinge.gateway.roster.FleetSource;
+import wharfhinge.gateway.roster.FleetUpdate;
+import wharfhinge.protocol.FinalAnswer;
+
+/**
+ * One thread owns one dispatcher: events in, actions out. An action never re-enters the dispatcher; what it causes at
+ * once is told as an event of its own. The time told never runs backwards.
+ *
+ * <p>Bounds: calls wait for the loop in a hand-over of fixed length, and only so many may be open; a call beyond either
+ * is turned away before it counts as taken. Every other event is one end of something that an open call, a probe or an
+ * order began, so these are bounded by what is open and are never turned away: losing one would lose a call.
+ *
+ * <p>If the dispatcher throws, each open call gets its final answer (refused where nothing was sent, else failed), what
+ * is out is reset, and a new dispatcher begins with the list that the loop held. Results of the former life are dropped.
+ */
+public final class DecisionLoop implements Runnable {
+    /** What became of a call that was handed over. */
+    public enum Taken { TAKEN, HAND_OVER_FULL, TOO_MANY_OPEN, CLOSING }
+
+    private static final long REST_NS = TimeUnit.SECONDS.toNanos(1);
+    private static final int FUNCTIONS_KNOWN = 16_384;
+
+    private record Event(String name, long stamp, Runnable what) { }
+
+    private record Timer(long at, long number, String name, Runnable what) { }
+
+    private final GatewayConfig config;
+    private final DispatcherFactory factory;
+    private final WorkerSide workers;
+    private final FleetSource source;
+    private final PeerLink peers;
+    private final AnswerLog log;
+    private final LongSupplier nanoTime;
+    private final LoopClock clock;
+    private final LoopStats stats = new LoopStats();
+    private final LinkedBlockingQueue<Event> events = new LinkedBlockingQueue<>();
+    private final AtomicInteger waitingCalls = new AtomicInteger();
+    private final AtomicInteger openCalls = new AtomicInteger();
+    private final CompletableFuture<Integer> closed = new CompletableFuture<>();
+    private final PriorityQueue<Timer> timers =
+        new PriorityQueue<>(Comparator.comparingLong(Timer::at).thenComparingLong(Timer::number));
+    private final Map<String, OpenCall> calls = new HashMap<>();
+    private final Map<ClientCall, OpenCall> byClient = new java.util.IdentityHashMap<>();
+    private final Map<String, WorkerSide.Function> functions = new LinkedHashMap<>(64, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, WorkerSide.Function> eldest) {
+            return size() > FUNCTIONS_KNOWN;
+        }
+    };
+    private final Fleet fleet = new Fleet();
+    private Dispatcher dispatcher;
+    private long now;
+    private long timerNumber;
+    private long callNumber;
+    private int life;
+    private boolean stopped;
+    private volatile boolean closing;
+
+    /** A loop that begins once a thread runs it. */
+    public DecisionLoop(GatewayConfig config, DispatcherFactory factory, WorkerSide workers, FleetSource source,
+                        PeerLink peers, AnswerLog log, LongSupplier nanoTime) {
+        this.config = config;
+        this.factory = factory;
+        this.workers = workers;
+        this.source = source;
+        this.peers = peers;
+        this.log = log;
+        this.nanoTime = nanoTime;
+        this.clock = new LoopClock(nanoTime);
+    }
+
+    /** What the loop counts. */
+    public LoopStats stats() {
+        return stats;
+    }
+
+    /** Calls taken and not yet answered. */
+    public int open() {
+        return openCalls.get();
+    }
+
+    // ---- From other threads -----------------------------------------------------------------
+
+    /** Hands a call over; unless it is taken, nothing is owed for it and its body stays the caller's. */
+    public Taken offer(ClientCall call) {
+        if (closing) {
+            stats.add(Count.TURNED_AWAY_CLOSING);
+            return Taken.CLOSING;
+        }
+        if (openCalls.incrementAndGet() > config.clients().maxOpen()) {
+            openCalls.decrementAndGet();
+            stats.add(Count.TURNED_AWAY_OPEN);
+            return Taken.TOO_MANY_OPEN;
+        }
+        if (waitingCalls.incrementAndGet() > config.clients().handOver()) {
+            waitingCalls.decrementAndGet();
+            openCalls.decrementAndGet();
+            stats.add(Count.TURNED_AWAY_HAND_OVER);
+            return Taken.HAND_OVER_FULL;
+        }
+        tell("query", () -> query(call));
+        return Taken.TAKEN;
+    }
+
+    /** The client of a call that was taken went away. */
+    public void clientLeft(ClientCall call) {
+        tell("clientLeft", () -> {
+            OpenCall c = byClient.get(call);
+            if (c != null && !c.answered) {
+                answered(c, Count.LEFT, "left", null);
+                c.attempts.stream().filter(a -> a.stream != null && !a.ended).forEach(a -> end(a, Outcome.CANCELLED));
+                dispatcher.clientLeft(now, c.id);
+                forget(c);
+            }
+        });
+    }
+
+    /** News of the fleet. */
+    public void fleet(FleetUpdate update) {
+        tell("members", () -> members(update));
+    }
+
+    /** Another gateway sent bytes. */
+    public void inbox(int peer, byte[] payload) {
+        tell("inbox", () -> dispatcher.inbox(now, peer, payload));
+    }
+
+    /**
+     * Takes no more calls; once all are answered, or the time is over and what is left has been ended, the loop stops.
+     *
+     * @return how many calls had to be ended
+     */
+    public CompletableFuture<Integer> close(long withinNs) {
+        closing = true;
+        tell("close", () -> {
+            timer(withinNs, "close", () -> stop(endAll("closing", true)));
+            stopIfEmpty();
+        });
+        return closed;
+    }
+
+    private void tell(String name, Runnable what) {
+        events.add(new Event(name, nanoTime.getAsLong(), what));
+    }
+
+    // ---- The thread -------------------------------------------------------------------------
+
+    @Override
+    public void run() {
+        now = clock.now();
+        guarded("begin", this::begin);
+        try {
+            while (!stopped) {
+                long wait = timers.isEmpty() ? REST_NS : Math.min(REST_NS, timers.peek().at() - clock.now());
+                Event event = wait <= 0 ? events.poll() : events.poll(wait, TimeUnit.NANOSECONDS);
+                if (event != null) {
+                    now = clock.now();
+                    stats.age(now - clock.at(event.stamp()));
+                    guarded(event.name(), event.what());
+                }
+                fireTimers();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            closed.complete(endAll("stopped", true));
+        }
+    }
+
+    private void fireTimers() {
+        now = clock.now();
+        for (Timer next = timers.peek(); next != null && next.at() <= now && !stopped; next = timers.peek()) {
+            timers.poll();
+            stats.age(now - next.at());
+            guarded(next.name(), next.what());
+            if (!events.isEmpty()) {
+                return; // timers and events take turns, so that neither starves the other
+            }
+        }
+    }
+
+    private void guarded(String name, Runnable what) {
+        long began = nanoTime.getAsLong();
+        try {
+            what.run();
+        } catch (RuntimeException | StackOverflowError | AssertionError e) {
+            restart(name, e);
+        }
+        stats.decision(nanoTime.getAsLong() - began);
+    }
+
+    private void begin() {
+        dispatcher = factory.create(now, config.seed() + life, config.settings(), new LoopActions(life));
+        dispatcher.members(now, ListMode.REMEMBERED, fleet.revision(), fleet.workers());
+    }
+
+    private void restart(String name, Throwable cause) {
+        life++;
+        stats.add(Count.RESTARTS);
+        timers.removeIf(timer -> !timer.name().equals("close"));
+        int ended = endAll("decisions-restarted", false);
+        log.restarted(name, cause, ended);
+        try {
+            begin();
+        } catch (RuntimeException | StackOverflowError | AssertionError e) {
+            log.restarted("begin", e, 0);
+            dispatcher = new NoDecisions(new LoopActions(life));
+            timer(REST_NS, "begin", this::begin);
+        }
+        stopIfEmpty();
+    }
+
+    /** Gives every open call its final answer and resets what is out; begun streams belong to their clients. */
+    private int endAll(String why, boolean streamsToo) {
+        List<OpenCall> all = new ArrayList<>(calls.values());
+        int ended = 0;
+        for (OpenCall c : all) {
+            for (LiveAttempt a : c.attempts) {
+                if (!a.ended && (a.stream == null || streamsToo)) {
+                    a.ended = true;
+                    a.sent.cancel();
+                }
+            }
+            if (!c.answered) {
+                ended++;
+                FinalAnswer answer = c.attempts.isEmpty() ? FinalAnswer.REFUSED : FinalAnswer.FAILED;
+                c.call.responder().ended(answer, 0, c.facts(null, why));
+                answered(c, answer == FinalAnswer.REFUSED ? Count.REFUSED : Count.FAILED, answer.word(), why);
+            }
+        }
+        calls.clear();
+        byClient.clear();
+        return ended;
+    }
+
+    private void stop(int ended) {
+        stopped = true;
+        closed.complete(ended);
+    }
+
+    private void stopIfEmpty() {
+        if (closing && openCalls.get() == 0) {
+            stop(0);
+        }
+    }
+
+    private void timer(long delayNs, String name, Runnable what) {
+        timers.add(new Timer(now + Math.max(0, delayNs), timerNumber++, name, what));
+    }
+
+    // ---- Events -----------------------------------------------------------------------------
+
+    private void query(ClientCall call) {
+        waitingCalls.decrementAndGet();
+        stats.add(Count.TAKEN);
+        long deadline = clock.at(call.receivedAt()) + call.deadlineNs();
+        OpenCall c = new OpenCall(Long.toString(callNumber++, Character.MAX_RADIX), call, now, deadline);
+        calls.put(c.id, c);
+        byClient.put(call, c);
+        var head = call.head();
+        functions.put(head.function(), new WorkerSide.Function(head.function(), head.memoryMb(), head.lanes(),
+            head.loadMs()));
+        dispatcher.query(now, new Request(c.id, head.tenant(), deadline - now, head.memoryMb(), head.function(),
+            head.costUs() * 1000, head.lanes(), head.loadMs(), call.requestClass(), head.repeat(), head.write()));
+    }
+
+    private void members(FleetUpdate update) {
+        stats.add(Count.LISTS);
+        if (update.mode() == ListMode.REFUSED) {
+            dispatcher.members(now, ListMode.REFUSED, update.revision(), List.of());
+            return;
+        }
+        Fleet.Change change = fleet.apply(update, now);
+        change.leaving().forEach(workers::leaving); // before the decisions, so that nothing slips out between
+        change.listed().forEach(workers::listed);
+        dispatcher.members(now, update.mode(), update.revision(), change.told());
+    }
+
+    private void attemptEnded(LiveAttempt a, Result result) {
+        if (a.ended) {
+            stats.add(Count.LATE_ANSWERS);
+            ReferenceCountUtil.release(result.body());
+            return;
+        }
+        a.ended = true;
+        a.how = result.how();
+        a.tookNs = result.tookNs();
+        OpenCall c = a.call;
+        c.live--;
+        if (a.stream != null) {
+            ReferenceCountUtil.release(result.body());
+            completed(a, result);
+            return;
+        }
+        if (result.outcome() == Outcome.SERVED && !c.answered) {
+            c.call.responder().served(result.body(), result.contentType(), c.facts(a.worker, ""));
+            answered(c, Count.SERVED, "served", null);
+        } else {
+            if (c.answered && result.outcome() == Outcome.SERVED) {
+                stats.add(Count.LATE_ANSWERS);
+            }
+            ReferenceCountUtil.release(result.body());
+        }
+        completed(a, result);
+    }
+
+    private void completed(LiveAttempt a, Result result) {
+        dispatcher.completed(now, new Completion(a.call.id, result.outcome(), a.index, result.tookNs(), a.worker,
+            result.note(), result.company(), a.call.answered, result.report()));
+        forget(a.call);
+    }
+
+    /** Ends an attempt from this side: the wire is told to stop, the decisions how it ended. */
+    private void end(LiveAttempt a, Outcome outcome) {
+        if (!a.ended) {
+            a.sent.cancel();
+            a.ended = true;
+            a.how = outcome.name().toLowerCase(java.util.Locale.ROOT);
+            a.tookNs = now - a.sentAt;
+            a.call.live--;
+            completed(a, new Result(outcome, Note.NONE, 0, Map.of(), 0, a.tookNs, null, null, a.how));
+        }
+    }
+
+    private void streamBegan(LiveAttempt a, WorkerSide.Stream stream) {
+        OpenCall c = a.call;
+        if (a.ended || c.answered) {
+            stream.cancel();
+            end(a, Outcome.CANCELLED);
+            return;
+        }
+        a.stream = stream;
+        a.how = "streams";
+        stats.add(Count.STREAMS);
+        c.call.responder().streams(stream, c.facts(a.worker, ""));
+        answered(c, Count.SERVED, "served", null);
+        dispatcher.established(now, c.id, a.index, a.worker);
+    }
+
+    private void answered(OpenCall c, Count as, String answer, String why) {
+        c.answered = true;
+        stats.add(as);
+        openCalls.decrementAndGet();
+        ReferenceCountUtil.release(c.call.body());
+        List<String> trail = c.trail();
+        log.answered(new AnswerLog.Line(c.outerId(), c.call.head().function(), c.call.requestClass(),
+            c.call.head().tenant(), answer, now - clock.at(c.call.receivedAt()),
+            why == null || !trail.isEmpty() ? trail : List.of(why)));
+        stopIfEmpty();
+    }
+
+    private void forget(OpenCall c) {
+        if (c.answered && c.live == 0) {
+            calls.remove(c.id, c);
+            byClient.remove(c.call, c);
+        }
+    }
+
+    // ---- Actions ----------------------------------------------------------------------------
+
+    /** What one life's dispatcher asks for; asked by a former life, nothing happens. */
+    private final class LoopActions implements Dispatcher.Actions {
+        private final int of;
+
+        LoopActions(int of) {
+            this.of = of;
+        }
+
+        private void tellThisLife(String name, Runnable what) {
+            tell(name, () -> {
+                if (life == of) {
+                    what.run();
+                }
+            });
+        }
+
+        @Override
+        public void attempt(String request, String worker, long timeoutNs) {
+            OpenCall c = calls.get(request);
+            if (c == null) {
+                return;
+            }
+            LiveAttempt a = new LiveAttempt(c, c.attempts.size(), worker, now);
+            c.attempts.add(a);
+            c.live++;
+            long left = c.deadline - now;
+            if (c.answered || left <= 0 || timeoutNs < 0 || a.index >= config.settings().limits().maxAttempts()) {
+                stats.add(Count.MOOT);
+                a.sent = () -> { };
+                tellThisLife("moot", () -> end(a, Outcome.MOOT));
+                return;
+            }
+            stats.add(Count.ATTEMPTS);
+            long wait = timeoutNs == 0 ? left : Math.min(timeoutNs, left);
+            var head = c.call.head();
+            boolean streams = config.settings().classes().stream()
+                .anyMatch(k -> k.stream() && k.name().equals(c.call.requestClass()));
+            a.sent = workers.attempt(new WorkerSide.Order(worker, c.outerId(), a.index, functions.get(head.function()),
+                c.call.requestClass(), head.tenant(), wait, head.costUs(), c.call.body(), c.call.contentType(), streams),
+                new WorkerSide.AttemptListener() {
+                    @Override
+                    public void ended(Result result) {
+                        tellThisLife("completed", () -> attemptEnded(a, result));
+                    }
+
+                    @Override
+                    public void began(WorkerSide.Stream stream) {
+                        tellThisLife("established", () -> streamBegan(a, stream));
+                    }
+                });
+            DecisionLoop.this.timer(wait, "timeout", () -> {
+                if (a.stream == null) {
+                    end(a, Outcome.TIMEOUT);
+                }
+            });
+        }
+
+        @Override
+        public void cancel(String request, int attempt) {
+            OpenCall c = calls.get(request);
+            if (c != null && attempt < c.attempts.size() && c.attempts.get(attempt).stream == null) {
+                LiveAttempt a = c.attempts.get(attempt);
+                tellThisLife("cancelled", () -> end(a, Outcome.CANCELLED));
+            }
+        }
+
+        @Override
+        public void refuse(String request, long coolDownNs) {
+            finalAnswer(request, FinalAnswer.REFUSED, coolDownNs, Count.REFUSED);
+        }
+
+        @Override
+        public void fail(String request) {
+            finalAnswer(request, FinalAnswer.FAILED, 0, Count.FAILED);
+        }
+
+        private void finalAnswer(String request, FinalAnswer answer, long coolDownNs, Count as) {
+            OpenCall c = calls.get(request);
+            if (c != null && !c.answered) {
+                c.call.responder().ended(answer, coolDownNs, c.facts(null, "not-sent"));
+                answered(c, as, answer.word(), "not-sent");
+                forget(c);
+            }
+        }
+
+        @Override
+        public void hold(String worker, String function, int count) {
+            stats.add(Count.HOLDS);
+            WorkerSide.Function known = functions.getOrDefault(function, new WorkerSide.Function(function, 0, 0, 0));
+            workers.hold(worker, known, count, config.settings().familyInfo().loadWaitNs(), result -> {
+                ReferenceCountUtil.release(result.body());
+                tellThisLife("resident", () -> dispatcher.resident(now, worker, function, result.count(),
+                    result.outcome(), result.tookNs()));
+            });
+        }
+
+        @Override
+        public void unload(String worker, String function) {
+            stats.add(Count.UNLOADS);
+            workers.unload(worker, function);
+        }
+
+        @Override
+        public void probe(String worker) {
+            stats.add(Count.PROBES);
+            workers.probe(worker, result -> {
+                ReferenceCountUtil.release(result.body());
+                tellThisLife("probed", () -> dispatcher.probed(now, worker, result.outcome(), result.tookNs(),
+                    result.report()));
+            });
+        }
+
+        @Override
+        public void timer(String token, long delayNs) {
+            DecisionLoop.this.timer(delayNs, "due", () -> dispatcher.due(now, token));
+        }
+
+        @Override
+        public void publish(int peer, byte[] payload) {
+            peers.publish(peer, payload);
+        }
+
+        @Override
+        public void listen(boolean on) {
+            source.listen(on);
+        }
+
+        @Override
+        public void reload() {
+            source.reload();
+        }
+
+        @Override
+        public void hangUp(String worker) {
+            workers.hangUp(worker);
+        }
+
+        @Override
+        public void remark(String text) {
+            log.remark(text);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/Fleet.java
@@ -0,0 +1,80 @@
+package wharfhinge.gateway.loop;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import wharfhinge.Dispatcher.Availability;
+import wharfhinge.Dispatcher.ListMode;
+import wharfhinge.Dispatcher.Worker;
+import wharfhinge.gateway.roster.FleetUpdate;
+import wharfhinge.protocol.RosterEntry;
+
+/** The list as the loop last held it, with the start of each process on the loop's clock. */
+final class Fleet {
+    private static final long MS = 1_000_000L;
+
+    private record Known(Worker worker, String boot) { }
+
+    private final Map<String, Known> known = new LinkedHashMap<>();
+    private long revision;
+
+    /** Workers that an update brings, and those that may get nothing new after it. */
+    record Change(List<Worker> told, List<String> listed, List<String> leaving) { }
+
+    Change apply(FleetUpdate update, long now) {
+        List<Worker> told = new ArrayList<>();
+        List<String> listed = new ArrayList<>();
+        List<String> leaving = new ArrayList<>();
+        Set<String> named = new HashSet<>();
+        revision = update.revision();
+        for (RosterEntry entry : update.entries()) {
+            Worker worker = worker(entry, now);
+            told.add(worker);
+            named.add(entry.id());
+            (worker.availability() == Availability.UP ? listed : leaving).add(entry.id());
+            if (worker.availability() == Availability.WITHDRAWN) {
+                known.remove(entry.id());
+            } else {
+                known.put(entry.id(), new Known(worker, entry.boot()));
+            }
+        }
+        if (update.mode() == ListMode.ALL || update.mode() == ListMode.REMEMBERED) {
+            known.keySet().stream().filter(id -> !named.contains(id)).forEach(leaving::add);
+            known.keySet().retainAll(named);
+        }
+        return new Change(told, listed, leaving);
+    }
+
+    List<Worker> workers() {
+        return known.values().stream().map(Known::worker).toList();
+    }
+
+    long revision() {
+        return revision;
+    }
+
+    private Worker worker(RosterEntry entry, long now) {
+        Availability availability = switch (entry.state()) {
+            case UP -> Availability.UP;
+            case DRAINING -> Availability.DRAINING;
+            case GONE -> Availability.WITHDRAWN;
+        };
+        return new Worker(entry.id(), entry.zone(), entry.kind(), entry.cell(), availability, entry.weight(),
+            startedAt(entry, now));
+    }
+
+    /** Ages come late and jitter; the process names itself, so its start is settled when it is first heard of. */
+    private long startedAt(RosterEntry entry, long now) {
+        Known before = known.get(entry.id());
+        if (before != null && before.boot.equals(entry.boot())) {
+            return before.worker.startedAt();
+        }
+        if (entry.ageMs() == RosterEntry.UNTOLD) {
+            return before == null ? 0 : now; // one that took another's address has just started
+        }
+        return Math.max(0, now - entry.ageMs() * MS);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/OpenCall.java
@@ -0,0 +1,64 @@
+package wharfhinge.gateway.loop;
+
+import java.util.ArrayList;
+import java.util.List;
+import wharfhinge.gateway.loop.Responder.Facts;
+
+/** A call that is open, or whose attempts are; touched by the loop's thread alone. */
+final class OpenCall {
+    final String id;
+    final ClientCall call;
+    final long takenAt;
+    final long deadline;
+    final List<LiveAttempt> attempts = new ArrayList<>(2);
+    int live;
+    boolean answered;
+
+    OpenCall(String id, ClientCall call, long takenAt, long deadline) {
+        this.id = id;
+        this.call = call;
+        this.takenAt = takenAt;
+        this.deadline = deadline;
+    }
+
+    /** What the worker's page calls the call: the client's own id where it gave one. */
+    String outerId() {
+        return call.head().id() != null ? call.head().id() : id;
+    }
+
+    Facts facts(String worker, String otherwise) {
+        List<String> trail = new ArrayList<>(attempts.size());
+        for (LiveAttempt a : attempts) {
+            trail.add(a.worker + ':' + (a.how == null ? "open" : a.how));
+        }
+        return new Facts(worker, trail.isEmpty() ? List.of(otherwise) : trail, attempts.size());
+    }
+
+    List<String> trail() {
+        List<String> trail = new ArrayList<>(attempts.size());
+        for (LiveAttempt a : attempts) {
+            trail.add(a.worker + ' ' + (a.how == null ? "open" : a.how + ' ' + a.tookNs / 1000 + "us"));
+        }
+        return trail;
+    }
+
+    /** One attempt. */
+    static final class LiveAttempt {
+        final OpenCall call;
+        final int index;
+        final String worker;
+        final long sentAt;
+        WorkerSide.Sent sent;
+        WorkerSide.Stream stream;
+        boolean ended;
+        String how;
+        long tookNs;
+
+        LiveAttempt(OpenCall call, int index, String worker, long sentAt) {
+            this.call = call;
+            this.index = index;
+            this.worker = worker;
+            this.sentAt = sentAt;
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/WorkerSide.java
@@ -0,0 +1,96 @@
+package wharfhinge.gateway.loop;
+
+import io.netty.buffer.ByteBuf;
+import java.util.Map;
+import java.util.function.Consumer;
+import wharfhinge.Dispatcher.Note;
+import wharfhinge.Dispatcher.Outcome;
+
+/** The sockets towards the workers, as the loop uses them. No method blocks; listeners are called by I/O threads. */
+public interface WorkerSide extends AutoCloseable {
+
+    /**
+     * What a worker needs to know of a function.
+     *
+     * @param loadMs the usual time of a load; 0 where untold, as are the others
+     */
+    record Function(String name, double memoryMb, int lanes, double loadMs) { }
+
+    /**
+     * One attempt to be sent; {@code body} is not released by the receiver, which takes a reference of its own.
+     *
+     * @param waitNs how long the gateway will wait, for the worker's information
+     */
+    record Order(String worker, String call, int attempt, Function function, String requestClass, String tenant,
+                 long waitNs, long costUs, ByteBuf body, CharSequence contentType, boolean stream) { }
+
+    /**
+     * How an exchange with a worker ended.
+     *
+     * @param how   the same in the words of the wire, for logs
+     * @param count copies that stand, for orders
+     * @param body  the receiver releases it; may be null
+     */
+    record Result(Outcome outcome, Note note, int company, Map<String, Double> report, int count, long tookNs,
+                  ByteBuf body, CharSequence contentType, String how) { }
+
+    /** An attempt under way. */
+    interface Sent {
+        /** Stops it: what is not on the wire never goes there, what is gets a stream reset. No result follows. */
+        void cancel();
+    }
+
+    /** Told how an attempt goes, on an I/O thread. */
+    interface AttemptListener {
+        /** It ended; told once, not after a cancel. */
+        void ended(Result result);
+
+        /** A streamed answer began; nothing flows until the stream is told where to. */
+        void began(Stream stream);
+    }
+
+    /** A streamed answer, which belongs to one client. */
+    interface Stream {
+        /** Sends all that comes to {@code sink}, from any thread. */
+        void flowTo(Sink sink);
+
+        /** Gives it up. */
+        void cancel();
+
+        /** The worker's content type, or null. */
+        CharSequence contentType();
+    }
+
+    /** Takes a streamed answer; called on one I/O thread. */
+    interface Sink {
+        /** A part; the sink releases it and runs {@code taken} once it is on its way, which lets more come. */
+        void data(ByteBuf part, Runnable taken);
+
+        /** The whole came, or the worker broke off. */
+        void end(boolean whole);
+    }
+
+    /** Sends an attempt. */
+    Sent attempt(Order order, AttemptListener listener);
+
+    /** Probes a worker. */
+    void probe(String worker, Consumer<Result> ended);
+
+    /** Orders copies to be held, 0 only asks. */
+    void hold(String worker, Function function, int count, long waitNs, Consumer<Result> ended);
+
+    /** Has idle copies unloaded; no answer is told. */
+    void unload(String worker, String function);
+
+    /** Closes connections that carry nothing. */
+    void hangUp(String worker);
+
+    /** Nothing new may go to a worker: what has not reached the wire ends as a failed connect. */
+    void leaving(String worker);
+
+    /** A worker may be sent to (again). */
+    void listed(String worker);
+
+    @Override
+    void close();
+}
--- /dev/null
+++ b/gateway/src/main/java/wharfhinge/gateway/roster/RosterView.java
@@ -0,0 +1,37 @@
+package wharfhinge.gateway.roster;
+
+import java.util.Optional;
+import wharfhinge.Dispatcher.ListMode;
+import wharfhinge.protocol.RosterFrame;
+
+/** What a gateway holds of a roster's revisions; decides what each frame means. Pure; one thread at a time. */
+final class RosterView {
+    private static final long NONE = -1;
+    private long held = NONE;
+
+    /** What a frame leads to: an update to tell, or the whole list to ask for; neither where it is nothing new. */
+    record Step(Optional<FleetUpdate> update, boolean askWhole) {
+        private static final Step NOTHING = new Step(Optional.empty(), false);
+        private static final Step ASK = new Step(Optional.empty(), true);
+    }
+
+    /** The revision held, or -1. */
+    long held() {
+        return held;
+    }
+
+    /** Older and repeated revisions change nothing; a gap asks for the whole. */
+    Step take(RosterFrame frame) {
+        return switch (frame.kind()) {
+            case BEAT -> frame.revision() > held ? Step.ASK : Step.NOTHING;
+            case ALL -> frame.revision() > held ? tell(ListMode.ALL, frame) : Step.NOTHING;
+            case CHANGES -> frame.revision() <= held ? Step.NOTHING
+                : held == NONE || frame.from() > held ? Step.ASK : tell(ListMode.CHANGES, frame);
+        };
+    }
+
+    private Step tell(ListMode mode, RosterFrame frame) {
+        held = frame.revision();
+        return new Step(Optional.of(new FleetUpdate(mode, held, frame.entries())), false);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/wharfhinge/gateway/upstream/HttpWorkers.java
@@ -0,0 +1,163 @@
+package wharfhinge.gateway.upstream;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http2.DefaultHttp2Headers;
+import io.netty.handler.codec.http2.Http2Headers;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import wharfhinge.config.GatewayConfig;
+import wharfhinge.gateway.loop.WorkerSide;
+import wharfhinge.protocol.WorkerProtocol;
+
+/** The workers' side over HTTP/2 without TLS; a pool of connections for each worker, each pool on one event loop. */
+public final class HttpWorkers implements WorkerSide {
+    private static final long MS = 1_000_000L;
+
+    private final GatewayConfig config;
+    private final EventLoopGroup group;
+    private final Class<? extends Channel> channel;
+    private final LongSupplier nanoTime;
+    private final Map<String, WorkerPool> pools = new ConcurrentHashMap<>();
+
+    /** Uses {@code group}, which stays the caller's. */
+    public HttpWorkers(GatewayConfig config, EventLoopGroup group, Class<? extends Channel> channel,
+                       LongSupplier nanoTime) {
+        this.config = config;
+        this.group = group;
+        this.channel = channel;
+        this.nanoTime = nanoTime;
+        long pace = Math.max(MS, config.workers().idleNs() / 4);
+        group.next().scheduleWithFixedDelay(this::sweep, pace, pace, TimeUnit.NANOSECONDS);
+    }
+
+    private WorkerPool pool(String worker) {
+        return pools.computeIfAbsent(worker, id -> new WorkerPool(id, group.next(), channel, config.workers()));
+    }
+
+    private void sweep() {
+        pools.forEach((id, pool) -> pool.loop().execute(() -> {
+            pool.closeIdle(config.workers().idleNs());
+            if (pool.unused()) {
+                pools.remove(id, pool);
+            }
+        }));
+    }
+
+    @Override
+    public Sent attempt(Order order, AttemptListener listener) {
+        Http2Headers headers = function("POST", WorkerProtocol.CALL_PATH + order.function().name(), order.function())
+            .set(WorkerProtocol.CALL, order.call())
+            .setInt(WorkerProtocol.ATTEMPT, order.attempt())
+            .set(WorkerProtocol.CLASS, order.requestClass())
+            .setLong(WorkerProtocol.DEADLINE_MS, Math.max(1, order.waitNs() / MS));
+        if (order.tenant() != null) {
+            headers.set(WorkerProtocol.TENANT, order.tenant());
+        }
+        if (order.costUs() > 0) {
+            headers.setLong(WorkerProtocol.COST_US, order.costUs());
+        }
+        if (order.contentType() != null) {
+            headers.set("content-type", order.contentType());
+        }
+        ByteBuf body = order.body() == null ? null : order.body().retainedDuplicate();
+        Exchange exchange = new Exchange(headers, body, nanoTime, listener::ended,
+            order.stream() ? listener::began : null);
+        WorkerPool pool = start(order.worker(), exchange);
+        return () -> pool.loop().execute(() -> pool.cancel(exchange));
+    }
+
+    @Override
+    public void probe(String worker, Consumer<Result> ended) {
+        Http2Headers headers = head("GET", WorkerProtocol.PROBE_PATH);
+        timed(worker, new Exchange(headers, null, nanoTime, ended, null), config.workers().probeTimeoutNs());
+    }
+
+    @Override
+    public void hold(String worker, Function function, int count, long waitNs, Consumer<Result> ended) {
+        Http2Headers headers = function("PUT", WorkerProtocol.COPIES_PATH + function.name()
+            + WorkerProtocol.COUNT_PARAMETER + count, function).setLong(WorkerProtocol.DEADLINE_MS, waitNs / MS);
+        timed(worker, new Exchange(headers, null, nanoTime, ended, null), waitNs);
+    }
+
+    @Override
+    public void unload(String worker, String function) {
+        Http2Headers headers = head("DELETE", WorkerProtocol.COPIES_PATH + function);
+        timed(worker, new Exchange(headers, null, nanoTime,
+            result -> io.netty.util.ReferenceCountUtil.release(result.body()), null), config.workers().probeTimeoutNs());
+    }
+
+    @Override
+    public void hangUp(String worker) {
+        WorkerPool pool = pools.get(worker);
+        if (pool != null) {
+            pool.loop().execute(() -> pool.closeIdle(0));
+        }
+    }
+
+    @Override
+    public void leaving(String worker) {
+        WorkerPool pool = pools.get(worker);
+        if (pool != null) {
+            pool.loop().execute(pool::leave);
+        }
+    }
+
+    @Override
+    public void listed(String worker) {
+        WorkerPool pool = pools.get(worker);
+        if (pool != null) {
+            pool.loop().execute(pool::back);
+        }
+    }
+
+    @Override
+    public void close() {
+        pools.values().forEach(pool -> pool.loop().execute(pool::closeAll));
+    }
+
+    private WorkerPool start(String worker, Exchange exchange) {
+        WorkerPool pool = pool(worker);
+        pool.loop().execute(() -> pool.start(exchange));
+        return pool;
+    }
+
+    private void timed(String worker, Exchange exchange, long waitNs) {
+        WorkerPool pool = start(worker, exchange);
+        EventLoop loop = pool.loop();
+        loop.execute(() -> {
+            if (!exchange.done()) {
+                exchange.timeout = loop.schedule(() -> {
+                    if (!exchange.done()) {
+                        exchange.end(Ending.TIMED_OUT);
+                        pool.cancel(exchange);
+                    }
+                }, waitNs, TimeUnit.NANOSECONDS);
+            }
+        });
+    }
+
+    private Http2Headers head(String method, String path) {
+        return new DefaultHttp2Headers(false).method(method).path(path).scheme("http").authority("worker")
+            .set(WorkerProtocol.GATEWAY, config.name());
+    }
+
+    private Http2Headers function(String method, String path, Function function) {
+        Http2Headers headers = head(method, path);
+        if (function.memoryMb() > 0) {
+            headers.set(WorkerProtocol.MEMORY_MB, Double.toString(function.memoryMb()));
+        }
+        if (function.lanes() > 0) {
+            headers.setInt(WorkerProtocol.LANES, function.lanes());
+        }
+        if (function.loadMs() > 0) {
+            headers.set(WorkerProtocol.LOAD_MS, Double.toString(function.loadMs()));
+        }
+        return headers;
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/java/wharfhinge/standin/judge/Judge.java
@@ -0,0 +1,403 @@
+package wharfhinge.standin.judge;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Judges the five rules from what clients, workers, roster and store saw on their sockets, and nothing else. Its slack
+ * covers only what a loopback socket and a busy machine may add between two recorders.
+ */
+public final class Judge {
+    private static final long MS = 1_000_000L;
+    private static final long SLACK = 150 * MS;
+    private static final int SHOWN = 5;
+
+    /**
+     * Figures of the rules; times in milliseconds.
+     *
+     * @param rationMs 0 where no ration is told
+     * @param effects  of each class: idempotent, deduplicated or at-most-once
+     * @param aims     of each class
+     */
+    public record Rules(long graceMs, long stopSendingMs, double coldFrom, long coldMs, double overloadFactor,
+                        long tipMs, long rationMs, double rationAnyway, double rationRatio, boolean secondCopies,
+                        Map<String, String> effects, Map<String, Long> aims) { }
+
+    /** What was found: broken rules by number with examples, and figures. */
+    public record Verdict(Map<Integer, List<String>> broken, Map<String, String> figures) {
+        /** How many of the five rules held. */
+        public int kept() {
+            return 5 - broken.size();
+        }
+    }
+
+    private record Line(long at, String word, Map<String, String> values) {
+        String get(String name) {
+            return values.getOrDefault(name, "-");
+        }
+
+        long number(String name) {
+            return Long.parseLong(values.get(name));
+        }
+    }
+
+    private static final class Call {
+        private Line offer;
+        private long sent = Long.MAX_VALUE;
+        private final List<Line> answers = new ArrayList<>();
+        private Line left;
+        private Line broken;
+        private final List<Line> received = new ArrayList<>();
+        private final List<Line> runs = new ArrayList<>();
+        private final Map<String, Line> attemptEnds = new HashMap<>();
+    }
+
+    private record Span(long from, long to) { }
+
+    private final Rules rules;
+    private final List<Line> lines = new ArrayList<>();
+    private final Map<String, Call> calls = new LinkedHashMap<>();
+    private final Map<String, List<Span>> gatewayTroubles = new HashMap<>();
+    private final Map<Integer, List<String>> broken = new TreeMap<>();
+
+    private Judge(Rules rules, List<String> text) {
+        this.rules = rules;
+        for (String line : text) {
+            String[] parts = line.split("\t");
+            Map<String, String> values = new HashMap<>();
+            for (int i = 2; i < parts.length; i++) {
+                int equals = parts[i].indexOf('=');
+                values.put(parts[i].substring(0, equals), parts[i].substring(equals + 1));
+            }
+            lines.add(new Line(Long.parseLong(parts[0]), parts[1], values));
+        }
+        lines.sort(Comparator.comparingLong(Line::at));
+    }
+
+    /** Judges a recorded run. */
+    public static Verdict judge(Rules rules, List<String> trace) {
+        Judge judge = new Judge(rules, trace);
+        judge.read();
+        judge.answers();
+        judge.effects();
+        judge.drains();
+        judge.coldStarts();
+        judge.rations();
+        return new Verdict(judge.broken, judge.figures());
+    }
+
+    private void broke(int rule, String what) {
+        broken.computeIfAbsent(rule, r -> new ArrayList<>()).add(what);
+    }
+
+    private void read() {
+        Map<String, Long> since = new HashMap<>();
+        for (Line line : lines) {
+            Call call = line.values.containsKey("call") ? calls.computeIfAbsent(line.get("call"), c -> new Call()) : null;
+            switch (line.word) {
+                case "offer" -> call.offer = line;
+                case "sent" -> call.sent = line.at;
+                case "answer" -> call.answers.add(line);
+                case "left" -> call.left = line;
+                case "broken" -> call.broken = line;
+                case "recv" -> call.received.add(line);
+                case "run" -> call.runs.add(line);
+                case "reply", "cancelled" -> call.attemptEnds.putIfAbsent(line.get("attempt"), line);
+                case "gw-down", "gw-stalled" -> since.putIfAbsent(line.get("gw"), line.at);
+                case "gw-up", "gw-resumed" -> {
+                    Long from = since.remove(line.get("gw"));
+                    gatewayTroubles.computeIfAbsent(line.get("gw"), g -> new ArrayList<>())
+                        .add(new Span(from == null ? line.at : from, line.at));
+                }
+                default -> { }
+            }
+        }
+        since.forEach((gw, from) -> gatewayTroubles.computeIfAbsent(gw, g -> new ArrayList<>())
+            .add(new Span(from, Long.MAX_VALUE)));
+    }
+
+    /** Whether a gateway was down or stood still at some time of a span. */
+    private boolean excused(String gateway, long from, long to) {
+        return gatewayTroubles.getOrDefault(gateway, List.of()).stream()
+            .anyMatch(s -> s.from <= to + SLACK && s.to >= from - SLACK);
+    }
+
+    /** Rule 1: one final answer in time for each call that a living gateway was sent, and nothing after it. */
+    private void answers() {
+        calls.forEach((id, c) -> {
+            if (c.offer == null || c.sent == Long.MAX_VALUE) {
+                return;
+            }
+            long deadline = c.sent + c.offer.number("deadline_ms") * MS + rules.graceMs * MS;
+            String gateway = c.offer.get("gw");
+            boolean excused = excused(gateway, c.sent, deadline);
+            if (c.answers.size() > 1) {
+                broke(1, id + " has " + c.answers.size() + " answers");
+            } else if (c.answers.size() == 1) {
+                Line answer = c.answers.get(0);
+                if (!answer.get("own").equals("true")) {
+                    broke(1, id + " got another call's answer");
+                }
+                if (answer.get("kind").equals("none")) {
+                    broke(1, id + " got status " + answer.get("status") + " and no word of its end");
+                }
+                if (answer.at > deadline + SLACK && !excused) {
+                    broke(1, id + " was answered " + (answer.at - deadline) / MS + " ms late");
+                }
+                c.received.stream().filter(r -> r.at > answer.at + SLACK && !excused(gateway, answer.at, r.at))
+                    .findFirst().ifPresent(r -> broke(1, id + " went out " + (r.at - answer.at) / MS
+                    + " ms after its answer"));
+            } else if (c.left != null && c.left.get("early").equals("true") || excused) {
+                return;
+            } else if (c.left != null) {
+                broke(1, id + " was never answered");
+            } else if (c.broken != null) {
+                broke(1, id + " lost its connection to a living gateway");
+            }
+        });
+    }
+
+    /** Rule 2: nothing runs twice that must not, no harmless refusal of what ran, second copies only where allowed. */
+    private void effects() {
+        calls.forEach((id, c) -> {
+            if (c.offer == null) {
+                return;
+            }
+            String effect = rules.effects.getOrDefault(c.offer.get("class"), "idempotent");
+            boolean refused = c.answers.stream().anyMatch(a -> a.get("kind").equals("refused"));
+            if (effect.equals("at-most-once") && c.runs.size() > 1) {
+                broke(2, id + " ran " + c.runs.size() + " times");
+            }
+            if (effect.equals("at-most-once") && refused && !c.runs.isEmpty()) {
+                broke(2, id + " ran and was called harmless to repeat");
+            }
+            if (!rules.secondCopies) {
+                for (int i = 1; i < c.received.size(); i++) {
+                    Line former = c.received.get(i - 1);
+                    Line end = c.attemptEnds.get(former.get("attempt"));
+                    boolean lost = end == null && diedAfter(former.get("worker"), former.at, c.received.get(i).at);
+                    if ((end == null || end.at > c.received.get(i).at + SLACK) && !lost) {
+                        broke(2, id + " was out twice at once");
+                    }
+                }
+            }
+        });
+    }
+
+    private boolean diedAfter(String worker, long from, long to) {
+        return lines.stream().anyMatch(l -> l.word.equals("died") && l.get("worker").equals(worker) && l.at >= from - SLACK
+            && l.at <= to + SLACK);
+    }
+
+    /** Rule 3: nothing new later than the grace after the roster told this gateway, no state but the last one counts. */
+    private void drains() {
+        Map<String, Long> leaving = new HashMap<>();
+        for (Line line : lines) {
+            String pair = line.get("gw") + ' ' + line.get("worker");
+            switch (line.word) {
+                case "told" -> {
+                    if (line.get("state").equals("UP")) {
+                        leaving.remove(pair);
+                    } else {
+                        leaving.putIfAbsent(pair, line.at);
+                    }
+                }
+                case "list" -> {
+                    if (line.get("whole").equals("true")) {
+                        List<String> named = List.of(line.get("workers").split(","));
+                        String gateway = line.get("gw") + ' ';
+                        knownTo(line.get("gw")).stream().filter(w -> !named.contains(w))
+                            .forEach(w -> leaving.putIfAbsent(gateway + w, line.at));
+                    }
+                }
+                case "recv" -> late(leaving.get(pair), line, "a call");
+                case "hold" -> {
+                    if (line.number("count") > 0) {
+                        late(leaving.get(pair), line, "an order");
+                    }
+                }
+                default -> { }
+            }
+        }
+    }
+
+    private final Map<String, List<String>> known = new HashMap<>();
+
+    private List<String> knownTo(String gateway) {
+        return known.computeIfAbsent(gateway, g -> lines.stream().filter(l -> l.word.equals("told")
+            && l.get("gw").equals(g)).map(l -> l.get("worker")).distinct().toList());
+    }
+
+    private void late(Long told, Line line, String what) {
+        if (told != null && line.at - told > rules.stopSendingMs * MS + SLACK
+            && !excused(line.get("gw"), told, line.at)) {
+            broke(3, what + " reached " + line.get("worker") + " " + (line.at - told) / MS + " ms after "
+                + line.get("gw") + " was told that it leaves");
+        }
+    }
+
+    /** Rule 4: the work that reaches a cold worker in any window stays under the multiple of what it can do there. */
+    private void coldStarts() {
+        Map<String, Line> starts = new HashMap<>();
+        Map<String, Deque<Line>> windows = new HashMap<>();
+        Map<String, Long> sums = new HashMap<>();
+        for (Line line : lines) {
+            String worker = line.get("worker");
+            if (line.word.equals("start")) {
+                starts.put(worker, line.get("cold").equals("true") ? line : null);
+                windows.put(worker, new ArrayDeque<>());
+                sums.put(worker, 0L);
+            } else if (line.word.equals("recv") && starts.get(worker) != null) {
+                Line start = starts.get(worker);
+                double age = (line.at - start.at) / (double) (rules.coldMs * MS);
+                if (age >= 1) {
+                    continue;
+                }
+                Deque<Line> window = windows.get(worker);
+                window.add(line);
+                sums.merge(worker, line.number("work_us"), Long::sum);
+                while (line.at - window.peek().at > rules.tipMs * MS) {
+                    sums.merge(worker, -window.poll().number("work_us"), Long::sum);
+                }
+                double capacity = Double.parseDouble(start.get("cores")) * Double.parseDouble(start.get("speed"))
+                    * (rules.coldFrom + (1 - rules.coldFrom) * age);
+                double most = 1.25 * rules.overloadFactor * capacity * rules.tipMs * 1000;
+                if (sums.get(worker) > most) {
+                    broke(4, worker + " was sent " + sums.get(worker) / 1000 + " ms of work in " + rules.tipMs
+                        + " ms, " + (line.at - start.at) / MS + " ms after its start, where " + (long) (most / 1000)
+                        + " tip it");
+                    starts.put(worker, null);
+                }
+            }
+        }
+    }
+
+    /** Rule 5: at each order to load, those of its gateway within the span are no more than the ration. */
+    private void rations() {
+        if (rules.rationMs == 0) {
+            return;
+        }
+        Map<String, List<Long>> taken = new HashMap<>();
+        Map<String, List<Long>> orders = new HashMap<>();
+        for (Line line : lines) {
+            if (line.word.equals("sent")) {
+                taken.computeIfAbsent(line.get("gw"), g -> new ArrayList<>()).add(line.at);
+            } else if (line.word.equals("hold") && line.number("count") > 0) {
+                orders.computeIfAbsent(line.get("gw"), g -> new ArrayList<>()).add(line.at);
+            }
+        }
+        orders.forEach((gateway, times) -> {
+            List<Long> calling = taken.getOrDefault(gateway, List.of());
+            for (int i = 0; i < times.size(); i++) {
+                long at = times.get(i);
+                long from = at - rules.rationMs * MS;
+                long count = times.subList(0, i + 1).stream().filter(t -> t > from + SLACK).count();
+                long calls = calling.stream().filter(t -> t > from - SLACK && t <= at + SLACK).count();
+                double most = rules.rationAnyway + rules.rationRatio * calls;
+                if (count > most) {
+                    broke(5, gateway + " gave " + count + " orders in " + rules.rationMs + " ms with " + calls
+                        + " calls, where " + most + " are allowed");
+                }
+            }
+        });
+    }
+
+    private Map<String, String> figures() {
+        int asked = 0;
+        int inTime = 0;
+        int late = 0;
+        int refused = 0;
+        int failed = 0;
+        Map<String, Call> first = new LinkedHashMap<>();
+        Map<String, String> origin = new HashMap<>();
+        for (Map.Entry<String, Call> e : calls.entrySet()) {
+            Line offer = e.getValue().offer;
+            if (offer != null) {
+                String root = offer.get("former").equals("-") ? e.getKey()
+                    : origin.getOrDefault(offer.get("former"), offer.get("former"));
+                origin.put(e.getKey(), root);
+                first.putIfAbsent(root, e.getValue());
+            }
+        }
+        Map<String, Line> served = new HashMap<>();
+        for (Map.Entry<String, Call> e : calls.entrySet()) {
+            for (Line answer : e.getValue().answers) {
+                switch (answer.get("kind")) {
+                    case "served" -> served.putIfAbsent(origin.get(e.getKey()), answer);
+                    case "refused" -> refused++;
+                    default -> failed++;
+                }
+            }
+        }
+        for (Map.Entry<String, Call> e : first.entrySet()) {
+            asked++;
+            Line answer = served.get(e.getKey());
+            long aim = rules.aims.getOrDefault(e.getValue().offer.get("class"), Long.MAX_VALUE / MS) * MS;
+            if (answer != null && answer.at - e.getValue().offer.at <= aim) {
+                inTime++;
+            } else if (answer != null) {
+                late++;
+            }
+        }
+        long loads = count("load");
+        long fetches = lines.stream().filter(l -> l.word.equals("fetch") && l.get("status").equals("200")).count();
+        Map<String, String> figures = new LinkedHashMap<>();
+        figures.put("calls", Integer.toString(asked));
+        figures.put("in time", percent(inTime, asked));
+        figures.put("late", percent(late, asked));
+        figures.put("refusals", Integer.toString(refused));
+        figures.put("failures", Integer.toString(failed));
+        figures.put("attempts", Long.toString(count("recv")));
+        figures.put("loads per call", String.format("%.3f", loads / Math.max(1.0, asked)));
+        figures.put("loads unused", percent(unused(), (int) loads));
+        figures.put("fetches", Long.toString(fetches));
+        figures.put("orders", Long.toString(count("hold")));
+        figures.put("probes", Long.toString(count("probe")));
+        return figures;
+    }
+
+    /** Loads after which no call of the function ran there until the next load of it or the end. */
+    private int unused() {
+        Map<String, Boolean> used = new HashMap<>();
+        int unused = 0;
+        Map<String, String> functionOf = new HashMap<>();
+        for (Line line : lines) {
+            String key = line.get("worker") + ' ' + line.get("fn");
+            if (line.word.equals("recv")) {
+                functionOf.put(line.get("call"), line.get("fn"));
+            } else if (line.word.equals("load")) {
+                unused += Boolean.FALSE.equals(used.put(key, false)) ? 1 : 0;
+            } else if (line.word.equals("run")) {
+                used.computeIfPresent(line.get("worker") + ' ' + functionOf.get(line.get("call")), (k, v) -> true);
+            }
+        }
+        return unused + (int) used.values().stream().filter(u -> !u).count();
+    }
+
+    private long count(String word) {
+        return lines.stream().filter(l -> l.word.equals(word)).count();
+    }
+
+    private static String percent(int part, int of) {
+        return String.format("%.1f%%", 100.0 * part / Math.max(1, of));
+    }
+
+    /** The verdict as lines of text, the last one telling how many rules were kept. */
+    public static List<String> report(Verdict verdict) {
+        List<String> report = new ArrayList<>();
+        verdict.figures.forEach((name, value) -> report.add(String.format("  %-16s %s", name, value)));
+        verdict.broken.forEach((rule, what) -> {
+            report.add("rule " + rule + " broken " + what.size() + " times:");
+            what.stream().limit(SHOWN).forEach(w -> report.add("  " + w));
+        });
+        report.add("rules kept: " + verdict.kept() + " of 5");
+        return report;
+    }
+}
