--- a/app/src/main/java/wharfhinge/app/Main.java
+++ b/app/src/main/java/wharfhinge/app/Main.java
@@ -5,13 +5,14 @@
 import picocli.CommandLine.IVersionProvider;
 import wharfhinge.app.drill.DrillCommand;
 import wharfhinge.app.drill.DrillGatewayCommand;
+import wharfhinge.app.measure.MeasureCommand;
 
 /** The command line. Exit codes: 0 done, 1 found wanting, 2 used wrongly. */
 @Command(name = "wharfhinge", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
     description = "A gateway for calls on workers that load functions on demand.",
     synopsisSubcommandLabel = "COMMAND",
     subcommands = {ServeCommand.class, CheckCommand.class, StandInCommand.class, DrillCommand.class,
-        DrillGatewayCommand.class})
+        DrillGatewayCommand.class, MeasureCommand.class})
 public final class Main implements Runnable {
     /** Done. */
     public static final int OK = 0;
--- a/app/src/main/java/wharfhinge/app/drill/DrillCommand.java
+++ b/app/src/main/java/wharfhinge/app/drill/DrillCommand.java
@@ -3,6 +3,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -16,6 +17,16 @@
     description = "Plays a scenario over real gateways on loopback and judges the five rules from the traffic; "
         + "exits with 1 unless all are kept.")
 public final class DrillCommand implements Callable<Integer> {
+    /** Every kind of trouble; name, seconds from the start, length, part, size, extra. */
+    private static final List<String> EACH = List.of("calm", "answer_lost,2,5,0.5,0.25,0", "answer_lost,2,5,0.5,0.25,1",
+        "balancer_roll,3,1.5,1,0.5,0", "balancer_stall,3,2,0.4,0,0", "burst,3,3,0,2,0",
+        "discovery_stale,1,7,0,2,0;drain,2,3,0.2,0,1", "fast_errors,2,5,0.2,0.6,0", "flush,4,0,0,0.7,0",
+        "give_up,2,5,0,0.3,0", "handshake_slow,1,7,0.8,200,0", "hang,2,5,0.2,0,0", "heavy_tail,2,5,0.02,15,0",
+        "hot_key,3,5,0,0.25,2", "neighbour,2,6,0.5,0.5,1.5", "pauses,2,6,0.4,300,0.7", "scan,3,5,0,0.15,0",
+        "shift,3,0,0,0.6,0", "slow,2,6,0.25,5,0", "overload,2,6,0,2,0", "drain,2,3,0.3,0,1", "restart,3,0.5,0.3,0,0",
+        "roster_lost,2,5,0,0,0;restart,3,0.5,0.2,0,0", "roster_silent,2,5,0,0,0;restart,3,0.5,0.2,0,0",
+        "store_shut,3,3,0,0,0");
+
     @Parameters(arity = "0..1", paramLabel = "NAME", defaultValue = "bad-day",
         description = "One of bad-day, calm, loads-on-call; default ${DEFAULT-VALUE}.")
     private String name;
@@ -32,8 +43,14 @@
     @Option(names = "--out", paramLabel = "FOLDER", description = "Keeps settings, logs and the trace there.")
     private Path out;
 
+    @Option(names = "--each", description = "Plays every kind of trouble by itself, on short days, and prints a table.")
+    private boolean each;
+
     @Override
     public Integer call() throws Exception {
+        if (each) {
+            return playEach();
+        }
         Scenario day = Scenarios.load(file, name);
         if (seconds != null) {
             day.seconds(seconds);
@@ -54,6 +71,34 @@
         return verdict.kept() == 5 ? Main.OK : Main.WANTING;
     }
 
+    private int playEach() throws Exception {
+        System.out.println("| trouble | rules kept | in time | late | refusals | failures | loads per call |");
+        System.out.println("| --- | --- | --- | --- | --- | --- | --- |");
+        int wanting = 0;
+        for (String text : EACH) {
+            Scenario day = Scenarios.load(file, name);
+            day.seconds(seconds == null ? 9 : seconds);
+            day.troubles().clear();
+            for (String one : text.equals("calm") ? new String[0] : text.split(";")) {
+                day.troubles().add(trouble(one));
+            }
+            Judge.Verdict verdict;
+            try (Day played = new Day(day, mutant, Files.createTempDirectory("wharfhinge-drill"))) {
+                verdict = played.play();
+            }
+            wanting += verdict.kept() == 5 ? 0 : 1;
+            Map<String, String> f = verdict.figures();
+            System.out.println("| " + text.replace(";", " and ") + " | " + verdict.kept() + " of 5 | " + f.get("in time")
+                + " | " + f.get("late") + " | " + f.get("refusals") + " | " + f.get("failures") + " | "
+                + f.get("loads per call") + " |");
+            if (verdict.kept() < 5) {
+                Judge.report(verdict).forEach(System.err::println);
+            }
+        }
+        System.out.println("days with all rules kept: " + (EACH.size() - wanting) + " of " + EACH.size());
+        return wanting == 0 ? Main.OK : Main.WANTING;
+    }
+
     private static Scenario.Trouble trouble(String text) {
         String[] f = text.split(",");
         double[] figures = new double[5];
--- /dev/null
+++ b/app/src/test/java/wharfhinge/app/ArchitectureTest.java
@@ -0,0 +1,64 @@
+package wharfhinge.app;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.fields;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.domain.JavaModifier;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** Arrows point down only, and the decisions touch neither I/O nor clocks nor threads. */
+class ArchitectureTest {
+    private static final JavaClasses ALL = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
+        .importPackages("wharfhinge");
+
+    @Test
+    void arrowsPointDownOnly() {
+        layeredArchitecture().consideringOnlyDependenciesInLayers()
+            .layer("app").definedBy("wharfhinge.app..")
+            .layer("stand-ins").definedBy("wharfhinge.standin..")
+            .layer("gateway").definedBy("wharfhinge.gateway..")
+            .layer("config").definedBy("wharfhinge.config..")
+            .layer("protocol").definedBy("wharfhinge.protocol..")
+            .layer("policy").definedBy("wharfhinge")
+            .whereLayer("app").mayNotBeAccessedByAnyLayer()
+            .whereLayer("stand-ins").mayOnlyBeAccessedByLayers("app")
+            .whereLayer("gateway").mayOnlyBeAccessedByLayers("app")
+            .whereLayer("config").mayOnlyBeAccessedByLayers("app", "gateway")
+            .whereLayer("protocol").mayOnlyBeAccessedByLayers("app", "gateway", "stand-ins")
+            .whereLayer("policy").mayOnlyBeAccessedByLayers("app", "gateway", "config")
+            .check(ALL);
+    }
+
+    @Test
+    void theJudgeSharesNothingWithWhatItJudges() {
+        noClasses().that().resideInAPackage("wharfhinge.standin.judge..").should().dependOnClassesThat()
+            .resideOutsideOfPackages("wharfhinge.standin.judge..", "java..").check(ALL);
+    }
+
+    @Test
+    void decisionsAreFreeOfClocksThreadsAndSockets() {
+        noClasses().that().resideInAPackage("wharfhinge").should().dependOnClassesThat()
+            .resideInAnyPackage("java.io..", "java.net..", "java.nio..", "java.time..", "java.util.concurrent..", "io.netty..",
+                "org.slf4j..").check(ALL);
+        noClasses().that().resideInAPackage("wharfhinge").should().callMethod(System.class, "nanoTime")
+            .orShould().callMethod(System.class, "currentTimeMillis").check(ALL);
+        fields().that().areDeclaredInClassesThat().resideInAPackage("wharfhinge").and().areStatic()
+            .should().beFinal().check(ALL);
+    }
+
+    @Test
+    void theWorkersSideDoesNotKnowTheClientsSide() {
+        classes().that().resideInAPackage("wharfhinge.gateway.upstream..").should().onlyDependOnClassesThat()
+            .resideOutsideOfPackage("wharfhinge.gateway.front..").check(ALL);
+        noClasses().that().resideInAPackage("wharfhinge.gateway.front..").should().dependOnClassesThat()
+            .resideInAnyPackage("wharfhinge.gateway.upstream..", "wharfhinge.gateway.roster..").check(ALL);
+        noClasses().that().resideInAPackage("wharfhinge.gateway.loop..").and().haveModifier(JavaModifier.PUBLIC)
+            .should().dependOnClassesThat().resideInAnyPackage("wharfhinge.gateway.upstream..",
+                "wharfhinge.gateway.front..").check(ALL);
+    }
+}
--- /dev/null
+++ b/app/src/test/java/wharfhinge/app/CommandLineTest.java
@@ -0,0 +1,81 @@
+package wharfhinge.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Commands, their exit codes and what they say. */
+class CommandLineTest {
+    private static final String SAMPLE = "../deploy/samples/loads-on-call.xml";
+    @TempDir
+    private Path folder;
+
+    private record Ran(int code, ByteArrayOutputStream printed) {
+        String text() {
+            return printed.toString(StandardCharsets.UTF_8);
+        }
+    }
+
+    private static Ran run(String... arguments) {
+        PrintStream out = System.out;
+        PrintStream err = System.err;
+        ByteArrayOutputStream printed = new ByteArrayOutputStream();
+        PrintStream both = new PrintStream(printed, true, StandardCharsets.UTF_8);
+        System.setOut(both);
+        System.setErr(both);
+        try {
+            return new Ran(Main.commandLine().execute(arguments), printed);
+        } finally {
+            System.setOut(out);
+            System.setErr(err);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "serve", "check", "stand-in", "drill", "measure", "stand-in worker", "stand-in roster",
+        "stand-in store", "stand-in fleet"})
+    void helpAndVersionAreEverywhere(String command) {
+        List<String> words = command.isEmpty() ? List.of() : List.of(command.split(" "));
+        for (String option : List.of("--help", "--version")) {
+            String[] arguments = java.util.stream.Stream.concat(words.stream(), java.util.stream.Stream.of(option))
+                .toArray(String[]::new);
+            Ran ran = run(arguments);
+            assertEquals(Main.OK, ran.code, command + option);
+            assertTrue(ran.text().contains("wharfhinge"), ran.text());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "nonsense", "serve", "serve --config", "drill --mutant none", "check", "stand-in"})
+    void wrongUseIsTwo(String command) {
+        assertEquals(Main.USAGE, run(command.isEmpty() ? new String[0] : command.split(" ")).code);
+    }
+
+    @Test
+    void checkTellsAllThatIsWrong() throws Exception {
+        assertEquals(Main.OK, run("check", SAMPLE).code);
+        Path wrong = folder.resolve("wrong.xml");
+        Files.writeString(wrong, Files.readString(Path.of(SAMPLE)).replace("8400", "x").replace("idempotent", "y"));
+        Ran ran = run("check", SAMPLE, wrong.toString());
+        assertEquals(Main.WANTING, ran.code);
+        assertTrue(ran.text().contains("found 'x'") && ran.text().contains("found 'y'"), ran.text());
+        assertEquals(Main.WANTING, run("serve", "--config", wrong.toString()).code);
+    }
+
+    @Test
+    void anUnknownDrillIsNamed() {
+        Ran ran = run("drill", "no-such-day");
+        assertEquals(Main.WANTING, ran.code);
+        assertTrue(ran.text().contains("found 'no-such-day', allowed: [bad-day, calm, loads-on-call]"), ran.text());
+    }
+}
--- /dev/null
+++ b/app/src/test/java/wharfhinge/app/drill/DrillTest.java
@@ -0,0 +1,56 @@
+package wharfhinge.app.drill;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import wharfhinge.standin.Scenario;
+import wharfhinge.standin.Scenario.Trouble;
+import wharfhinge.standin.judge.Judge;
+
+/** Short days over gateways in processes of their own. */
+@Timeout(120)
+class DrillTest {
+    @TempDir
+    private Path folder;
+
+    private Judge.Verdict play(Mutant mutant, double seconds, Trouble... troubles) throws Exception {
+        Scenario day = Scenarios.load(null, "bad-day");
+        day.seconds(seconds);
+        day.troubles().clear();
+        day.troubles().addAll(List.of(troubles));
+        try (Day played = new Day(day, mutant, folder)) {
+            return played.play();
+        }
+    }
+
+    @Test
+    void aShortBadDayKeepsAllRules() throws Exception {
+        Judge.Verdict verdict = play(null, 9, new Trouble("hang", 1, 3, 0.15, 0, 0), new Trouble("drain", 1, 3, 0.15, 0, 1),
+            new Trouble("balancer_stall", 3, 2, 0.3, 0, 0), new Trouble("balancer_roll", 6, 1, 0.6, 0.3, 0),
+            new Trouble("answer_lost", 5, 3, 0.4, 0.2, 1), new Trouble("restart", 4, 0.5, 0.2, 0, 0),
+            new Trouble("roster_lost", 5, 2, 0, 0, 0), new Trouble("store_shut", 6, 1, 0, 0, 0));
+        assertEquals(5, verdict.kept(), Judge.report(verdict).toString());
+        assertTrue(Integer.parseInt(verdict.figures().get("calls")) > 800, verdict.figures().toString());
+    }
+
+    @ParameterizedTest
+    @EnumSource(Mutant.class)
+    void eachMutantIsFound(Mutant mutant) throws Exception {
+        Judge.Verdict verdict = switch (mutant) {
+            case FORGETS_ANSWERS -> play(mutant, 4, new Trouble("fast_errors", 0, 9, 1, 0.9, 0));
+            case REPEATS_UNSAFE -> play(mutant, 4, new Trouble("fast_errors", 0, 9, 1, 0.5, 0));
+            case DEAF_TO_DRAINS -> play(mutant, 5, new Trouble("drain", 0.5, 9, 0.5, 0, 1));
+            case COLD_AS_WARM -> play(mutant, 6, new Trouble("restart", 1, 0.2, 0.5, 0, 0),
+                new Trouble("overload", 1, 9, 0, 2, 0));
+            case UNRATIONED -> play(mutant, 5, new Trouble("scan", 0, 9, 0, 0.5, 0));
+        };
+        assertTrue(verdict.broken().containsKey(mutant.rule()), mutant + ": " + Judge.report(verdict));
+    }
+}
--- a/gateway/src/main/java/wharfhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/wharfhinge/gateway/Gateway.java
@@ -18,6 +18,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiConsumer;
 import java.util.function.BiFunction;
@@ -50,6 +51,7 @@
     private final Slf4jAnswerLog log;
     private final UdpPeers peers;
     private final Thread thread;
+    private final AtomicBoolean stopping = new AtomicBoolean();
     private InetSocketAddress address;
 
     /** A gateway whose list comes from the roster of its settings. */
@@ -133,9 +135,12 @@
     /**
      * Takes nothing more, answers what is open within the time that the settings give, and ends.
      *
-     * @return how many calls had to be ended without a worker's answer
+     * @return how many calls had to be ended without a worker's answer; 0 where it was told to stop before
      */
     public int stop() throws InterruptedException {
+        if (!stopping.compareAndSet(false, true)) {
+            return 0;
+        }
         long within = config.clients().stopWithinNs();
         LOG.info("gateway {} stops: {} calls open", config.name(), loop.open());
         var closed = loop.close(within);
--- a/gateway/src/main/java/wharfhinge/gateway/loop/DecisionLoop.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/DecisionLoop.java
@@ -81,6 +81,7 @@
     private long callNumber;
     private int life;
     private boolean stopped;
+    private boolean ending;
     private volatile boolean closing;
 
     /** A loop that begins once a thread runs it. */
@@ -241,6 +242,7 @@
     private int endAll(String why, boolean streamsToo) {
         List<OpenCall> all = new ArrayList<>(calls.values());
         int ended = 0;
+        ending = true;
         for (OpenCall c : all) {
             for (LiveAttempt a : c.attempts) {
                 if (!a.ended && (a.stream == null || streamsToo)) {
@@ -257,6 +259,7 @@
         }
         calls.clear();
         byClient.clear();
+        ending = false;
         return ended;
     }
 
@@ -266,7 +269,7 @@
     }
 
     private void stopIfEmpty() {
-        if (closing && openCalls.get() == 0) {
+        if (closing && !ending && openCalls.get() == 0 && calls.values().stream().noneMatch(OpenCall::streams)) {
             stop(0);
         }
     }
@@ -380,6 +383,7 @@
         if (c.answered && c.live == 0) {
             calls.remove(c.id, c);
             byClient.remove(c.call, c);
+            stopIfEmpty();
         }
     }
 
--- a/gateway/src/main/java/wharfhinge/gateway/loop/OpenCall.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/OpenCall.java
@@ -26,6 +26,11 @@
         return call.head().id() != null ? call.head().id() : id;
     }
 
+    /** Whether an answer to it is on its way from a worker to its client. */
+    boolean streams() {
+        return attempts.stream().anyMatch(a -> a.stream != null && !a.ended);
+    }
+
     Facts facts(String worker, String otherwise) {
         List<String> trail = new ArrayList<>(attempts.size());
         for (LiveAttempt a : attempts) {
--- /dev/null
+++ b/gateway/src/test/java/wharfhinge/gateway/FrontTest.java
@@ -0,0 +1,173 @@
+package wharfhinge.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static wharfhinge.protocol.AnswerCode.SERVED;
+import static wharfhinge.protocol.CopyNote.FOUND;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http2.DefaultHttp2Headers;
+import io.netty.handler.codec.http2.DefaultHttp2HeadersFrame;
+import io.netty.handler.codec.http2.Http2FrameCodecBuilder;
+import io.netty.handler.codec.http2.Http2GoAwayFrame;
+import io.netty.handler.codec.http2.Http2HeadersFrame;
+import io.netty.handler.codec.http2.Http2MultiplexHandler;
+import io.netty.handler.codec.http2.Http2StreamChannel;
+import io.netty.handler.codec.http2.Http2StreamChannelBootstrap;
+import java.io.IOException;
+import java.net.Socket;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import wharfhinge.gateway.loop.DispatcherFactory;
+
+/** What clients send, well and badly. */
+@Timeout(60)
+class FrontTest {
+    @TempDir
+    private Path folder;
+    private ScriptedPeer worker;
+    private Rig rig;
+
+    @BeforeEach
+    void begin() throws Exception {
+        worker = new ScriptedPeer(in -> in.answer(SERVED, FOUND, "well"));
+        rig = new Rig(folder, "", DispatcherFactory.CHOICE);
+        rig.list(worker.id());
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        rig.close();
+        worker.close();
+    }
+
+    private String raw(String request) throws IOException {
+        try (Socket client = new Socket("127.0.0.1", rig.gateway.address().getPort())) {
+            client.setSoTimeout(1500);
+            client.getOutputStream().write(request.replace("\n", "\r\n").getBytes(StandardCharsets.US_ASCII));
+            StringBuilder read = new StringBuilder();
+            try {
+                for (int c = client.getInputStream().read(); c >= 0; c = client.getInputStream().read()) {
+                    read.append((char) c);
+                    if (read.toString().endsWith("\n") && read.toString().contains("allowed")) {
+                        break;
+                    }
+                }
+            } catch (IOException e) {
+                read.append(" <").append(e.getMessage()).append('>');
+            }
+            return read.toString();
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "POST /v1/call/f|wh-class: none|400|wh-class: found 'none', allowed: one of [safe, once, flow]",
+        "POST /v1/call/f|x-y: z|400|wh-class: found nothing, allowed: one of",
+        "POST /v1/call/|wh-class: safe|400|function in the path: found ''",
+        "POST /v1/call/f|wh-deadline-ms: 0|400|wh-deadline-ms: found '0', allowed: a whole number above 0",
+        "POST /v1/call/f|wh-deadline-ms: -3|400|wh-deadline-ms: found '-3', allowed: a whole number",
+        "POST /v1/call/f|wh-deadline-ms: ten|400|wh-deadline-ms: found 'ten', allowed: a whole number",
+        "GET /v1/call/f|wh-class: safe|405|method: found 'GET', allowed: POST",
+        "POST /v2/other|wh-class: safe|404|path: found nothing there, allowed: /v1/call/{function}"})
+    void badInputIsToldApartAndOthersGoOn(String line, String header, int status, String expected) throws Exception {
+        String answer = raw(line + " HTTP/1.1\nhost: x\n" + header + "\ncontent-length: 0\n\n");
+        assertTrue(answer.startsWith("HTTP/1.1 " + status), answer);
+        assertTrue(answer.contains(expected), answer);
+        assertEquals("well", Rig.get(rig.call("safe", "f", 2000)).body());
+    }
+
+    @Test
+    void sizesOverTheLimitAndBrokenFramingAreRefused() throws Exception {
+        String body = raw("POST /v1/call/f HTTP/1.1\nhost: x\nwh-class: safe\ncontent-length: 900000\n\nxx");
+        assertTrue(body.startsWith("HTTP/1.1 413") && body.contains("allowed: at most 65536"), body);
+        String headers = raw("POST /v1/call/f HTTP/1.1\nhost: x\nlong: " + "y".repeat(5000) + "\n\n");
+        assertTrue(headers.startsWith("HTTP/1.1 431"), headers);
+        String chunks = raw("POST /v1/call/f HTTP/1.1\nhost: x\nwh-class: safe\ntransfer-encoding: chunked\n\nzz\n");
+        assertTrue(chunks.startsWith("HTTP/1.1 400"), chunks);
+        String nonsense = raw("\u0001\u0002 nonsense\n\n");
+        assertTrue(nonsense.startsWith("HTTP/1.1 400"), nonsense);
+        assertEquals("well", Rig.get(rig.call("safe", "f", 2000)).body());
+    }
+
+    @Test
+    void pipelinedCallsAreAnsweredInOrder() throws Exception {
+        String one = "POST /v1/call/f HTTP/1.1\nhost: x\nwh-class: safe\nwh-id: a\ncontent-length: 0\n\n";
+        String all = raw(one + one + "GET /v1/nowhere HTTP/1.1\nhost: x\n\n");
+        assertEquals(2, all.split("wh-answer: served", -1).length - 1, all);
+        assertTrue(all.indexOf("404") > all.lastIndexOf("served"), all);
+    }
+
+    @Test
+    void answersTellTheWorkerTheReasonAndTheAttempts() throws Exception {
+        HttpResponse<String> response = Rig.get(rig.call("safe", "f", 2000));
+        assertEquals(worker.id(), response.headers().firstValue("wh-worker").orElse(""));
+        assertEquals(worker.id() + ":served/found", response.headers().firstValue("wh-reason").orElse(""));
+        assertEquals("1", response.headers().firstValue("wh-attempts").orElse(""));
+    }
+
+    @Test
+    void http2CallsAreServedAndToldToGoAwayAtTheEnd() throws Exception {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        BlockingQueue<String> got = new LinkedBlockingQueue<>();
+        try {
+            Channel connection = new Bootstrap().group(group).channel(NioSocketChannel.class)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel c) {
+                        c.pipeline().addLast(Http2FrameCodecBuilder.forClient().build(),
+                            new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
+                                @Override
+                                protected void initChannel(Channel stream) { }
+                            }), new SimpleChannelInboundHandler<Http2GoAwayFrame>() {
+                                @Override
+                                protected void channelRead0(ChannelHandlerContext ctx, Http2GoAwayFrame frame) {
+                                    got.add("goaway");
+                                }
+                            });
+                    }
+                }).connect("127.0.0.1", rig.gateway.address().getPort()).sync().channel();
+            Http2StreamChannel stream = new Http2StreamChannelBootstrap(connection)
+                .handler(new SimpleChannelInboundHandler<Http2HeadersFrame>() {
+                    @Override
+                    protected void channelRead0(ChannelHandlerContext ctx, Http2HeadersFrame frame) {
+                        got.add(frame.headers().status() + " " + frame.headers().get("wh-answer"));
+                    }
+                }).open().sync().getNow();
+            stream.writeAndFlush(new DefaultHttp2HeadersFrame(new DefaultHttp2Headers().method("POST").scheme("http")
+                .path("/v1/call/f").authority("x").set("wh-class", "safe"), true));
+            assertEquals("200 served", got.poll(5, TimeUnit.SECONDS));
+            CompletableFuture<Void> stopped = CompletableFuture.runAsync(() -> {
+                try {
+                    rig.gateway.stop();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            assertEquals("goaway", got.poll(5, TimeUnit.SECONDS));
+            stopped.get(5, TimeUnit.SECONDS);
+        } finally {
+            group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/wharfhinge/gateway/LoopTest.java
@@ -0,0 +1,240 @@
+package wharfhinge.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static wharfhinge.gateway.Rig.answer;
+import static wharfhinge.gateway.Rig.get;
+import static wharfhinge.protocol.AnswerCode.SERVED;
+import static wharfhinge.protocol.CopyNote.FOUND;
+
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import wharfhinge.Choice;
+import wharfhinge.Dispatcher;
+
+/** The loop: what it tells, what it bears, and what it does when the decisions break. */
+@Timeout(60)
+class LoopTest {
+    @TempDir
+    private Path folder;
+
+    /** Decisions that note what they are told and do as a test says. */
+    private static class Noting implements Dispatcher {
+        final Actions actions;
+        final List<String> told = Collections.synchronizedList(new ArrayList<>());
+        long last;
+        boolean within;
+
+        Noting(Actions actions) {
+            this.actions = actions;
+        }
+
+        void note(long now, String what) {
+            assertTrue(now >= last, "time ran backwards");
+            assertTrue(!within, "told of an event while another was handled");
+            last = now;
+            told.add(what);
+        }
+
+        @Override
+        public void members(long now, ListMode mode, long revision, List<Worker> entries) {
+            note(now, "members " + mode + ' ' + entries.size());
+        }
+
+        @Override
+        public void query(long now, Request request) {
+            note(now, "query " + request.function());
+        }
+
+        @Override
+        public void clientLeft(long now, String request) {
+            note(now, "left");
+        }
+
+        @Override
+        public void established(long now, String request, int attempt, String worker) {
+            note(now, "established");
+        }
+
+        @Override
+        public void probed(long now, String worker, Outcome outcome, long tookNs, Map<String, Double> report) {
+            note(now, "probed " + outcome + ' ' + report.get("rif"));
+        }
+
+        @Override
+        public void inbox(long now, int peer, byte[] payload) {
+            note(now, "inbox " + peer);
+        }
+
+        @Override
+        public void due(long now, String token) {
+            note(now, "due " + token);
+        }
+
+        @Override
+        public void completed(long now, Completion c) {
+            note(now, "completed " + c.attempt() + ' ' + c.outcome() + ' ' + c.note() + ' ' + c.settled());
+        }
+
+        @Override
+        public void resident(long now, String worker, String function, int count, Outcome outcome, long tookNs) {
+            note(now, "resident " + outcome + ' ' + count);
+        }
+    }
+
+    @Test
+    void everyActionDoesWhatItSaysAndNoneReenters() throws Exception {
+        CompletableFuture<Noting> made = new CompletableFuture<>();
+        try (ScriptedPeer worker = new ScriptedPeer(in -> in.answer(SERVED, FOUND, "well"));
+             ScriptedPeer silent = new ScriptedPeer(null);
+             Rig rig = new Rig(folder, "max-attempts=\"3\"", (now, seed, settings, actions) -> {
+                 Noting noting = new Noting(actions) {
+                     @Override
+                     public void query(long at, Request r) {
+                         super.query(at, r);
+                         within = true;
+                         actions.hold(worker.id(), r.function(), 1);
+                         actions.unload(worker.id(), r.function());
+                         actions.probe(worker.id());
+                         actions.timer("t", 0);
+                         actions.attempt(r.id(), silent.id(), 0);
+                         actions.attempt(r.id(), silent.id(), 30_000_000);
+                         actions.cancel(r.id(), 0);
+                         actions.attempt(r.id(), worker.id(), 0);
+                         actions.attempt(r.id(), worker.id(), 0); // one more than there may be
+                         actions.attempt("unheard-of", worker.id(), 0);
+                         within = false;
+                     }
+                 };
+                 made.complete(noting);
+                 return noting;
+             })) {
+            rig.list(worker.id(), silent.id());
+            assertEquals("well", get(rig.call("safe", "f", 1000)).body());
+            List<String> told = made.get().told;
+            for (String expected : List.of("members REMEMBERED 0", "members ALL 2", "query f", "due t", "resident SERVED 1",
+                "probed SERVED 1.0", "completed 0 CANCELLED NONE ", "completed 1 TIMEOUT NONE ",
+                "completed 2 SERVED FOUND_LOADED true", "completed 3 MOOT NONE ")) {
+                Rig.await(expected + " in " + told, () -> List.copyOf(told).stream().anyMatch(t -> t.startsWith(expected)));
+            }
+            assertEquals(2, worker.others.size() - 1, "a hold, an unload and a probe went out");
+        }
+    }
+
+    @Test
+    void whenTheDecisionsThrowEachOpenCallIsAnsweredOnceAndANewLifeBegins() throws Exception {
+        List<Noting> lives = Collections.synchronizedList(new ArrayList<>());
+        try (ScriptedPeer silent = new ScriptedPeer(null);
+             Rig rig = new Rig(folder, "", (now, seed, settings, actions) -> {
+                 lives.add(new Noting(actions) {
+                     @Override
+                     public void query(long at, Request r) {
+                         super.query(at, r);
+                         if (r.function().equals("bad")) {
+                             throw new IllegalStateException("on purpose");
+                         } else if (r.function().equals("sent")) {
+                             actions.attempt(r.id(), silent.id(), 0);
+                         } else if (lives.size() > 1) {
+                             actions.refuse(r.id(), 0);
+                         }
+                     }
+                 });
+                 return lives.get(lives.size() - 1);
+             })) {
+            rig.list(silent.id());
+            CompletableFuture<HttpResponse<String>> sent = rig.call("once", "sent", 2000);
+            silent.next();
+            CompletableFuture<HttpResponse<String>> held = rig.call("once", "held", 2000);
+            Rig.await("both are open", () -> rig.figure("open_calls") == 2);
+            CompletableFuture<HttpResponse<String>> bad = rig.call("safe", "bad", 2000);
+            assertEquals("failed", answer(get(sent)), "it may have run");
+            assertEquals("refused", answer(get(held)), "it was never sent");
+            assertEquals("refused", answer(get(bad)));
+            assertEquals(1, rig.figure("restarts"));
+            Rig.await("the new life is told", () -> lives.size() == 2 && !lives.get(1).told.isEmpty());
+            assertEquals("members REMEMBERED 1", lives.get(1).told.get(0), "the list held is told anew");
+            assertEquals("refused", answer(get(rig.call("safe", "next", 2000))));
+            assertEquals(0, rig.figure("open_calls"));
+        }
+    }
+
+    @Test
+    void aFullHandOverTurnsCallsAwayBeforeTheyAreTaken() throws Exception {
+        CountDownLatch stuck = new CountDownLatch(1);
+        try (Rig rig = new Rig(folder, "", "hand-over=\"2\"", (now, seed, settings, actions) -> new Noting(actions) {
+            @Override
+            public void query(long at, Request r) {
+                super.query(at, r);
+                try {
+                    stuck.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+                actions.refuse(r.id(), 0);
+            }
+        })) {
+            List<CompletableFuture<HttpResponse<String>>> calls = new ArrayList<>();
+            for (int i = 0; i < 8; i++) {
+                calls.add(rig.call("safe", "f", 2000));
+            }
+            Rig.await("some are turned away", () -> rig.figure("turned_away_hand_over") >= 5);
+            assertEquals(0, rig.figure("refused"));
+            stuck.countDown();
+            for (CompletableFuture<HttpResponse<String>> call : calls) {
+                assertEquals("refused", answer(get(call)));
+            }
+            assertEquals(8, rig.figure("taken") + rig.figure("turned_away_hand_over"));
+            assertTrue(rig.figure("event_age_us_max") > 0);
+        }
+    }
+
+    @Test
+    void gatewaysSayShortThingsToEachOther() throws Exception {
+        CompletableFuture<Noting> one = new CompletableFuture<>();
+        CompletableFuture<Noting> two = new CompletableFuture<>();
+        int first;
+        int second;
+        try (java.net.DatagramSocket a = new java.net.DatagramSocket(); java.net.DatagramSocket b =
+            new java.net.DatagramSocket()) {
+            first = a.getLocalPort();
+            second = b.getLocalPort();
+        }
+        String peers = "<peers><peer number=\"0\" address=\"127.0.0.1:" + first + "\"/><peer number=\"1\" address=\"127.0.0.1:"
+            + second + "\"/></peers><log/>";
+        Gateway[] gateways = new Gateway[2];
+        for (int i = 0; i < 2; i++) {
+            Path file = folder.resolve("gw" + i + ".xml");
+            java.nio.file.Files.writeString(file, Rig.SETTINGS.replace("CLIENTS", "").replace("WORKERS", "")
+                .replace("ROSTER", "1").replace("zone=\"z\"", "zone=\"z\" group=\"2\" number=\"" + i + "\"")
+                .replace("</wharfhinge>", peers + "</wharfhinge>").replace("remembered=\"list\"", "remembered=\"l" + i + "\""));
+            CompletableFuture<Noting> made = i == 0 ? one : two;
+            gateways[i] = new Gateway(wharfhinge.config.GatewayConfig.load(file), (now, seed, settings, actions) -> {
+                made.complete(new Noting(actions));
+                return made.join();
+            }, null);
+            gateways[i].start();
+        }
+        one.get().actions.publish(-1, new byte[] {1, 2});
+        Rig.await("it arrives", () -> two.join().told.contains("inbox 0"));
+        gateways[0].stop();
+        gateways[1].stop();
+    }
+
+    @Test
+    void theProductsDecisionsServeFromTheFirstCallOn() throws Exception {
+        try (ScriptedPeer worker = new ScriptedPeer(in -> in.answer(SERVED, FOUND, "well"));
+             Rig rig = new Rig(folder, "", Choice::new)) {
+            rig.list(worker.id());
+            assertEquals("well", get(rig.call("once", "f", 2000)).body());
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/wharfhinge/gateway/Rig.java
@@ -0,0 +1,138 @@
+package wharfhinge.gateway;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import wharfhinge.Dispatcher.ListMode;
+import wharfhinge.config.GatewayConfig;
+import wharfhinge.config.InvalidFileException;
+import wharfhinge.gateway.loop.DispatcherFactory;
+import wharfhinge.gateway.roster.FleetSource;
+import wharfhinge.gateway.roster.FleetUpdate;
+import wharfhinge.protocol.RosterEntry;
+import wharfhinge.protocol.RosterEntry.State;
+
+/** A gateway in this process, a list that the test tells, and clients. */
+final class Rig implements AutoCloseable {
+    static final String SETTINGS = """
+        <wharfhinge xmlns="urn:wharfhinge:settings:1">
+          <gateway name="gw" zone="z"/>
+          <clients port="0" max-body-kb="64" max-header-kb="4" max-connections="6000" stop-within-ms="1000" CLIENTS/>
+          <workers max-answer-kb="1024" probes="false" WORKERS>
+            <kind name="k" memory-mb="4096"/>
+            <loading not-loaded="load" keep-ms="8000"/>
+          </workers>
+          <zones names="z"/>
+          <classes>
+            <class name="safe" effect="idempotent" aim-ms="600" give-up-ms="2500"/>
+            <class name="once" effect="at-most-once" aim-ms="600" give-up-ms="2500"/>
+            <class name="flow" effect="idempotent" aim-ms="600" give-up-ms="2500" stream="true"/>
+          </classes>
+          <rules stop-sending-within-ms="2000" cold-from="0.2" warm-after-ms="8000" overload-factor="2" tip-after-ms="1000"/>
+          <roster url="http://127.0.0.1:ROSTER" remembered="list" silent-after-ms="1500" reconnect-most-ms="200"/>
+        </wharfhinge>
+        """;
+
+    final Gateway gateway;
+    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private Consumer<FleetUpdate> fleet;
+    private long revision = 1;
+
+    Rig(Path folder, String workers, DispatcherFactory decisions) throws Exception {
+        this(folder, workers, "", decisions);
+    }
+
+    Rig(Path folder, String workers, String clients, DispatcherFactory decisions) throws Exception {
+        gateway = new Gateway(config(folder, workers, clients, 1), decisions, (group, type) -> new FleetSource() {
+            @Override
+            public void start(Consumer<FleetUpdate> updates) {
+                fleet = updates;
+            }
+
+            @Override
+            public void listen(boolean on) { }
+
+            @Override
+            public void reload() { }
+
+            @Override
+            public void close() { }
+        });
+        gateway.start();
+    }
+
+    static GatewayConfig config(Path folder, String workers, String clients, int roster)
+        throws IOException, InvalidFileException {
+        Path file = folder.resolve("gw.xml");
+        Files.writeString(file, SETTINGS.replace("WORKERS", workers).replace("CLIENTS", clients)
+            .replace("ROSTER", Integer.toString(roster)));
+        return GatewayConfig.load(file);
+    }
+
+    static RosterEntry entry(String id, State state, String boot) {
+        return new RosterEntry(id, "z", "k", 0, state, 1, 1_000_000, boot);
+    }
+
+    void list(String... workers) {
+        List<RosterEntry> entries = new ArrayList<>();
+        for (String worker : workers) {
+            entries.add(entry(worker, State.UP, "b0"));
+        }
+        fleet.accept(new FleetUpdate(ListMode.ALL, revision++, entries));
+    }
+
+    void change(RosterEntry entry) {
+        fleet.accept(new FleetUpdate(ListMode.CHANGES, revision++, List.of(entry)));
+    }
+
+    CompletableFuture<HttpResponse<String>> call(String type, String function, int deadlineMs) {
+        HttpRequest request = HttpRequest.newBuilder(uri("/v1/call/" + function)).timeout(Duration.ofSeconds(10))
+            .header("wh-class", type).header("wh-deadline-ms", Integer.toString(deadlineMs))
+            .POST(HttpRequest.BodyPublishers.ofString("input")).build();
+        return client.sendAsync(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    URI uri(String path) {
+        InetSocketAddress at = gateway.address();
+        return URI.create("http://127.0.0.1:" + at.getPort() + path);
+    }
+
+    static HttpResponse<String> get(CompletableFuture<HttpResponse<String>> call) throws Exception {
+        return call.get(10, TimeUnit.SECONDS);
+    }
+
+    static String answer(HttpResponse<String> response) {
+        return response.headers().firstValue("wh-answer").orElse("none");
+    }
+
+    long figure(String name) {
+        return gateway.figures().get(name);
+    }
+
+    static void await(String what, BooleanSupplier holds) throws InterruptedException {
+        long end = System.nanoTime() + 5_000_000_000L;
+        while (!holds.getAsBoolean()) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("not within 5 s: " + what);
+            }
+            Thread.sleep(2);
+        }
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        gateway.stop();
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/wharfhinge/gateway/RosterSocketTest.java
@@ -0,0 +1,109 @@
+package wharfhinge.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static wharfhinge.protocol.AnswerCode.SERVED;
+import static wharfhinge.protocol.CopyNote.FOUND;
+
+import io.netty.channel.EventLoopGroup;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import wharfhinge.gateway.loop.DispatcherFactory;
+import wharfhinge.protocol.RosterEntry.State;
+import wharfhinge.protocol.RosterFrame;
+import wharfhinge.standin.Net;
+import wharfhinge.standin.RosterStandIn;
+import wharfhinge.standin.Trace;
+
+/** The list over a real stream. */
+@Timeout(60)
+class RosterSocketTest {
+    @TempDir
+    private Path folder;
+    private final EventLoopGroup group = Net.group(2);
+    private ScriptedPeer worker;
+    private RosterStandIn roster;
+    private Gateway gateway;
+
+    @BeforeEach
+    void begin() throws Exception {
+        worker = new ScriptedPeer(in -> in.answer(SERVED, FOUND, "well"));
+        roster = new RosterStandIn(group, 0, 0, new Trace(System::nanoTime));
+        roster.report(Rig.entry(worker.id(), State.UP, "b0"));
+        gateway = new Gateway(Rig.config(folder, "", "", roster.port()), DispatcherFactory.CHOICE, null);
+        gateway.start();
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        gateway.stop();
+        roster.close();
+        worker.close();
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    private String call() {
+        try {
+            return HttpClient.newHttpClient().send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:"
+                + gateway.address().getPort() + "/v1/call/f")).header("wh-class", "safe")
+                .POST(HttpRequest.BodyPublishers.noBody()).build(), HttpResponse.BodyHandlers.ofString()).body();
+        } catch (java.io.IOException | InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private long lists() {
+        return gateway.figures().get("lists");
+    }
+
+    @Test
+    void aSilentRosterIsDroppedAndTheListHoldsUntilItSpeaksAgain() throws Exception {
+        Rig.await("served", () -> call().equals("well"));
+        roster.mute(true);
+        long before = lists();
+        Thread.sleep(2500); // longer than silent-after-ms
+        assertEquals("well", call(), "the list held goes on to hold");
+        assertEquals(before, lists());
+        roster.mute(false);
+        roster.report(Rig.entry("127.0.0.1:9", State.UP, "b0"));
+        Rig.await("news after the silence", () -> lists() > before);
+    }
+
+    @Test
+    void aGapOrALostStreamAsksForTheWhole() throws Exception {
+        Rig.await("served", () -> call().equals("well"));
+        long before = lists();
+        roster.push(new RosterFrame(RosterFrame.Kind.CHANGES, 900, 901, List.of(Rig.entry(worker.id(), State.GONE, "b0"))));
+        Thread.sleep(400);
+        assertEquals("well", call(), "changes with a gap are not taken");
+        assertEquals(before, lists(), "and the whole list was the one already held");
+        roster.lost(true);
+        Thread.sleep(300);
+        assertEquals("well", call());
+        roster.lost(false);
+        roster.report(Rig.entry("127.0.0.1:9", State.UP, "b0"));
+        Rig.await("news after the loss", () -> lists() > before);
+    }
+
+    @Test
+    void aRestartedGatewayServesFromItsRememberedListWhileTheRosterIsLost() throws Exception {
+        Rig.await("served", () -> call().equals("well"));
+        gateway.stop();
+        roster.lost(true);
+        gateway = new Gateway(Rig.config(folder, "", "", roster.port()), DispatcherFactory.CHOICE, null);
+        gateway.start();
+        assertEquals("well", call());
+        assertTrue(gateway.figures().get("lists") >= 1);
+        roster.lost(false);
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/wharfhinge/gateway/ScriptedPeer.java
@@ -0,0 +1,213 @@
+package wharfhinge.gateway;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http2.DefaultHttp2DataFrame;
+import io.netty.handler.codec.http2.DefaultHttp2Headers;
+import io.netty.handler.codec.http2.DefaultHttp2HeadersFrame;
+import io.netty.handler.codec.http2.DefaultHttp2ResetFrame;
+import io.netty.handler.codec.http2.Http2DataFrame;
+import io.netty.handler.codec.http2.Http2Error;
+import io.netty.handler.codec.http2.Http2FrameCodecBuilder;
+import io.netty.handler.codec.http2.Http2FrameStream;
+import io.netty.handler.codec.http2.Http2Headers;
+import io.netty.handler.codec.http2.Http2HeadersFrame;
+import io.netty.handler.codec.http2.Http2ResetFrame;
+import io.netty.handler.codec.http2.Http2Settings;
+import io.netty.util.ReferenceCountUtil;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import wharfhinge.protocol.AnswerCode;
+import wharfhinge.protocol.CopyNote;
+import wharfhinge.protocol.WorkerProtocol;
+
+/** A worker that does frame by frame what a test tells it to. */
+final class ScriptedPeer implements AutoCloseable {
+    /** One request that came. */
+    final class In {
+        final Http2Headers headers;
+        private final ChannelHandlerContext ctx;
+        private final Http2FrameStream stream;
+
+        private In(ChannelHandlerContext ctx, Http2FrameStream stream, Http2Headers headers) {
+            this.ctx = ctx;
+            this.stream = stream;
+            this.headers = headers;
+        }
+
+        int streamId() {
+            return stream.id();
+        }
+
+        void answer(AnswerCode code, CopyNote note, String body) {
+            head(code, note, false);
+            part(body, true);
+        }
+
+        void head(AnswerCode code, CopyNote note, boolean end) {
+            Http2Headers head = new DefaultHttp2Headers().status(Integer.toString(code.status()))
+                .set(WorkerProtocol.OUTCOME, code.word()).set(WorkerProtocol.NOTE, note.word())
+                .set(WorkerProtocol.REPORT, "rif:1,x0:0.5").setInt(WorkerProtocol.COUNT, 1);
+            ctx.writeAndFlush(new DefaultHttp2HeadersFrame(head, end).stream(stream));
+        }
+
+        void part(String text, boolean end) {
+            ctx.writeAndFlush(new DefaultHttp2DataFrame(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8), end)
+                .stream(stream));
+        }
+
+        /** Sends parts of 64 KB until the stream ends; the writes wait for the other side's windows. */
+        void flood(int parts) {
+            if (parts > 0 && ctx.channel().isActive()) {
+                ctx.writeAndFlush(new DefaultHttp2DataFrame(Unpooled.wrappedBuffer(new byte[1 << 16]), false)
+                    .stream(stream)).addListener(done -> {
+                        flooded++;
+                        if (done.isSuccess()) {
+                            flood(parts - 1);
+                        }
+                    });
+            }
+        }
+
+        void reset(Http2Error error) {
+            ctx.writeAndFlush(new DefaultHttp2ResetFrame(error).stream(stream));
+        }
+
+        void breakConnection() {
+            ctx.close();
+        }
+
+        /** A GOAWAY as bytes, since the codec would only send one that covers all streams it saw. */
+        void goAway(int lastStream) {
+            ByteBuf frame = Unpooled.buffer().writeMedium(8).writeByte(7).writeByte(0).writeInt(0)
+                .writeInt(lastStream).writeInt(0);
+            ctx.writeAndFlush(frame);
+        }
+    }
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final Channel listening;
+    private final BlockingQueue<In> calls = new LinkedBlockingQueue<>();
+    private final List<Channel> held = new CopyOnWriteArrayList<>();
+    final BlockingQueue<Integer> resets = new LinkedBlockingQueue<>();
+    final BlockingQueue<In> others = new LinkedBlockingQueue<>();
+    private final Consumer<In> script;
+    volatile boolean holdHandshakes;
+    volatile int flooded;
+
+    /** Answers every call with {@code script}; where it is null, calls wait for {@link #next}. */
+    ScriptedPeer(Consumer<In> script) {
+        this(0, script);
+    }
+
+    ScriptedPeer(int port, Consumer<In> script) {
+        this.script = script;
+        listening = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+            .childHandler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel channel) {
+                    if (holdHandshakes) {
+                        channel.config().setAutoRead(false);
+                        held.add(channel);
+                    } else {
+                        pipeline(channel);
+                    }
+                }
+            }).bind("127.0.0.1", port).syncUninterruptibly().channel();
+    }
+
+    private void pipeline(Channel channel) {
+        channel.pipeline().addLast(Http2FrameCodecBuilder.forServer()
+            .initialSettings(Http2Settings.defaultSettings()).build(), new Frames());
+    }
+
+    String id() {
+        return "127.0.0.1:" + port();
+    }
+
+    int port() {
+        return ((InetSocketAddress) listening.localAddress()).getPort();
+    }
+
+    /** The next call that came. */
+    In next() throws InterruptedException {
+        In in = calls.poll(5, TimeUnit.SECONDS);
+        if (in == null) {
+            throw new AssertionError("no call came to " + id());
+        }
+        return in;
+    }
+
+    boolean gotNothingWithin(long ms) throws InterruptedException {
+        return calls.poll(ms, TimeUnit.MILLISECONDS) == null;
+    }
+
+    int heldHandshakes() {
+        return held.size();
+    }
+
+    void letHandshakesGo() {
+        holdHandshakes = false;
+        held.forEach(channel -> channel.eventLoop().execute(() -> {
+            pipeline(channel);
+            channel.config().setAutoRead(true);
+        }));
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    private final class Frames extends ChannelInboundHandlerAdapter {
+        private final java.util.Map<Http2FrameStream, Http2Headers> open = new java.util.HashMap<>();
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            if (message instanceof Http2HeadersFrame frame) {
+                open.put(frame.stream(), frame.headers());
+                if (frame.isEndStream()) {
+                    came(ctx, frame.stream());
+                }
+            } else if (message instanceof Http2DataFrame frame && frame.isEndStream()) {
+                came(ctx, frame.stream());
+            } else if (message instanceof Http2ResetFrame frame) {
+                resets.add(frame.stream().id());
+            }
+            ReferenceCountUtil.release(message);
+        }
+
+        private void came(ChannelHandlerContext ctx, Http2FrameStream stream) {
+            In in = new In(ctx, stream, open.remove(stream));
+            if (!in.headers.path().toString().startsWith(WorkerProtocol.CALL_PATH)) {
+                others.add(in);
+                in.head(AnswerCode.SERVED, CopyNote.NONE, true);
+            } else if (script == null) {
+                calls.add(in);
+            } else {
+                calls.add(in);
+                script.accept(in);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/java/wharfhinge/standin/Echo.java
@@ -0,0 +1,89 @@
+package wharfhinge.standin;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http2.Http2FrameCodecBuilder;
+import io.netty.handler.codec.http2.Http2MultiplexHandler;
+import io.netty.handler.codec.http2.Http2Settings;
+import io.netty.handler.codec.http2.Http2StreamFrameToHttpObjectCodec;
+import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
+import wharfhinge.protocol.AnswerCode;
+import wharfhinge.protocol.CopyNote;
+import wharfhinge.protocol.WorkerProtocol;
+
+/** Peers that cost as little as may be, for measurements; calls of the function {@code silent} get no answer. */
+public final class Echo {
+    private static final int MOST_BODY = 1 << 20;
+
+    private Echo() { }
+
+    /** Answers HTTP/1.1 calls with their body; tells the port. */
+    public static int plain(EventLoopGroup group) {
+        return Net.port(Net.listenHttp(group, 0, Answers::new));
+    }
+
+    /** A worker that answers at once; tells the port. */
+    public static int worker(EventLoopGroup group) {
+        return Net.port(Net.listen(group, group, 0, channel -> channel.pipeline().addLast(Http2FrameCodecBuilder
+            .forServer().initialSettings(Http2Settings.defaultSettings()).build(), new Http2MultiplexHandler(
+            new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel stream) {
+                    stream.pipeline().addLast(new Http2StreamFrameToHttpObjectCodec(true),
+                        new HttpObjectAggregator(MOST_BODY), new Answers());
+                }
+            }))));
+    }
+
+    /** Passes HTTP/1.1 calls on to one of the ports, drawn at random; tells its own. */
+    public static int passThrough(EventLoopGroup group, int[] ports) {
+        HttpCaller[] callers = new HttpCaller[ports.length];
+        for (int i = 0; i < ports.length; i++) {
+            callers[i] = new HttpCaller(group, ports[i]);
+        }
+        return Net.port(Net.listenHttp(group, 0, () -> new SimpleChannelInboundHandler<FullHttpRequest>() {
+            @Override
+            protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+                callers[ThreadLocalRandom.current().nextInt(ports.length)].call(request.method(), request.uri(), Map.of(),
+                    ByteBufUtil.getBytes(request.content()), new HttpCaller.Reply() {
+                        @Override
+                        public void answered(int status, HttpHeaders headers, byte[] body) {
+                            ctx.writeAndFlush(Net.response(status, body));
+                        }
+
+                        @Override
+                        public void broken(boolean wasSent) {
+                            ctx.close();
+                        }
+                    });
+            }
+        }));
+    }
+
+    private static final class Answers extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            if (request.uri().endsWith("/silent")) {
+                return;
+            }
+            FullHttpResponse response = Net.response(200, ByteBufUtil.getBytes(request.content()));
+            response.headers().set(WorkerProtocol.OUTCOME, AnswerCode.SERVED.word())
+                .set(WorkerProtocol.NOTE, CopyNote.FOUND.word()).set(WorkerProtocol.REPORT, "rif:1,x0:0.1");
+            ctx.writeAndFlush(response);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/stand-ins/src/test/java/wharfhinge/standin/judge/JudgeTest.java
@@ -0,0 +1,149 @@
+package wharfhinge.standin.judge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Traces written by hand, each with one thing wrong or none. */
+class JudgeTest {
+    private static final long MS = 1_000_000L;
+    private final List<String> trace = new ArrayList<>();
+
+    private void at(long ms, String word, Object... pairs) {
+        StringBuilder line = new StringBuilder().append(ms * MS).append('\t').append(word);
+        for (int i = 0; i < pairs.length; i += 2) {
+            line.append('\t').append(pairs[i]).append('=').append(pairs[i + 1]);
+        }
+        trace.add(line.toString());
+    }
+
+    private void offer(long ms, String call, String type) {
+        at(ms, "offer", "call", call, "gw", "g", "class", type, "fn", "f", "deadline_ms", 1000, "former", "-");
+        at(ms, "sent", "call", call, "gw", "g");
+    }
+
+    private void answer(long ms, String call, String kind) {
+        at(ms, "answer", "call", call, "gw", "g", "status", 200, "kind", kind, "own", true, "worker", "w");
+    }
+
+    private void ran(long ms, String call, int attempt) {
+        at(ms, "recv", "worker", "w", "call", call, "attempt", attempt, "gw", "g", "class", "x", "fn", "f", "work_us", 10_000);
+        at(ms, "run", "worker", "w", "call", call, "attempt", attempt);
+        at(ms + 10, "reply", "worker", "w", "call", call, "attempt", attempt, "code", "served");
+    }
+
+    private Set<Integer> broken() {
+        return Judge.judge(new Judge.Rules(16, 2000, 0.2, 8000, 2, 1000, 5000, 2, 0.5, 0, false,
+            Map.of("safe", "idempotent", "once", "at-most-once"), Map.of("safe", 600L, "once", 600L),
+            Map.of("x", 10.0)), trace)
+            .broken().keySet();
+    }
+
+    @Test
+    void aCleanDayKeepsAll() {
+        offer(0, "a", "once");
+        ran(5, "a", 0);
+        answer(20, "a", "served");
+        assertEquals(Set.of(), broken());
+    }
+
+    @Test
+    void noAnswerALateOneAndALostConnectionBreakRuleOne() {
+        offer(0, "a", "safe");
+        at(1200, "left", "call", "a", "gw", "g", "early", false);
+        assertEquals(Set.of(1), broken());
+        trace.clear();
+        offer(0, "a", "safe");
+        answer(1400, "a", "served");
+        assertEquals(Set.of(1), broken());
+        trace.clear();
+        offer(0, "a", "safe");
+        at(100, "broken", "call", "a", "gw", "g", "sent", true);
+        assertEquals(Set.of(1), broken());
+        at(100, "gw-down", "gw", "g");
+        assertEquals(Set.of(), broken(), "its gateway was killed");
+        trace.clear();
+        offer(0, "a", "safe");
+        at(300, "left", "call", "a", "gw", "g", "early", true);
+        assertEquals(Set.of(), broken(), "its client left by itself");
+    }
+
+    @Test
+    void aSendAfterTheAnswerBreaksRuleOne() {
+        offer(0, "a", "safe");
+        answer(20, "a", "refused");
+        ran(300, "a", 0);
+        assertEquals(Set.of(1), broken());
+    }
+
+    @Test
+    void aSecondRunAHarmlessWordAfterOneAndTwoAtOnceBreakRuleTwo() {
+        offer(0, "a", "once");
+        ran(5, "a", 0);
+        ran(200, "a", 1);
+        answer(400, "a", "served");
+        assertEquals(Set.of(2), broken());
+        trace.clear();
+        offer(0, "a", "once");
+        ran(5, "a", 0);
+        answer(20, "a", "refused");
+        assertEquals(Set.of(2), broken());
+        trace.clear();
+        offer(0, "a", "safe");
+        at(5, "recv", "worker", "w", "call", "a", "attempt", 0, "gw", "g", "work_us", 1);
+        ran(10, "a", 1);
+        answer(400, "a", "served");
+        assertEquals(Set.of(2), broken());
+    }
+
+    @Test
+    void callsAndOrdersAfterTheGraceBreakRuleThree() {
+        at(0, "told", "gw", "g", "worker", "w", "state", "DRAINING");
+        at(1900, "hold", "worker", "w", "fn", "f", "count", 1, "gw", "g");
+        at(2600, "hold", "worker", "w", "fn", "f", "count", 0, "gw", "g");
+        assertEquals(Set.of(), broken());
+        at(2700, "hold", "worker", "w", "fn", "f", "count", 1, "gw", "g");
+        assertEquals(Set.of(3), broken());
+        trace.clear();
+        at(0, "told", "gw", "g", "worker", "w", "state", "UP");
+        at(1, "list", "gw", "g", "rev", 2, "whole", true, "workers", "v");
+        offer(2500, "a", "safe");
+        ran(2510, "a", 0);
+        answer(2600, "a", "served");
+        assertEquals(Set.of(3), broken(), "missing from a whole list");
+    }
+
+    @Test
+    void aBurstAtAColdWorkerBreaksRuleFour() {
+        at(0, "start", "worker", "w", "boot", "b1", "cold", true, "cores", 2, "speed", 1.0);
+        for (int i = 0; i < 120; i++) {
+            offer(100 + i, "c" + i, "safe");
+            ran(100 + i, "c" + i, 0);
+            answer(200 + i, "c" + i, "served");
+        }
+        assertEquals(Set.of(), broken(), "nobody knew of its start");
+        at(50, "told", "gw", "g", "worker", "w", "state", "UP", "boot", "b1");
+        assertEquals(Set.of(4), broken());
+    }
+
+    @Test
+    void moreOrdersThanTheRationBreakRuleFiveAndAKilledGatewayBeginsAnew() {
+        offer(0, "a", "safe");
+        answer(20, "a", "refused");
+        for (int i = 0; i < 2; i++) {
+            at(1000 + i, "hold", "worker", "w", "fn", "f" + i, "count", 1, "gw", "g");
+        }
+        assertEquals(Set.of(), broken());
+        at(1010, "gw-down", "gw", "g");
+        at(1500, "gw-up", "gw", "g");
+        at(1600, "hold", "worker", "w", "fn", "f", "count", 1, "gw", "g");
+        assertEquals(Set.of(), broken());
+        at(1601, "hold", "worker", "w", "fn", "f", "count", 1, "gw", "g");
+        at(1602, "hold", "worker", "w", "fn", "f", "count", 1, "gw", "g");
+        assertEquals(Set.of(5), broken());
+    }
+}
