--- a/config/src/main/java/wharfhinge/config/GatewayConfig.java
+++ b/config/src/main/java/wharfhinge/config/GatewayConfig.java
@@ -19,7 +19,7 @@
  * @param peers    addresses of other gateways by their number; empty where they don't talk
  */
 public record GatewayConfig(String name, long seed, Settings settings, Clients clients, Workers workers,
-                            Roster roster, Map<Integer, String> peers, Log log) {
+                            Roster roster, Map<Integer, String> peers, ChainConfig chains, Log log) {
     private static final long MS = 1_000_000L;
     private static final int KB = 1024;
     private static final double ROUNDING = 1e-6;
@@ -73,6 +73,8 @@
         unique(x.classes.classes, c -> c.name, "class", faults);
         unique(x.workers.kinds, k -> k.name, "kind", faults);
         unique(x.tenants.tenants, t -> t.name, "tenant", faults);
+        unique(x.chains.chains, c -> c.name, "chain", faults);
+        ChainConfig.check(x, faults);
         unique(x.peers.peers, p -> String.valueOf(p.number), "peer", faults);
         double shares = x.tenants.tenants.stream().mapToDouble(t -> t.share).sum();
         if (!x.tenants.tenants.isEmpty() && Math.abs(shares - 1) > 0.001) {
@@ -130,7 +132,7 @@
                 w.maxConnections, w.maxAnswerKb * KB),
             new Roster(url.getHost(), url.getPort(), folder.resolve(x.roster.remembered), x.roster.silentAfterMs * MS,
                 x.roster.reconnectLeastMs * MS, x.roster.reconnectMostMs * MS),
-            peers, new Log(x.log.format.equals("json"), x.log.level, x.log.remarksPerS));
+            peers, ChainConfig.of(x, folder), new Log(x.log.format.equals("json"), x.log.level, x.log.remarksPerS));
     }
 
     private static Settings settings(SettingsXml x) {
--- a/config/src/main/java/wharfhinge/config/SettingsXml.java
+++ b/config/src/main/java/wharfhinge/config/SettingsXml.java
@@ -39,6 +39,8 @@
     @XmlElement
     Peers peers = new Peers();
     @XmlElement
+    Chains chains = new Chains();
+    @XmlElement
     Log log = new Log();
 
     @XmlAccessorType(XmlAccessType.FIELD)
@@ -300,4 +302,67 @@
         @XmlAttribute(name = "remarks-per-s")
         int remarksPerS = 20;
     }
+
+    @XmlAccessorType(XmlAccessType.FIELD)
+    static final class Chains {
+        @XmlElement(name = "chain")
+        List<Chain> chains = new ArrayList<>();
+        @XmlAttribute(name = "max-open")
+        int maxOpen = 2000;
+        @XmlAttribute(name = "max-steps")
+        int maxSteps = 4000;
+        @XmlAttribute(name = "tenant-share")
+        double tenantShare = 0.5;
+        @XmlAttribute(name = "max-held-mb")
+        int maxHeldMb = 64;
+        @XmlAttribute(name = "give-up-ms")
+        long giveUpMs = 2500;
+        @XmlAttribute(name = "early-refusal")
+        boolean earlyRefusal = true;
+        @XmlAttribute(name = "let-through")
+        int letThrough = 50;
+        @XmlAttribute(name = "load-ahead")
+        boolean loadAhead = true;
+        @XmlAttribute(name = "resume-window-ms")
+        long resumeWindowMs = 30_000;
+        @XmlAttribute(name = "resume-keys")
+        int resumeKeys = 1000;
+        @XmlAttribute(name = "resume-mb")
+        int resumeMb = 16;
+        @XmlAttribute(name = "resume-file")
+        String resumeFile = "";
+    }
+
+    @XmlAccessorType(XmlAccessType.FIELD)
+    static final class Chain {
+        @XmlAttribute(name = "name")
+        String name;
+        @XmlAttribute(name = "aim-ms")
+        long aimMs;
+        @XmlElement(name = "step")
+        List<ChainStep> steps = new ArrayList<>();
+    }
+
+    @XmlAccessorType(XmlAccessType.FIELD)
+    static final class ChainStep {
+        @XmlAttribute(name = "id")
+        String id;
+        @XmlAttribute(name = "function")
+        String function;
+        @XmlAttribute(name = "class")
+        String requestClass;
+        @XmlList
+        @XmlAttribute(name = "input")
+        List<String> input = new ArrayList<>(List.of("client"));
+        @XmlAttribute(name = "least-ms")
+        long leastMs;
+        @XmlAttribute(name = "memory-mb")
+        double memoryMb;
+        @XmlAttribute(name = "lanes")
+        int lanes;
+        @XmlAttribute(name = "load-ms")
+        double loadMs;
+        @XmlAttribute(name = "cost-us")
+        double costUs;
+    }
 }
--- a/config/src/test/java/wharfhinge/config/GatewayConfigTest.java
+++ b/config/src/test/java/wharfhinge/config/GatewayConfigTest.java
@@ -76,6 +76,22 @@
         assertTrue(refused(text).getMessage().contains("add up to 1.1, allowed: 1"));
     }
 
+    @Test
+    void namedChainsAreCheckedAtLoad() throws Exception {
+        String text = Files.readString(SAMPLES.resolve("loads-on-call.xml"));
+        String chain = "<chains><chain name=\"save\" aim-ms=\"600\"><step id=\"a\" function=\"f\" class=\"sync\" "
+            + "least-ms=\"200\"/><step id=\"b\" function=\"g\" class=\"sync\" input=\"client a\" least-ms=\"300\"/>"
+            + "</chain></chains><log";
+        Path file = folder.resolve("chains.xml");
+        Files.writeString(file, text.replace("<log", chain));
+        assertEquals(2, GatewayConfig.load(file).chains().named().get("save").steps().size());
+        assertTrue(refused(text.replace("<log", chain.replace("300", "500"))).getMessage().contains("add up to 700 ms"));
+        assertTrue(refused(text.replace("<log", chain.replace("client a", "b"))).getMessage().contains("a cycle"));
+        assertTrue(refused(text.replace("<log", chain.replace("client a", "x"))).getMessage().contains("found 'x'"));
+        assertTrue(refused(text.replace("<log", chain.replace("class=\"sync\"", "class=\"y\""))).getMessage()
+            .contains("found class y"));
+    }
+
     @Test
     void entitiesAndBrokenFilesAreRefused() throws IOException {
         String text = Files.readString(SAMPLES.resolve("loads-on-call.xml"));
--- /dev/null
+++ b/decisions/src/test/java/wharfhinge/decisions/chain/ChainPropertiesTest.java
@@ -0,0 +1,176 @@
+package wharfhinge.decisions.chain;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.constraints.IntRange;
+import wharfhinge.Dispatcher.Effect;
+import wharfhinge.decisions.chain.ChainDecisions.StepEnd;
+import wharfhinge.decisions.chain.ChainEnd.Kind;
+import wharfhinge.decisions.chain.ChainEnd.StepState;
+import wharfhinge.decisions.chain.ChainPlan.Step;
+
+/** Random graphs, times and failures over a simulated clock. */
+class ChainPropertiesTest {
+    private static final long MS = 1_000_000L;
+    private static final long RESERVE = 4 * MS;
+
+    private record Event(long at, long number, Runnable what) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event o) {
+            return at != o.at ? Long.compare(at, o.at) : Long.compare(number, o.number);
+        }
+    }
+
+    /** A world of calls that take random times, with the rules checked at every action. */
+    private static final class World implements ChainDecisions.Actions {
+        private final Random random;
+        private final PriorityQueue<Event> events = new PriorityQueue<>();
+        private final Map<Long, ChainPlan> plans = new HashMap<>();
+        private final Map<Long, Long> deadlines = new HashMap<>();
+        private final Map<Long, ChainEnd> ends = new HashMap<>();
+        private final Map<String, String> steps = new HashMap<>();
+        private final Map<String, Long> unsafeRuns = new HashMap<>();
+        private final ChainDecisions decisions;
+        private final int mostSteps;
+        private long now;
+        private long number;
+        private int out;
+
+        World(long seed, ChainSettings settings) {
+            random = new Random(seed);
+            mostSteps = settings.mostSteps();
+            decisions = new ChainDecisions(settings, this, f -> f.hashCode() % 2 == 0);
+        }
+
+        void at(long time, Runnable what) {
+            events.add(new Event(time, number++, what));
+        }
+
+        @Override
+        public void start(long chain, int step, long mayTakeNs) {
+            assertNull(ends.get(chain), "a step starts after the answer");
+            assertNull(steps.put(chain + "/" + step, "out"), "a step starts twice");
+            assertTrue(mayTakeNs > 0 && now + mayTakeNs <= deadlines.get(chain) - RESERVE,
+                "a step may take more than is left");
+            for (int need : plans.get(chain).needs(step)) {
+                assertEquals("served", steps.get(chain + "/" + need), "a step starts before what it needs");
+            }
+            assertTrue(++out <= mostSteps, "more steps out than allowed");
+            long took = (long) (random.nextDouble() * random.nextDouble() * 900 * MS);
+            boolean fails = random.nextInt(20) == 0;
+            boolean refused = !fails && random.nextInt(20) == 0;
+            at(now + Math.min(took, mayTakeNs), () -> {
+                if ("out".equals(steps.get(chain + "/" + step))) {
+                    out--;
+                    boolean late = took > mayTakeNs;
+                    steps.put(chain + "/" + step, late || fails ? "failed" : refused ? "refused" : "served");
+                    decisions.stepEnded(now, chain, step, late || fails ? StepEnd.FAILED
+                        : refused ? StepEnd.REFUSED : StepEnd.SERVED, took, took > 400 * MS);
+                }
+            });
+        }
+
+        @Override
+        public void cancel(long chain, int step) {
+            assertEquals("out", steps.put(chain + "/" + step, "cancelled"), "cancelled what is not out");
+            out--;
+        }
+
+        @Override
+        public void expect(long chain, int step) {
+            assertNull(steps.get(chain + "/" + step), "loaded ahead for a step that has begun");
+        }
+
+        @Override
+        public void end(long chain, ChainEnd end) {
+            assertNull(ends.put(chain, end), "two answers");
+            assertTrue(now <= deadlines.get(chain), "an answer after the deadline");
+            ChainPlan plan = plans.get(chain);
+            for (int i = 0; i < plan.size(); i++) {
+                String seen = steps.getOrDefault(chain + "/" + i, "none");
+                boolean exposed = !seen.equals("none") && !seen.equals("refused");
+                assertEquals(exposed, end.steps().get(i) == StepState.SERVED
+                    || end.steps().get(i) == StepState.MAY_HAVE_RUN, "a state that is not so: " + seen);
+                assertTrue(end.kind() != Kind.REFUSED || !exposed
+                    || plan.steps().get(i).effect() == Effect.IDEMPOTENT, "a refusal after an unsafe step");
+                assertTrue(end.kind() != Kind.SERVED || seen.equals("served"), "served without all steps");
+            }
+        }
+
+        void begin(long id) {
+            int n = 1 + random.nextInt(8);
+            List<Step> all = new ArrayList<>();
+            for (int i = 0; i < n; i++) {
+                List<String> needs = new ArrayList<>();
+                for (int k = 0; k < i; k++) {
+                    if (random.nextInt(3) == 0) {
+                        needs.add("s" + k);
+                    }
+                }
+                all.add(new Step("s" + i, "f" + random.nextInt(6), "c", random.nextInt(4) == 0 ? Effect.AT_MOST_ONCE
+                    : Effect.IDEMPOTENT, needs, random.nextInt(3) * 30 * MS, random.nextInt(2) * 500 * MS));
+            }
+            try {
+                plans.put(id, ChainPlan.of(all));
+            } catch (ChainPlan.InvalidPlanException e) {
+                throw new AssertionError(e);
+            }
+            long deadline = now + (50 + random.nextInt(2000)) * MS;
+            deadlines.put(id, deadline);
+            at(deadline - RESERVE / 2, () -> decisions.due(now, id));
+            if (random.nextInt(10) == 0) {
+                at(now + random.nextInt(500) * MS, () -> {
+                    if (!ends.containsKey(id)) {
+                        ends.put(id, new ChainEnd(Kind.FAILED, "left", List.of()));
+                        decisions.clientLeft(now, id);
+                    }
+                });
+            }
+            decisions.begin(now, id, plans.get(id), random.nextBoolean() ? "a" : "b", deadline, null);
+        }
+
+        void run() {
+            for (Event e = events.poll(); e != null; e = events.poll()) {
+                now = e.at();
+                e.what().run();
+            }
+        }
+    }
+
+    @Property(tries = 1000, seed = "7", shrinking = ShrinkingMode.OFF)
+    void oneAnswerInTimeAndNothingStartsAfterIt(@ForAll long seed, @ForAll @IntRange(min = 1, max = 40) int mostSteps,
+                                                @ForAll boolean early) {
+        World world = new World(seed, new ChainSettings(ChainSettings.Clock.ONE, early, 5, true, 30, mostSteps, 0.5,
+            1 << 20, RESERVE));
+        for (long id = 0; id < 60; id++) {
+            long chain = id;
+            world.at(id * 20 * MS, () -> world.begin(chain));
+        }
+        world.run();
+        assertEquals(60, world.ends.size(), "a chain without an answer");
+        assertEquals(0, world.decisions.open());
+        assertEquals(0, world.decisions.stepsOpen());
+        assertEquals(0, world.out);
+    }
+
+    @Property(tries = 300, seed = "7")
+    void theChanceNeverFallsWithMoreTime(@ForAll @IntRange(max = 1000) int low, @ForAll @IntRange(max = 1000) int more,
+                                         @ForAll @IntRange(max = 1000) int most, @ForAll @IntRange(max = 5000) int time) {
+        Spread spread = new Spread(low, low + more, low + more + most);
+        double chance = spread.within(time);
+        assertTrue(chance >= 0 && chance <= 1);
+        assertTrue(spread.within(time + 1) >= chance);
+        assertTrue(spread.then(new Spread(1, 2, 3)).within(time) <= chance + 1e-9);
+    }
+}
--- a/gateway/src/main/java/wharfhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/wharfhinge/gateway/Gateway.java
@@ -30,6 +30,7 @@
 import wharfhinge.gateway.loop.DecisionLoop;
 import wharfhinge.gateway.loop.DispatcherFactory;
 import wharfhinge.gateway.loop.PeerLink;
+import wharfhinge.gateway.loop.StepJournal;
 import wharfhinge.gateway.roster.FleetSource;
 import wharfhinge.gateway.roster.HttpRoster;
 import wharfhinge.gateway.roster.RememberedList;
@@ -46,6 +47,7 @@
     private final HttpWorkers workers;
     private final FleetSource source;
     private final RememberedList remembered;
+    private final StepJournal journal;
     private final DecisionLoop loop;
     private final Front front;
     private final Slf4jAnswerLog log;
@@ -77,8 +79,10 @@
         remembered = new RememberedList(config.roster().remembered(), System::currentTimeMillis);
         log = new Slf4jAnswerLog(config.log().remarksPerS());
         AtomicReference<PeerLink> link = new AtomicReference<>(PeerLink.NONE);
+        journal = config.chains().resumeFile() == null ? StepJournal.NONE : new MvStepJournal(
+            config.chains().resumeFile(), config.chains().resumeWindowNs(), System::currentTimeMillis);
         loop = new DecisionLoop(config, decisions, workers, source, (peer, payload) -> link.get().publish(peer, payload),
-            log, System::nanoTime);
+            journal, log, System::nanoTime);
         BiConsumer<Integer, byte[]> inbox = loop::inbox;
         Class<? extends DatagramChannel> datagrams = epoll ? EpollDatagramChannel.class : NioDatagramChannel.class;
         peers = config.peers().isEmpty() ? null
@@ -120,6 +124,7 @@
     /** What it counts. */
     public Map<String, Long> figures() {
         Map<String, Long> figures = new LinkedHashMap<>(loop.stats().figures());
+        figures.putAll(loop.chainFigures());
         figures.put("open_calls", (long) loop.open());
         figures.put("connections", (long) front.connections());
         figures.put("connections_turned_away", front.turnedAway());
@@ -153,6 +158,7 @@
         }
         source.close();
         remembered.close();
+        journal.close();
         workers.close();
         if (peers != null) {
             peers.close();
--- a/gateway/src/main/java/wharfhinge/gateway/front/CallHandler.java
+++ b/gateway/src/main/java/wharfhinge/gateway/front/CallHandler.java
@@ -1,5 +1,6 @@
 package wharfhinge.gateway.front;
 
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -22,6 +23,7 @@
 import java.util.List;
 import java.util.Map;
 import wharfhinge.Dispatcher.RequestClass;
+import wharfhinge.gateway.loop.ChainCall;
 import wharfhinge.gateway.loop.ClientCall;
 import wharfhinge.gateway.loop.DecisionLoop;
 import wharfhinge.gateway.loop.Responder;
@@ -39,12 +41,14 @@
     private static final long MS = 1_000_000L;
 
     /** What all handlers of a gateway share. */
-    record Shared(DecisionLoop loop, Map<String, RequestClass> classes, RequestClass only, StatusPage status) { }
+    record Shared(DecisionLoop loop, Map<String, RequestClass> classes, RequestClass only, ChainJson chains,
+                  StatusPage status) { }
 
     private final Shared shared;
     private final boolean http2;
     private final ArrayDeque<FullHttpRequest> next = new ArrayDeque<>(2);
     private ClientCall open;
+    private ChainCall openChain;
     private boolean closing;
 
     CallHandler(Shared shared, boolean http2) {
@@ -55,7 +59,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-        if (open == null && next.isEmpty()) {
+        if (free() && next.isEmpty()) {
             take(ctx, request);
         } else if (next.size() < PIPELINED) {
             next.add(request);
@@ -65,6 +69,10 @@
         }
     }
 
+    private boolean free() {
+        return open == null && openChain == null;
+    }
+
     private void take(ChannelHandlerContext ctx, FullHttpRequest request) {
         DecoderResult decoded = request.decoderResult();
         if (decoded.isFailure()) {
@@ -78,14 +86,19 @@
             call(ctx, request, path);
             return;
         }
+        boolean chain = path.equals(ClientProtocol.CHAIN_PATH);
+        if (chain && request.method().equals(HttpMethod.POST)) {
+            chain(ctx, request);
+            return;
+        }
         if (path.equals(ClientProtocol.STATUS_PATH) && request.method().equals(HttpMethod.GET)) {
             reply(ctx, HttpResponseStatus.OK, shared.status.text(), true);
-        } else if (call || path.equals(ClientProtocol.STATUS_PATH)) {
+        } else if (call || chain || path.equals(ClientProtocol.STATUS_PATH)) {
             reply(ctx, HttpResponseStatus.METHOD_NOT_ALLOWED, "method: found '" + request.method() + "', allowed: "
-                + (call ? "POST" : "GET"), true);
+                + (call || chain ? "POST" : "GET"), true);
         } else {
             reply(ctx, HttpResponseStatus.NOT_FOUND, "path: found nothing there, allowed: " + ClientProtocol.CALL_PATH
-                + "{function}, " + ClientProtocol.STATUS_PATH, true);
+                + "{function}, " + ClientProtocol.CHAIN_PATH + ", " + ClientProtocol.STATUS_PATH, true);
         }
         request.release();
     }
@@ -112,15 +125,40 @@
             request.headers().get(HttpHeaderNames.CONTENT_TYPE), responder);
         DecisionLoop.Taken taken = shared.loop.offer(open);
         if (taken != DecisionLoop.Taken.TAKEN) {
-            closing |= taken == DecisionLoop.Taken.CLOSING;
             request.release();
-            responder.ended(FinalAnswer.REFUSED, 0, new Responder.Facts(null, List.of(
-                "not-taken:" + taken.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-')), 0));
+            notTaken(responder, taken);
+        }
+    }
+
+    private void chain(ChannelHandlerContext ctx, FullHttpRequest request) {
+        byte[] body = ByteBufUtil.getBytes(request.content());
+        request.release();
+        HttpResponder responder = new HttpResponder(ctx, () -> answered(ctx), () -> closing && !http2);
+        ChainCall[] self = new ChainCall[1];
+        try {
+            self[0] = shared.chains.read(body, "x" + Long.toString(System.nanoTime(), Character.MAX_RADIX),
+                System.nanoTime(), (end, answers) -> responder.chainEnded(end,
+                    ChainJson.write(self[0].plan(), end, answers)));
+        } catch (ChainJson.BadChainException e) {
+            reply(ctx, HttpResponseStatus.BAD_REQUEST, e.getMessage(), true);
+            return;
+        }
+        openChain = self[0];
+        DecisionLoop.Taken taken = shared.loop.offer(openChain);
+        if (taken != DecisionLoop.Taken.TAKEN) {
+            notTaken(responder, taken);
         }
     }
 
+    private void notTaken(Responder responder, DecisionLoop.Taken taken) {
+        closing |= taken == DecisionLoop.Taken.CLOSING;
+        responder.ended(FinalAnswer.REFUSED, 0, new Responder.Facts(null, List.of(
+            "not-taken:" + taken.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-')), 0, false));
+    }
+
     private void answered(ChannelHandlerContext ctx) {
         open = null;
+        openChain = null;
         FullHttpRequest waiting = next.poll();
         if (waiting != null) {
             take(ctx, waiting);
@@ -130,7 +168,7 @@
     /** The connection is to end: at once where nothing is open, else after the answer. */
     void finish(ChannelHandlerContext ctx) {
         closing = true;
-        if (open == null && !http2) {
+        if (free() && !http2) {
             ctx.close();
         }
     }
@@ -160,7 +198,7 @@
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
         if (event instanceof IdleStateEvent) {
-            if (open == null) {
+            if (free()) {
                 ctx.close();
             }
         } else if (event == Finish.NOW) {
@@ -176,6 +214,10 @@
             shared.loop.clientLeft(open);
             open = null;
         }
+        if (openChain != null) {
+            shared.loop.clientLeft(openChain);
+            openChain = null;
+        }
         next.forEach(ReferenceCountUtil::release);
         next.clear();
         super.channelInactive(ctx);
--- /dev/null
+++ b/gateway/src/main/java/wharfhinge/gateway/front/ChainJson.java
@@ -0,0 +1,211 @@
+package wharfhinge.gateway.front;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.networknt.schema.JsonSchema;
+import com.networknt.schema.JsonSchemaFactory;
+import com.networknt.schema.SpecVersion;
+import com.networknt.schema.ValidationMessage;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import wharfhinge.Dispatcher.RequestClass;
+import wharfhinge.config.ChainConfig;
+import wharfhinge.decisions.chain.ChainEnd;
+import wharfhinge.decisions.chain.ChainPlan;
+import wharfhinge.decisions.chain.ChainPlan.InvalidPlanException;
+import wharfhinge.gateway.loop.ChainCall;
+import wharfhinge.gateway.loop.ChainCall.StepAnswer;
+import wharfhinge.protocol.CallHead;
+
+/** Reads chains and writes their answers; chain.schema.json has the form. Used by any thread. */
+final class ChainJson {
+    private static final long MS = 1_000_000L;
+    private static final int MOST_NESTING = 16;
+    private static final ObjectMapper MAPPER = JsonMapper.builder(com.fasterxml.jackson.core.JsonFactory.builder()
+        .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(MOST_NESTING).build()).build())
+        .enable(com.fasterxml.jackson.databind.DeserializationFeature.FAIL_ON_READING_DUP_TREE_KEY)
+        .enable(com.fasterxml.jackson.databind.DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
+    private static final JsonSchema SCHEMA = JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012)
+        .getSchema(ChainJson.class.getResourceAsStream("chain.schema.json"));
+
+    private final Map<String, RequestClass> classes;
+    private final RequestClass only;
+    private final ChainConfig config;
+
+    ChainJson(Map<String, RequestClass> classes, RequestClass only, ChainConfig config) {
+        this.classes = classes;
+        this.only = only;
+        this.config = config;
+    }
+
+    /** A chain that is not one; the message has a line for each thing that is wrong, with its place. */
+    static final class BadChainException extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        BadChainException(String message) {
+            super(message);
+        }
+    }
+
+    /** Reads a chain. */
+    ChainCall read(byte[] body, String gatewayId, long receivedAt, ChainCall.Listener listener)
+        throws BadChainException {
+        JsonNode root;
+        try {
+            root = MAPPER.readTree(body);
+        } catch (JsonProcessingException e) {
+            throw new BadChainException("body, line " + (e.getLocation() == null ? 0 : e.getLocation().getLineNr())
+                + ": " + e.getOriginalMessage());
+        } catch (IOException e) {
+            throw new BadChainException("body: " + e.getMessage());
+        }
+        Set<ValidationMessage> faults = SCHEMA.validate(root);
+        if (!faults.isEmpty()) {
+            throw new BadChainException(faults.stream().map(f -> f.getInstanceLocation() + ": "
+                + f.getMessage().replaceFirst("^[^:]*: ", "")).sorted().collect(Collectors.joining("\n")));
+        }
+        String tenant = text(root, "tenant", null);
+        String id = text(root, "id", gatewayId);
+        List<CallHead> heads = new ArrayList<>();
+        List<List<String>> inputs = new ArrayList<>();
+        List<ChainPlan.Step> steps = new ArrayList<>();
+        long deadline = root.path("deadline_ms").asLong(0) * MS;
+        if (root.has("chain")) {
+            ChainConfig.Named named = config.named().get(root.get("chain").asText());
+            if (named == null) {
+                throw new BadChainException("$.chain: found '" + root.get("chain").asText() + "', allowed: one of "
+                    + config.named().keySet());
+            }
+            deadline = deadline == 0 ? named.aimNs() : deadline;
+            for (ChainConfig.NamedStep s : named.steps()) {
+                add(heads, inputs, steps, new CallHead(s.function(), id + '.' + s.id(), s.requestClass(), tenant, 0,
+                    s.costUs(), s.memoryMb(), s.lanes(), s.loadMs(), false, false), s.id(), s.input());
+            }
+        } else {
+            int i = 0;
+            for (JsonNode s : root.get("steps")) {
+                String type = text(s, "class", only == null ? null : only.name());
+                List<String> input = new ArrayList<>();
+                s.path("input").forEach(name -> input.add(name.asText()));
+                if (!classes.containsKey(type) || classes.get(type).stream()) {
+                    throw new BadChainException("$.steps[" + i + "].class: found "
+                        + (type == null ? "nothing" : "'" + type + "'") + ", allowed: one of " + classes.keySet()
+                        + " that does not stream");
+                }
+                add(heads, inputs, steps, new CallHead(s.get("function").asText(), id + '.' + s.get("id").asText(), type,
+                    tenant, 0, s.path("cost_us").asLong(0), s.path("memory_mb").asDouble(0), s.path("lanes").asInt(0),
+                    s.path("load_ms").asDouble(0), false, s.path("write").asBoolean(false)), s.get("id").asText(),
+                    input.isEmpty() ? List.of(ChainCall.CLIENT) : input);
+                i++;
+            }
+        }
+        try {
+            return new ChainCall(ChainPlan.of(steps), heads, inputs, text(root, "input", "")
+                .getBytes(StandardCharsets.UTF_8), id, tenant, text(root, "key", null), digest(heads, inputs, root),
+                deadline == 0 ? config.giveUpNs() : Math.min(deadline, config.giveUpNs()), receivedAt, ChainJson::join,
+                listener);
+        } catch (InvalidPlanException e) {
+            throw new BadChainException("$." + e.getMessage());
+        }
+    }
+
+    private void add(List<CallHead> heads, List<List<String>> inputs, List<ChainPlan.Step> steps, CallHead head, String id,
+                     List<String> input) {
+        heads.add(head);
+        inputs.add(List.copyOf(input));
+        steps.add(new ChainPlan.Step(id, head.function(), head.requestClass(), classes.get(head.requestClass()).effect(),
+            input.stream().filter(name -> !name.equals(ChainCall.CLIENT)).toList(), head.costUs() * 1000,
+            (long) (head.loadMs() * MS)));
+    }
+
+    private static String text(JsonNode node, String name, String otherwise) {
+        return node.has(name) ? node.get(name).asText() : otherwise;
+    }
+
+    /** Names what a key stands for: functions, classes, graph and input, not ids or deadlines, which a retry changes. */
+    private static String digest(List<CallHead> heads, List<List<String>> inputs, JsonNode root) {
+        try {
+            MessageDigest sha = MessageDigest.getInstance("SHA-256");
+            for (int i = 0; i < heads.size(); i++) {
+                CallHead h = heads.get(i);
+                String step = h.id().substring(h.id().indexOf('.')) + '\n' + h.function() + '\n' + h.requestClass() + '\n'
+                    + inputs.get(i) + '\n';
+                sha.update(step.getBytes(StandardCharsets.UTF_8));
+            }
+            sha.update(text(root, "input", "").getBytes(StandardCharsets.UTF_8));
+            return HexFormat.of().formatHex(sha.digest(), 0, 16);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e); // every JDK has it
+        }
+    }
+
+    /** Several parts become one JSON object, by their names. */
+    static byte[] join(List<String> names, List<byte[]> parts) {
+        ObjectNode object = MAPPER.createObjectNode();
+        for (int i = 0; i < names.size(); i++) {
+            put(object, names.get(i), parts.get(i));
+        }
+        try {
+            return MAPPER.writeValueAsBytes(object);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException(e); // a tree of texts can be written
+        }
+    }
+
+    /** Text as it is; bytes that are none in Base64, under a name that says so. */
+    private static void put(ObjectNode object, String name, byte[] bytes) {
+        try {
+            object.put(name, StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString());
+        } catch (CharacterCodingException e) {
+            object.put(name + "_base64", Base64.getEncoder().encodeToString(bytes));
+        }
+    }
+
+    /** Writes an answer; outputs are those of the steps that no other waits for. */
+    static byte[] write(ChainPlan plan, ChainEnd end, List<StepAnswer> answers) {
+        ObjectNode root = MAPPER.createObjectNode();
+        root.put("answer", end.kind().name().toLowerCase(Locale.ROOT));
+        root.put("reason", end.reason());
+        ArrayNode steps = root.putArray("steps");
+        for (int i = 0; i < end.steps().size(); i++) {
+            ObjectNode step = steps.addObject();
+            String id = plan.steps().get(i).id();
+            step.put("id", id);
+            step.put("state", end.steps().get(i).name().toLowerCase(Locale.ROOT).replace('_', '-'));
+            StepAnswer answer = answers.get(i);
+            if (answer != null && answer.worker() != null) {
+                step.put("worker", answer.worker());
+                step.put("took_ms", Math.round(answer.tookNs() / 1e4) / 100.0);
+                step.put("loaded", answer.loaded());
+            } else if (answer != null) {
+                step.put("resumed", true);
+            }
+            boolean last = plan.steps().stream().noneMatch(s -> s.needs().contains(id));
+            if (answer != null && last) {
+                put(step, "output", answer.body());
+            }
+        }
+        try {
+            return MAPPER.writeValueAsBytes(root);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- a/gateway/src/main/java/wharfhinge/gateway/front/Front.java
+++ b/gateway/src/main/java/wharfhinge/gateway/front/Front.java
@@ -50,7 +50,8 @@
         List<RequestClass> classes = config.settings().classes();
         Map<String, RequestClass> byName = new LinkedHashMap<>();
         classes.forEach(c -> byName.put(c.name(), c));
-        this.shared = new CallHandler.Shared(loop, byName, classes.size() == 1 ? classes.get(0) : null, status);
+        RequestClass only = classes.size() == 1 ? classes.get(0) : null;
+        this.shared = new CallHandler.Shared(loop, byName, only, new ChainJson(byName, only, config.chains()), status);
     }
 
     /** Begins to listen; the address tells the port where any was asked for. */
--- a/gateway/src/main/java/wharfhinge/gateway/front/HttpResponder.java
+++ b/gateway/src/main/java/wharfhinge/gateway/front/HttpResponder.java
@@ -16,7 +16,9 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.function.BooleanSupplier;
+import wharfhinge.decisions.chain.ChainEnd;
 import wharfhinge.gateway.loop.Responder;
 import wharfhinge.gateway.loop.WorkerSide;
 import wharfhinge.protocol.ClientProtocol;
@@ -63,6 +65,23 @@
         });
     }
 
+    /** Ends a chain; the body tells of its steps. */
+    void chainEnded(ChainEnd end, byte[] body) {
+        ctx.executor().execute(() -> {
+            FinalAnswer answer = switch (end.kind()) {
+                case SERVED -> FinalAnswer.SERVED;
+                case REFUSED -> FinalAnswer.REFUSED;
+                case FAILED -> FinalAnswer.FAILED;
+            };
+            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(answer.status()), Unpooled.wrappedBuffer(body));
+            head(response.headers(), answer, HttpHeaderValues.APPLICATION_JSON, new Facts(null,
+                end.reason().isEmpty() ? List.of() : List.of(end.reason()), (int) end.steps().stream()
+                .filter(s -> s != ChainEnd.StepState.NOT_STARTED).count(), false));
+            write(response);
+        });
+    }
+
     private void head(HttpHeaders headers, FinalAnswer answer, CharSequence contentType, Facts facts) {
         headers.set(ClientProtocol.ANSWER, answer.word()).setInt(ClientProtocol.ATTEMPTS, facts.attempts());
         if (last.getAsBoolean()) {
--- /dev/null
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/ChainCall.java
@@ -0,0 +1,41 @@
+package wharfhinge.gateway.loop;
+
+import java.util.List;
+import wharfhinge.decisions.chain.ChainEnd;
+import wharfhinge.decisions.chain.ChainPlan;
+import wharfhinge.protocol.CallHead;
+
+/**
+ * A chain as the clients' side hands it over.
+ *
+ * @param heads      of each step, in the plan's order
+ * @param inputs     for each step the names that its input is made of: {@link #CLIENT} or ids of steps
+ * @param input      what the client sent
+ * @param key        under which finished steps are kept for a retry, or null
+ * @param digest     names the chain's text; a key is good for one text only
+ * @param deadlineNs how long the client waits, counted from {@code receivedAt}
+ * @param receivedAt {@link System#nanoTime} when its last byte came
+ */
+public record ChainCall(ChainPlan plan, List<CallHead> heads, List<List<String>> inputs, byte[] input, String id,
+                        String tenant, String key, String digest, long deadlineNs, long receivedAt, Joiner joiner,
+                        Listener listener) {
+    /** The client's input among a step's. */
+    public static final String CLIENT = "client";
+
+    /** Makes one input of several, by their names. */
+    @FunctionalInterface
+    public interface Joiner {
+        /** Both lists are of the same length. */
+        byte[] join(List<String> names, List<byte[]> parts);
+    }
+
+    /** What became of one step; {@code body} is null unless it was served. */
+    public record StepAnswer(String worker, long tookNs, boolean loaded, byte[] body, String contentType) { }
+
+    /** Told the chain's final answer, once, by the loop's thread. */
+    @FunctionalInterface
+    public interface Listener {
+        /** {@code answers} has null where a step was not served in this try or one before. */
+        void ended(ChainEnd end, List<StepAnswer> answers);
+    }
+}
--- a/gateway/src/main/java/wharfhinge/gateway/loop/DecisionLoop.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/DecisionLoop.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 import wharfhinge.Dispatcher;
 import wharfhinge.Dispatcher.Completion;
 import wharfhinge.Dispatcher.ListMode;
@@ -75,6 +76,7 @@
         }
     };
     private final Fleet fleet = new Fleet();
+    private final ChainRunner chains;
     private Dispatcher dispatcher;
     private long now;
     private long timerNumber;
@@ -86,7 +88,7 @@
 
     /** A loop that begins once a thread runs it. */
     public DecisionLoop(GatewayConfig config, DispatcherFactory factory, WorkerSide workers, FleetSource source,
-                        PeerLink peers, AnswerLog log, LongSupplier nanoTime) {
+                        PeerLink peers, StepJournal journal, AnswerLog log, LongSupplier nanoTime) {
         this.config = config;
         this.factory = factory;
         this.workers = workers;
@@ -95,6 +97,8 @@
         this.log = log;
         this.nanoTime = nanoTime;
         this.clock = new LoopClock(nanoTime);
+        this.chains = new ChainRunner(new StepCalls(), config.chains(), config.settings().realms().stream()
+            .map(Dispatcher.Realm::name).collect(Collectors.toSet()), journal);
     }
 
     /** What the loop counts. */
@@ -111,6 +115,31 @@
 
     /** Hands a call over; unless it is taken, nothing is owed for it and its body stays the caller's. */
     public Taken offer(ClientCall call) {
+        return offer("query", () -> {
+            waitingCalls.decrementAndGet();
+            query(call);
+        });
+    }
+
+    /** Hands a chain over; unless it is taken, nothing is owed for it. It counts as one open call beside its steps. */
+    public Taken offer(ChainCall chain) {
+        return offer("chain", () -> {
+            waitingCalls.decrementAndGet();
+            chains.begin(chain);
+        });
+    }
+
+    /** The client of a chain that was taken went away. */
+    public void clientLeft(ChainCall chain) {
+        tell("chainLeft", () -> chains.clientLeft(chain));
+    }
+
+    /** What is counted of chains. */
+    public Map<String, Long> chainFigures() {
+        return chains.figures();
+    }
+
+    private Taken offer(String name, Runnable what) {
         if (closing) {
             stats.add(Count.TURNED_AWAY_CLOSING);
             return Taken.CLOSING;
@@ -126,21 +155,28 @@
             stats.add(Count.TURNED_AWAY_HAND_OVER);
             return Taken.HAND_OVER_FULL;
         }
-        tell("query", () -> query(call));
+        tell(name, what);
         return Taken.TAKEN;
     }
 
     /** The client of a call that was taken went away. */
     public void clientLeft(ClientCall call) {
-        tell("clientLeft", () -> {
-            OpenCall c = byClient.get(call);
-            if (c != null && !c.answered) {
-                answered(c, Count.LEFT, "left", null);
-                c.attempts.stream().filter(a -> a.stream != null && !a.ended).forEach(a -> end(a, Outcome.CANCELLED));
-                dispatcher.clientLeft(now, c.id);
-                forget(c);
+        tell("clientLeft", () -> left(call, false));
+    }
+
+    private void left(ClientCall call, boolean cancelAll) {
+        OpenCall c = byClient.get(call);
+        if (c == null || c.answered) {
+            return;
+        }
+        answered(c, Count.LEFT, "left", null);
+        dispatcher.clientLeft(now, c.id);
+        for (LiveAttempt a : List.copyOf(c.attempts)) {
+            if (!a.ended && (cancelAll || a.stream != null)) {
+                end(a, Outcome.CANCELLED);
             }
-        });
+        }
+        forget(c);
     }
 
     /** News of the fleet. */
@@ -161,7 +197,7 @@
     public CompletableFuture<Integer> close(long withinNs) {
         closing = true;
         tell("close", () -> {
-            timer(withinNs, "close", () -> stop(endAll("closing", true)));
+            timer(withinNs, "close", () -> stop(endEverything("closing")));
             stopIfEmpty();
         });
         return closed;
@@ -176,6 +212,7 @@
     @Override
     public void run() {
         now = clock.now();
+        chains.restore();
         guarded("begin", this::begin);
         try {
             while (!stopped) {
@@ -191,7 +228,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } finally {
-            closed.complete(endAll("stopped", true));
+            closed.complete(endEverything("stopped"));
         }
     }
 
@@ -225,7 +262,7 @@
     private void restart(String name, Throwable cause) {
         life++;
         stats.add(Count.RESTARTS);
-        timers.removeIf(timer -> !timer.name().equals("close"));
+        timers.removeIf(timer -> !timer.name().equals("close") && !timer.name().equals("chain"));
         int ended = endAll("decisions-restarted", false);
         log.restarted(name, cause, ended);
         try {
@@ -253,7 +290,7 @@
             if (!c.answered) {
                 ended++;
                 FinalAnswer answer = c.attempts.isEmpty() ? FinalAnswer.REFUSED : FinalAnswer.FAILED;
-                c.call.responder().ended(answer, 0, c.facts(null, why));
+                c.call.responder().ended(answer, 0, c.facts(null, why, false));
                 answered(c, answer == FinalAnswer.REFUSED ? Count.REFUSED : Count.FAILED, answer.word(), why);
             }
         }
@@ -263,6 +300,12 @@
         return ended;
     }
 
+    /** Chains first: their steps' answers would come too late to be told. */
+    private int endEverything(String why) {
+        chains.endAll();
+        return endAll(why, true);
+    }
+
     private void stop(int ended) {
         stopped = true;
         closed.complete(ended);
@@ -281,7 +324,6 @@
     // ---- Events -----------------------------------------------------------------------------
 
     private void query(ClientCall call) {
-        waitingCalls.decrementAndGet();
         stats.add(Count.TAKEN);
         long deadline = clock.at(call.receivedAt()) + call.deadlineNs();
         OpenCall c = new OpenCall(Long.toString(callNumber++, Character.MAX_RADIX), call, now, deadline);
@@ -323,7 +365,7 @@
             return;
         }
         if (result.outcome() == Outcome.SERVED && !c.answered) {
-            c.call.responder().served(result.body(), result.contentType(), c.facts(a.worker, ""));
+            c.call.responder().served(result.body(), result.contentType(), c.facts(a.worker, "", loaded(result)));
             answered(c, Count.SERVED, "served", null);
         } else {
             if (c.answered && result.outcome() == Outcome.SERVED) {
@@ -334,6 +376,10 @@
         completed(a, result);
     }
 
+    private static boolean loaded(Result result) {
+        return result.note() == Note.BEGAN_LOAD || result.note() == Note.WAITED_FOR_LOAD;
+    }
+
     private void completed(LiveAttempt a, Result result) {
         dispatcher.completed(now, new Completion(a.call.id, result.outcome(), a.index, result.tookNs(), a.worker,
             result.note(), result.company(), a.call.answered, result.report()));
@@ -362,7 +408,7 @@
         a.stream = stream;
         a.how = "streams";
         stats.add(Count.STREAMS);
-        c.call.responder().streams(stream, c.facts(a.worker, ""));
+        c.call.responder().streams(stream, c.facts(a.worker, "", false));
         answered(c, Count.SERVED, "served", null);
         dispatcher.established(now, c.id, a.index, a.worker);
     }
@@ -387,6 +433,60 @@
         }
     }
 
+    // ---- Steps of chains --------------------------------------------------------------------
+
+    /** What chains need of the loop; a step is a call like any other, and counts as open. */
+    private final class StepCalls implements ChainRunner.Calls {
+        @Override
+        public long now() {
+            return now;
+        }
+
+        @Override
+        public long nanos(long at) {
+            return clock.nanos(at);
+        }
+
+        @Override
+        public void begin(ClientCall step) {
+            openCalls.incrementAndGet();
+            query(step);
+        }
+
+        @Override
+        public void cancel(ClientCall step) {
+            left(step, config.settings().limits().cancelling());
+        }
+
+        @Override
+        public void expect(Request request) {
+            functions.put(request.function(), new WorkerSide.Function(request.function(), request.memoryMb(),
+                request.lanes(), request.loadMs()));
+            dispatcher.expected(now, request);
+        }
+
+        @Override
+        public boolean believedWarm(String function) {
+            return dispatcher.believedWarm(now, function);
+        }
+
+        @Override
+        public void later(long delayNs, Runnable what) {
+            timer(delayNs, "chain", what);
+        }
+
+        @Override
+        public void tell(String name, Runnable what) {
+            DecisionLoop.this.tell(name, what);
+        }
+
+        @Override
+        public void chainOver() {
+            openCalls.decrementAndGet();
+            stopIfEmpty();
+        }
+    }
+
     // ---- Actions ----------------------------------------------------------------------------
 
     /** What one life's dispatcher asks for; asked by a former life, nothing happens. */
@@ -468,7 +568,7 @@
         private void finalAnswer(String request, FinalAnswer answer, long coolDownNs, Count as) {
             OpenCall c = calls.get(request);
             if (c != null && !c.answered) {
-                c.call.responder().ended(answer, coolDownNs, c.facts(null, "not-sent"));
+                c.call.responder().ended(answer, coolDownNs, c.facts(null, "not-sent", false));
                 answered(c, as, answer.word(), "not-sent");
                 forget(c);
             }
--- a/gateway/src/main/java/wharfhinge/gateway/loop/LoopClock.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/LoopClock.java
@@ -27,4 +27,9 @@
     long at(long nanos) {
         return nanos - base;
     }
+
+    /** The reading of {@link System#nanoTime} at a time of this clock. */
+    long nanos(long at) {
+        return at + base;
+    }
 }
--- a/gateway/src/main/java/wharfhinge/gateway/loop/OpenCall.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/OpenCall.java
@@ -31,12 +31,12 @@
         return attempts.stream().anyMatch(a -> a.stream != null && !a.ended);
     }
 
-    Facts facts(String worker, String otherwise) {
+    Facts facts(String worker, String otherwise, boolean loaded) {
         List<String> trail = new ArrayList<>(attempts.size());
         for (LiveAttempt a : attempts) {
             trail.add(a.worker + ':' + (a.how == null ? "open" : a.how));
         }
-        return new Facts(worker, trail.isEmpty() ? List.of(otherwise) : trail, attempts.size());
+        return new Facts(worker, trail.isEmpty() ? List.of(otherwise) : trail, attempts.size(), loaded);
     }
 
     List<String> trail() {
--- /dev/null
+++ b/gateway/src/test/java/wharfhinge/gateway/ChainSocketTest.java
@@ -0,0 +1,245 @@
+package wharfhinge.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static wharfhinge.gateway.Rig.answer;
+import static wharfhinge.gateway.Rig.get;
+import static wharfhinge.protocol.AnswerCode.FULL;
+import static wharfhinge.protocol.AnswerCode.SERVED;
+import static wharfhinge.protocol.CopyNote.BEGAN;
+import static wharfhinge.protocol.CopyNote.FOUND;
+import static wharfhinge.protocol.CopyNote.NONE;
+
+import java.net.Socket;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import wharfhinge.gateway.loop.DispatcherFactory;
+
+/** Chains over real sockets, and what goes wrong with them. */
+@Timeout(60)
+class ChainSocketTest {
+    private static final String KEEP = "<chains resume-file=\"steps\"><chain name=\"save\" aim-ms=\"900\"><step id=\"a\" "
+        + "function=\"f\" class=\"safe\"/><step id=\"b\" function=\"g\" class=\"safe\" input=\"a client\"/></chain></chains>";
+    @TempDir
+    private Path folder;
+    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private ScriptedPeer worker;
+    private Rig rig;
+
+    @BeforeEach
+    void begin() throws Exception {
+        worker = new ScriptedPeer(null);
+        rig = new Rig(folder, "", "/>" + KEEP + "<log level=\"info\"", DispatcherFactory.CHOICE);
+        rig.list(worker.id());
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        rig.close();
+        worker.close();
+    }
+
+    private CompletableFuture<HttpResponse<String>> chain(Rig at, String json) {
+        return client.sendAsync(HttpRequest.newBuilder(at.uri("/v1/chain")).POST(HttpRequest.BodyPublishers
+            .ofString(json.replace('\'', '"'))).build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    private static String steps(String head, String... steps) {
+        return "{" + head + ",'input':'in','steps':[" + String.join(",", steps) + "]}";
+    }
+
+    private static String step(String id, String type, String input, int loadMs) {
+        return "{'id':'" + id + "','function':'f-" + id + "','class':'" + type + "','input':[" + input + "],'load_ms':" + loadMs
+            + ",'cost_us':20000}";
+    }
+
+    private static final String A = step("a", "safe", "'client'", 0);
+    private static final String B = step("b", "safe", "'a','client'", 0);
+
+    @Test
+    void stepsRunInOrderAndTheirAnswersFlowOn() throws Exception {
+        CompletableFuture<HttpResponse<String>> call = chain(rig, steps("'id':'c1','deadline_ms':2000", A, B));
+        ScriptedPeer.In a = worker.next();
+        assertEquals("/call/f-a", a.headers.path().toString());
+        assertEquals("c1.a", a.headers.get("wh-call").toString());
+        a.answer(SERVED, FOUND, "from a");
+        ScriptedPeer.In b = worker.next();
+        int left = Integer.parseInt(b.headers.get("wh-deadline-ms").toString());
+        assertTrue(left < 2000, "one deadline for both");
+        b.answer(SERVED, FOUND, "done");
+        HttpResponse<String> response = get(call);
+        assertEquals(200, response.statusCode());
+        assertTrue(response.body().contains("\"output\":\"done\""), response.body());
+        assertTrue(!response.body().contains("from a"), "only the last steps' answers go out");
+    }
+
+    @Test
+    void aNamedChainRunsAsItIsSet() throws Exception {
+        CompletableFuture<HttpResponse<String>> call = chain(rig, "{'chain':'save','input':'x'}");
+        worker.next().answer(SERVED, FOUND, "1");
+        worker.next().answer(SERVED, FOUND, "2");
+        assertEquals("served", answer(get(call)));
+    }
+
+    @Test
+    void aLoadThatDoesNotFitIsRefusedBeforeAnythingRuns() throws Exception {
+        HttpResponse<String> response = get(chain(rig, steps("'deadline_ms':400", A, step("cold", "safe", "'a'", 900))));
+        assertEquals("refused", answer(response));
+        assertTrue(response.body().contains("too-little-time"), response.body());
+        assertTrue(worker.gotNothingWithin(50), "work was begun for a chain without hope");
+    }
+
+    @Test
+    void aFirstStepServedLateEndsTheChainInTime() throws Exception {
+        worker.silentOrders = true; // the load that is ordered ahead does not end in time
+        long began = System.nanoTime();
+        CompletableFuture<HttpResponse<String>> call = chain(rig, steps("'deadline_ms':1000", A,
+            step("cold", "safe", "'a'", 900)));
+        ScriptedPeer.In a = worker.next();
+        Thread.sleep(280); // under the patience after which the call would be tried again
+        a.answer(SERVED, FOUND, "late");
+        assertEquals("refused", answer(get(call)));
+        assertTrue(System.nanoTime() - began < 900_000_000L, "refused early, not at its deadline");
+        assertEquals(1, rig.figure("chain_ahead_ordered"));
+        assertEquals(1, rig.figure("chain_ahead_unused"));
+        assertTrue(worker.gotNothingWithin(50));
+    }
+
+    @Test
+    void aSilentFirstWorkerGivesOneAnswerBeforeTheDeadline() throws Exception {
+        long began = System.nanoTime();
+        HttpResponse<String> response = get(chain(rig, steps("'deadline_ms':500", step("a", "once", "'client'", 0), B)));
+        assertEquals("failed", answer(response), "the first step may have run");
+        assertTrue(response.body().contains("\"state\":\"may-have-run\""), response.body());
+        assertTrue(System.nanoTime() - began < 520_000_000L);
+    }
+
+    @Test
+    void aBranchThatFailsEndsTheChainAndResetsItsTwin() throws Exception {
+        CompletableFuture<HttpResponse<String>> call = chain(rig, steps("'deadline_ms':2000",
+            step("a", "once", "'client'", 0), step("b", "safe", "'client'", 0), step("c", "safe", "'a','b'", 0)));
+        ScriptedPeer.In one = worker.next();
+        ScriptedPeer.In two = worker.next();
+        ScriptedPeer.In a = one.headers.path().toString().endsWith("f-a") ? one : two;
+        a.reset(io.netty.handler.codec.http2.Http2Error.INTERNAL_ERROR);
+        assertEquals("failed", answer(get(call)));
+        assertTrue(worker.resets.poll(2, TimeUnit.SECONDS) != null, "the twin goes on for nothing");
+    }
+
+    @Test
+    void aClientThatLeavesAtTheSecondStepStopsTheThird() throws Exception {
+        String json = steps("'deadline_ms':2000", A, B, step("c", "safe", "'b'", 0)).replace('\'', '"');
+        Socket socket = new Socket("127.0.0.1", rig.gateway.address().getPort());
+        socket.getOutputStream().write(("POST /v1/chain HTTP/1.1\r\nhost: x\r\ncontent-length: " + json.length() + "\r\n\r\n"
+            + json).getBytes(StandardCharsets.US_ASCII));
+        worker.next().answer(SERVED, FOUND, "a");
+        worker.next();
+        socket.close();
+        assertTrue(worker.resets.poll(2, TimeUnit.SECONDS) != null, "the second step goes on for nothing");
+        assertTrue(worker.gotNothingWithin(100));
+        assertEquals(1, rig.figure("chain_left"));
+        Rig.await("nothing is open", () -> rig.figure("open_calls") == 0);
+    }
+
+    @Test
+    void anUnsafeFirstStepAndARefusedSecondTellWhatRan() throws Exception {
+        CompletableFuture<HttpResponse<String>> call = chain(rig, steps("'deadline_ms':2000",
+            step("a", "once", "'client'", 0), B));
+        worker.next().answer(SERVED, FOUND, "ran");
+        for (int i = 0; i < 3 && !call.isDone(); i++) {
+            worker.next().answer(FULL, NONE, "");
+            Thread.sleep(50);
+        }
+        HttpResponse<String> response = get(call);
+        assertEquals("failed", answer(response), "no word that a repeat is harmless");
+        assertTrue(response.body().contains("{\"id\":\"a\",\"state\":\"served\""), response.body());
+        assertTrue(response.body().contains("{\"id\":\"b\",\"state\":\"refused\""), response.body());
+    }
+
+    @Test
+    void aRetryWithTheSameKeyRunsOnlyWhatIsMissing() throws Exception {
+        String json = steps("'key':'k1','deadline_ms':2000", step("a", "once", "'client'", 0), B);
+        CompletableFuture<HttpResponse<String>> first = chain(rig, json);
+        worker.next().answer(SERVED, FOUND, "ran once");
+        while (!first.isDone()) {
+            ScriptedPeer.In b = worker.poll(20);
+            if (b != null) {
+                b.reset(io.netty.handler.codec.http2.Http2Error.INTERNAL_ERROR);
+            }
+        }
+        assertEquals("failed", answer(get(first)));
+        rig.close(); // the same gateway, restarted with its table
+        rig = new Rig(folder, "", "/>" + KEEP + "<log level=\"info\"", DispatcherFactory.CHOICE);
+        rig.list(worker.id());
+        CompletableFuture<HttpResponse<String>> again = chain(rig, json);
+        ScriptedPeer.In b = worker.next();
+        assertEquals("/call/f-b", b.headers.path().toString(), "the first step ran twice");
+        b.answer(SERVED, FOUND, "done");
+        assertEquals("served", answer(get(again)));
+        assertEquals(1, rig.figure("chains_resumed"));
+        java.nio.file.Files.createDirectory(folder.resolve("other"));
+        try (Rig other = new Rig(folder.resolve("other"), "", "/>" + KEEP + "<log level=\"info\"",
+            DispatcherFactory.CHOICE)) {
+            other.list(worker.id());
+            CompletableFuture<HttpResponse<String>> elsewhere = chain(other, json);
+            assertEquals("/call/f-a", worker.next().headers.path().toString(), "another gateway does not know them");
+            elsewhere.cancel(true);
+        }
+    }
+
+    @Test
+    void aRetryWhileTheFirstTryRunsListensToIt() throws Exception {
+        String json = steps("'key':'k2','deadline_ms':2000", A);
+        CompletableFuture<HttpResponse<String>> first = chain(rig, json);
+        ScriptedPeer.In a = worker.next();
+        CompletableFuture<HttpResponse<String>> second = chain(rig, json);
+        Rig.await("it joined", () -> rig.figure("chains_joined") == 1);
+        assertEquals("refused", answer(get(chain(rig, json.replace("'in'", "'else'")))), "the key is another chain's");
+        a.answer(SERVED, BEGAN, "once");
+        assertTrue(get(first).body().contains("once"));
+        assertTrue(get(second).body().contains("once"));
+        assertTrue(worker.gotNothingWithin(50));
+        Rig.await("nothing is open", () -> rig.figure("open_calls") == 0);
+    }
+
+    @Test
+    void stoppingGivesOpenChainsTheirAnswer() throws Exception {
+        CompletableFuture<HttpResponse<String>> call = chain(rig, steps("'deadline_ms':2400",
+            step("a", "once", "'client'", 0), B));
+        worker.next();
+        rig.close();
+        assertEquals("failed", answer(get(call)));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "{'steps':[]}|$.steps: must have at least 1 items",
+        "{'steps':[{'id':'a'}]}|$.steps[0]: required property 'function' not found",
+        "{'steps':[{'id':'a','function':'f','class':'safe','colour':1}]}|$.steps[0]: property 'colour' is not defined",
+        "{'steps':[{'id':'a','function':'f','class':'none'}]}|$.steps[0].class: found 'none', allowed: one of",
+        "{'steps':[{'id':'a','function':'f','class':'flow'}]}|allowed: one of [safe, once, flow] that does not stream",
+        "{'steps':[{'id':'a','function':'f','class':'safe','input':['b']}]}|$.steps[0].input: found 'b', allowed: client",
+        "{'steps':[{'id':'a','function':'f','class':'safe','input':['a']}]}|$.steps[0].input: found 'a' waiting for itself",
+        "{'deadline_ms':0,'chain':'save'}|$.deadline_ms: must have a minimum value of 1",
+        "{'chain':'nope'}|$.chain: found 'nope', allowed: one of [save]",
+        "{'steps':[|body, line 1:",
+        "[[[[[[[[[[[[[[[[[[[[[[[[1]]]]]]]]]]]]]]]]]]]]]]]]|nesting depth",
+        "{'chain':'save','chain':'save'}|Duplicate field"})
+    void whatIsNoChainNamesItsPlace(String json, String expected) throws Exception {
+        HttpResponse<String> response = get(chain(rig, json));
+        assertEquals(400, response.statusCode());
+        assertTrue(response.body().contains(expected), response.body());
+    }
+}
--- a/gateway/src/test/java/wharfhinge/gateway/ScriptedPeer.java
+++ b/gateway/src/test/java/wharfhinge/gateway/ScriptedPeer.java
@@ -108,6 +108,7 @@
     final BlockingQueue<In> others = new LinkedBlockingQueue<>();
     private final Consumer<In> script;
     volatile boolean holdHandshakes;
+    volatile boolean silentOrders;
     volatile int flooded;
 
     /** Answers every call with {@code script}; where it is null, calls wait for {@link #next}. */
@@ -153,6 +154,11 @@
         return in;
     }
 
+    /** The next call that comes within a time, or null. */
+    In poll(long ms) throws InterruptedException {
+        return calls.poll(ms, TimeUnit.MILLISECONDS);
+    }
+
     boolean gotNothingWithin(long ms) throws InterruptedException {
         return calls.poll(ms, TimeUnit.MILLISECONDS) == null;
     }
@@ -196,6 +202,9 @@
             In in = new In(ctx, stream, open.remove(stream));
             if (!in.headers.path().toString().startsWith(WorkerProtocol.CALL_PATH)) {
                 others.add(in);
+                if (silentOrders) {
+                    return;
+                }
                 in.head(AnswerCode.SERVED, CopyNote.NONE, true);
             } else if (script == null) {
                 calls.add(in);
--- a/policy/src/main/java/wharfhinge/Choice.java
+++ b/policy/src/main/java/wharfhinge/Choice.java
@@ -434,6 +434,13 @@
         if (warm != null) {
             return warm;
         }
+        if (!onlyOrdersLoad()) {
+            WorkerState ahead = fewest(eligible, function,
+                w -> belowValve(w, 1) && loading(w, function));
+            if (ahead != null) { // ordered ahead for it: another home would load a second copy
+                return ahead;
+            }
+        }
         WorkerState home = order.stream()
             .filter(w -> belowValve(w, 1) && !believedWarm(w, function)).findFirst().orElse(null);
         if (onlyOrdersLoad()) {
@@ -906,6 +913,31 @@
         return loadsOut * loadChance >= loadLimit;
     }
 
+    @Override
+    public boolean believedWarm(long at, String function) {
+        now = at;
+        return workers.values().stream().anyMatch(w -> w.up && !w.ejected && standing(w, function));
+    }
+
+    // Departure: a load ahead of its request, told by those who know what comes next. Acts where orders are
+    // allowed, none stands or loads and no order waits; guards against a load inside a short deadline. It
+    // hurts where the request then does not come: a fetch and memory for nothing.
+    @Override
+    public void expected(long at, Request request) {
+        now = at;
+        RequestClass type = classes.get(request.requestClass());
+        boolean may = settings.familyInfo().loadControl() && pendingOrders.isEmpty() && !crowdsStore();
+        if (type == null || !may) {
+            return;
+        }
+        RequestState r = new RequestState(request, type, now, 0);
+        List<WorkerState> eligible = eligible(r);
+        if (eligible.stream().noneMatch(w -> believedWarm(w, request.function()))) {
+            inHomeOrder(eligible, r).stream().filter(w -> belowValve(w, 1)).findFirst()
+                .ifPresent(w -> order(record(w, request)));
+        }
+    }
+
     private boolean onlyOrdersLoad() {
         return settings.familyInfo().notLoaded() == NotLoaded.MISS && settings.familyInfo().loadControl();
     }
--- a/policy/src/main/java/wharfhinge/Dispatcher.java
+++ b/policy/src/main/java/wharfhinge/Dispatcher.java
@@ -83,6 +83,14 @@
     /** An order to hold copies ended with {@code count} copies standing. */
     void resident(long now, String worker, String function, int count, Outcome outcome, long tookNs);
 
+    /** Whether a copy of the function is believed to stand on a worker in use; changes nothing. */
+    default boolean believedWarm(long now, String function) {
+        return false;
+    }
+
+    /** A request like this one will come soon; what it lacks may be ordered ahead, within all limits on loads. */
+    default void expected(long now, Request request) { }
+
     /** What a dispatcher may do; every call takes effect at the time of the event being handled. */
     interface Actions {
         /** Sends the request to the worker; a time-out of 0 lasts until the client gives up. */
--- a/protocol/src/main/java/wharfhinge/protocol/ClientProtocol.java
+++ b/protocol/src/main/java/wharfhinge/protocol/ClientProtocol.java
@@ -6,6 +6,8 @@
 public final class ClientProtocol {
     /** A call: {@code POST} to this and the function's name. */
     public static final String CALL_PATH = "/v1/call/";
+    /** A chain: {@code POST} to this. */
+    public static final String CHAIN_PATH = "/v1/chain";
     /** What the gateway says of itself: {@code GET}, lines of a name and a value. */
     public static final String STATUS_PATH = "/v1/status";
 
