--- a/app/src/main/java/wharfhinge/app/ServeCommand.java
+++ b/app/src/main/java/wharfhinge/app/ServeCommand.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
+import java.util.function.UnaryOperator;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import wharfhinge.gateway.loop.DispatcherFactory;
@@ -15,6 +16,6 @@
 
     @Override
     public Integer call() throws InterruptedException {
-        return Serving.serve(config, DispatcherFactory.CHOICE);
+        return Serving.serve(config, DispatcherFactory.CHOICE, UnaryOperator.identity());
     }
 }
--- a/app/src/main/java/wharfhinge/app/Serving.java
+++ b/app/src/main/java/wharfhinge/app/Serving.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.UnaryOperator;
 import wharfhinge.config.GatewayConfig;
 import wharfhinge.config.InvalidFileException;
 import wharfhinge.gateway.Gateway;
@@ -13,10 +14,10 @@
     private Serving() { }
 
     /** Serves with the given decisions; returns once the gateway has stopped. */
-    public static int serve(Path file, DispatcherFactory decisions) throws InterruptedException {
+    public static int serve(Path file, DispatcherFactory decisions, UnaryOperator<GatewayConfig> changed) throws InterruptedException {
         GatewayConfig config;
         try {
-            config = GatewayConfig.load(file);
+            config = changed.apply(GatewayConfig.load(file));
         } catch (InvalidFileException e) {
             System.err.println(e.getMessage());
             return Main.WANTING;
--- a/app/src/main/java/wharfhinge/app/drill/Day.java
+++ b/app/src/main/java/wharfhinge/app/drill/Day.java
@@ -2,8 +2,11 @@
 
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.BindException;
 import java.net.ServerSocket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -100,6 +103,18 @@
         return Judge.judge(scenario.judged(), trace.lines());
     }
 
+    /** The gateways' own figures, added up; asked for after the day. */
+    Map<String, Long> figures() throws IOException {
+        Map<String, Long> all = new LinkedHashMap<>();
+        for (GatewayProcess g : gateways) {
+            try (InputStream in = URI.create("http://127.0.0.1:" + g.port() + "/v1/status").toURL().openStream()) {
+                new String(in.readAllBytes(), StandardCharsets.UTF_8).lines().map(l -> l.split(" "))
+                    .forEach(f -> all.merge(f[0], Long.parseLong(f[1]), Long::sum));
+            }
+        }
+        return all;
+    }
+
     private void report(int i, State state, boolean fresh) {
         WorkerStandIn worker = workers.get(i);
         WorkerModel.Spec spec = scenario.worker(i, false);
--- a/app/src/main/java/wharfhinge/app/drill/DrillCommand.java
+++ b/app/src/main/java/wharfhinge/app/drill/DrillCommand.java
@@ -28,7 +28,7 @@
         "store_shut,3,3,0,0,0");
 
     @Parameters(arity = "0..1", paramLabel = "NAME", defaultValue = "bad-day",
-        description = "One of bad-day, calm, loads-on-call; default ${DEFAULT-VALUE}.")
+        description = "One of bad-day, calm, loads-on-call, bad-day-chains, chains; default ${DEFAULT-VALUE}.")
     private String name;
     @Option(names = "--scenario", paramLabel = "FILE", description = "A scenario of your own in place of a name.")
     private Path file;
@@ -46,12 +46,27 @@
     @Option(names = "--each", description = "Plays every kind of trouble by itself, on short days, and prints a table.")
     private boolean each;
 
+    @Option(names = "--load", defaultValue = "1", description = "Offers so many times the scenario's calls.")
+    private double load;
+    @Option(names = "--chain-share", description = "The part of what is offered that is chains.")
+    private Double chainShare;
+    @Option(names = "--compare-chains", description = "Plays the scenario 'chains' at 0.5, 0.8, 1 and 1.3 times its load with "
+        + "one deadline, with a clock for each step, and without early refusal, and prints a table.")
+    private boolean compareChains;
+
     @Override
     public Integer call() throws Exception {
+        if (compareChains) {
+            return playChains();
+        }
         if (each) {
             return playEach();
         }
         Scenario day = Scenarios.load(file, name);
+        day.load(load);
+        if (chainShare != null) {
+            day.chainShare(chainShare);
+        }
         if (seconds != null) {
             day.seconds(seconds);
         }
@@ -71,6 +86,29 @@
         return verdict.kept() == 5 ? Main.OK : Main.WANTING;
     }
 
+    private int playChains() throws Exception {
+        System.out.println("| load | way | rules kept | chains | in time | work done ms | wasted ms | let through, made it | "
+            + "single calls in time |");
+        System.out.println("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+        for (double times : new double[] {0.5, 0.8, 1, 1.3}) {
+            for (Mutant way : new Mutant[] {null, Mutant.CLOCK_FOR_EACH_STEP, Mutant.NO_EARLY_REFUSAL}) {
+                Scenario day = Scenarios.load(file, "chains");
+                day.load(times);
+                day.seconds(seconds == null ? day.seconds() : seconds);
+                try (Day played = new Day(day, way, Files.createTempDirectory("wharfhinge-drill"))) {
+                    Judge.Verdict verdict = played.play();
+                    Map<String, String> f = verdict.figures();
+                    Map<String, Long> g = played.figures();
+                    System.out.printf("| %s | %s | %d of 5 | %s | %s | %s | %s | %d, %d | %s |%n", times, way == null
+                        ? "one deadline" : way.word(), verdict.kept(), f.get("chains"), f.get("chains in time"),
+                        f.get("work done ms"), f.get("work wasted ms"), g.getOrDefault("chain_let_through", 0L),
+                        g.getOrDefault("chain_let_through_served", 0L), f.get("singles in time"));
+                }
+            }
+        }
+        return Main.OK;
+    }
+
     private int playEach() throws Exception {
         System.out.println("| trouble | rules kept | in time | late | refusals | failures | loads per call |");
         System.out.println("| --- | --- | --- | --- | --- | --- | --- |");
--- a/app/src/main/java/wharfhinge/app/drill/Scenarios.java
+++ b/app/src/main/java/wharfhinge/app/drill/Scenarios.java
@@ -12,7 +12,8 @@
 /** Scenario files: those that come with the program, by name, and a user's own. */
 public final class Scenarios {
     /** Names of those that come with the program. */
-    public static final List<String> NAMES = List.of("bad-day", "calm", "loads-on-call");
+    public static final List<String> NAMES = List.of("bad-day", "calm", "loads-on-call", "bad-day-chains",
+        "chains");
 
     private Scenarios() { }
 
--- a/config/src/main/java/wharfhinge/config/GatewayConfig.java
+++ b/config/src/main/java/wharfhinge/config/GatewayConfig.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import wharfhinge.Dispatcher;
 import wharfhinge.Dispatcher.Settings;
+import wharfhinge.decisions.chain.ChainSettings;
 
 /**
  * All that one gateway is set to, checked. Times are nanoseconds, sizes bytes.
@@ -24,6 +25,14 @@
     private static final int KB = 1024;
     private static final double ROUNDING = 1e-6;
 
+    /** The same with other settings for chains. */
+    public GatewayConfig withChains(java.util.function.UnaryOperator<ChainSettings> changed) {
+        ChainConfig c = chains;
+        return new GatewayConfig(name, seed, settings, clients, workers, roster, peers, new ChainConfig(
+            changed.apply(c.settings()), c.giveUpNs(), c.resumeWindowNs(), c.resumeKeys(), c.resumeBytes(),
+            c.resumeFile(), c.named()), log);
+    }
+
     /** The clients' side. */
     public record Clients(String address, int port, int maxConnections, long idleNs, int maxBodyBytes,
                           int maxHeaderBytes, int maxOpen, int handOver, long stopWithinNs) { }
--- a/stand-ins/src/main/java/wharfhinge/standin/Scenario.java
+++ b/stand-ins/src/main/java/wharfhinge/standin/Scenario.java
@@ -158,6 +158,10 @@
         private double zipf = 1;
         @XmlAttribute(name = "retries")
         private int retries;
+        @XmlAttribute(name = "chain-share")
+        private double chainShare;
+        @XmlAttribute(name = "chain-aim-ms")
+        private long chainAimMs = 600;
         @XmlElement(name = "class")
         private final List<CallClass> classes = new ArrayList<>();
     }
@@ -260,6 +264,16 @@
         seconds = now;
     }
 
+    /** Offers so many times the calls. */
+    public void load(double times) {
+        traffic.perS *= times;
+    }
+
+    /** The part of what is offered that is chains. */
+    public void chainShare(double share) {
+        traffic.chainShare = share;
+    }
+
     /** Draws everything. */
     public long seed() {
         return seed;
@@ -309,7 +323,7 @@
     public LoadClients.Traffic offered() {
         return new LoadClients.Traffic(traffic.perS, traffic.functions, traffic.zipf, traffic.retries,
             traffic.classes.stream().map(c -> new LoadClients.CallClass(c.name, c.effect, c.share, c.aimMs, c.giveUpMs,
-                c.workMs, c.loadMs, c.memoryMb, c.lanes)).toList());
+                c.workMs, c.loadMs, c.memoryMb, c.lanes)).toList(), traffic.chainShare, traffic.chainAimMs);
     }
 
     /** What the judge holds a run against. */
--- a/stand-ins/src/main/java/wharfhinge/standin/WorkerModel.java
+++ b/stand-ins/src/main/java/wharfhinge/standin/WorkerModel.java
@@ -67,8 +67,10 @@
             this.memoryMb = Double.parseDouble(h.get(WorkerProtocol.MEMORY_MB, "200"));
             this.lanes = h.getInt(WorkerProtocol.LANES.toString(), 1);
             this.loadMs = Double.parseDouble(h.get(WorkerProtocol.LOAD_MS, "500"));
+            String cost = h.get(WorkerProtocol.COST_US); // steps of chains tell it; other calls carry it in their body
             boolean told = request.content().readableBytes() >= Long.BYTES;
-            this.workUs = told ? Math.max(0, request.content().getLong(request.content().readerIndex())) : 20_000;
+            this.workUs = cost != null ? Long.parseLong(cost)
+                : told ? Math.max(0, request.content().getLong(request.content().readerIndex())) : 20_000;
             this.reply = reply;
         }
 
