Early refusal has what it lacked loaded for the next chain

A chain refused since its functions did not stand brought no load, so the next one was refused too.

Changed: at an early refusal the functions that are not believed warm are told to the policy (`expected`), which orders within its limits.

--- a/decisions/src/main/java/wharfhinge/decisions/chain/ChainDecisions.java
+++ b/decisions/src/main/java/wharfhinge/decisions/chain/ChainDecisions.java
@@ -59,7 +59,8 @@
     /** What is counted from the start on. */
     public enum Count {
         CHAINS, SERVED, REFUSED, FAILED, LEFT, REFUSED_FULL, REFUSED_AT_START, REFUSED_LATER, LET_THROUGH,
-        LET_THROUGH_SERVED, AHEAD_ORDERED, AHEAD_USED, AHEAD_UNUSED, AHEAD_LATE, STEPS, STEPS_CANCELLED
+        LET_THROUGH_SERVED, AHEAD_ORDERED, AHEAD_USED, AHEAD_UNUSED, AHEAD_LATE, AHEAD_FOR_NEXT,
+        STEPS, STEPS_CANCELLED
     }
 
     private static final class Chain {
@@ -404,10 +405,26 @@
             return false;
         }
         add(as);
+        loadForTheNext(c);
         endEarly(c, "too-little-time");
         return true;
     }
 
+    /**
+     * A chain that is refused since its functions do not stand brings no load, so the next one would be refused too, and
+     * so on. What it would have loaded is told to the policy, which orders it within its own limits. It hurts where no
+     * like chain comes: a load for nothing.
+     */
+    private void loadForTheNext(Chain c) {
+        for (int step = 0; settings.loadAhead() && step < c.states.length; step++) {
+            boolean wanted = c.states[step] == StepState.NOT_STARTED && !c.ahead[step];
+            if (wanted && !fleet.believedWarm(c.plan.steps().get(step).function())) {
+                add(Count.AHEAD_FOR_NEXT);
+                actions.expect(c.id, step);
+            }
+        }
+    }
+
     // ---- Ends -------------------------------------------------------------------------------
 
     /** Rule 2 for the whole: a refusal only where no step may have run that must not run twice. */
--- a/stand-ins/src/main/java/wharfhinge/standin/judge/Judge.java
+++ b/stand-ins/src/main/java/wharfhinge/standin/judge/Judge.java
@@ -19,6 +19,7 @@
     private static final long MS = 1_000_000L;
     private static final long SLACK = 150 * MS;
     private static final int SHOWN = 5;
+    private static final long WARM_UP = 10_000 * MS; // of the chains' figures alone; gateways start within it
 
     /**
      * Figures of the rules; times in milliseconds.
@@ -436,6 +437,9 @@
             }
             Line answer = served.get(e.getKey());
             boolean chain = c.offer.get("class").equals("chain");
+            if (c.offer.at < lines.get(0).at + WARM_UP) {
+                continue; // a fleet that begins empty is another matter
+            }
             if (!chain) {
                 long aim = rules.aims.getOrDefault(c.offer.get("class"), 0L) * MS;
                 singles += c.offer.get("former").equals("-") ? 1 : 0;
