Early refusal asks for more chance only where the fleet turns steps away

Changed: under 0.1 a chain is refused always, up to 0.3 where a tenth of steps is refused or fails of late.

--- a/decisions/src/main/java/wharfhinge/decisions/chain/ChainDecisions.java
+++ b/decisions/src/main/java/wharfhinge/decisions/chain/ChainDecisions.java
@@ -19,16 +19,21 @@
  *
  * <p>A step may take what is left less the least that the steps after it need (their low estimates along the longest
  * path): a slow step may use up slack, but never what makes the rest hopeless. A chain is refused, at its start or before a
- * later step, when the chance that its longest path still fits is under {@link #LEAST_CHANCE}. Acts on any cause of
- * slowness that answers tell: queues, loads, slow workers. It may hurt where times change faster than they are learned:
- * that is what the refusals let through are for.
+ * later step, when the chance that its longest path still fits is under {@link #LEAST_CHANCE}, and under more where the
+ * fleet turns steps away: a lost try costs nothing where there is room. Acts on any cause of slowness that answers tell:
+ * queues, loads, slow workers. It may hurt where times change faster than they are learned: that is what the refusals let
+ * through are for.
  *
  * <p>Bounds: chains and steps open, and a tenant's part of the steps. A ready step beyond them waits within its chain,
  * which is bounded by the chain's deadline; chains beyond them are refused.
  */
 public final class ChainDecisions {
-    /** A chain with less chance than this is not begun or gone on with. */
-    static final double LEAST_CHANCE = 0.25;
+    /** A chain with less chance than this is not begun or gone on with: even a quick run would not make it. */
+    static final double LEAST_CHANCE = 0.1;
+    /** What is asked for beyond that where the fleet turns away or loses this share of steps: work is scarce there. */
+    static final double CHANCE_UNDER_PRESSURE = 0.2;
+    static final double FULL_PRESSURE = 0.1;
+    private static final double SMOOTH_PRESSURE = 0.01; // some hundred steps decide
     private static final int FUNCTIONS = 4096;
 
     /** What becomes of decisions. */
@@ -110,6 +115,7 @@
     private final long[] counts = new long[Count.values().length];
     private int stepsOpen;
     private long wouldRefuse;
+    private double pressure; // share of steps refused or failed of late
 
     /** Decisions that know nothing yet. */
     public ChainDecisions(ChainSettings settings, Actions actions, Fleet fleet) {
@@ -174,6 +180,7 @@
             return;
         }
         stepOver(c);
+        pressure += SMOOTH_PRESSURE * ((how == StepEnd.SERVED ? 0 : 1) - pressure);
         Step s = c.plan.steps().get(step);
         switch (how) {
             case SERVED -> {
@@ -396,7 +403,8 @@
         if (!settings.earlyRefusal() || settings.clock() == Clock.EACH_STEP || c.letThrough) {
             return false;
         }
-        if (longest(now, c).within(c.deadline - settings.reserveNs() - now) >= LEAST_CHANCE) {
+        double least = LEAST_CHANCE + CHANCE_UNDER_PRESSURE * Math.min(1, pressure / FULL_PRESSURE);
+        if (longest(now, c).within(c.deadline - settings.reserveNs() - now) >= least) {
             return false;
         }
         if (settings.letThrough() > 0 && ++wouldRefuse % settings.letThrough() == 0) {
