Chains open at once follow how they end

Changed: a bound on chains open that a served chain raises by 1% and a begun one that is lost cuts by 3%. The scripted worker no longer takes typed text for a figure of work (found by trying the README by hand: a step of a chain ran for hours).

--- a/decisions/src/main/java/wharfhinge/decisions/chain/ChainDecisions.java
+++ b/decisions/src/main/java/wharfhinge/decisions/chain/ChainDecisions.java
@@ -33,6 +33,15 @@
     /** What is asked for beyond that where the fleet turns away or loses this share of steps: work is scarce there. */
     static final double CHANCE_UNDER_PRESSURE = 0.2;
     static final double FULL_PRESSURE = 0.1;
+    /**
+     * Chains open at once follow how they end: a served one raises the bound, one that was begun and lost cuts it, so that it
+     * settles where about one in four begun is lost, at any size. Acts on any shortage; where each step is turned away by
+     * chance, chains lose work that single calls would not. It hurts where chains are lost for reasons of their own.
+     */
+    private static final double OPEN_START = 32;
+    private static final double OPEN_RAISE = 0.01;
+    private static final double OPEN_CUT = 0.03;
+    private static final double OPEN_LEAST = 2;
     private static final double SMOOTH_PRESSURE = 0.01; // some hundred steps decide
     private static final int FUNCTIONS = 4096;
 
@@ -115,6 +124,7 @@
     private final long[] counts = new long[Count.values().length];
     private int stepsOpen;
     private long wouldRefuse;
+    private double mayBeOpen = OPEN_START;
     private double pressure; // share of steps refused or failed of late
 
     /** Decisions that know nothing yet. */
@@ -403,10 +413,18 @@
         if (!settings.earlyRefusal() || settings.clock() == Clock.EACH_STEP || c.letThrough) {
             return false;
         }
+        if (as == Count.REFUSED_AT_START && chains.size() > mayBeOpen) {
+            return refused(c, as, "too-many-for-the-fleet");
+        }
         double least = LEAST_CHANCE + CHANCE_UNDER_PRESSURE * Math.min(1, pressure / FULL_PRESSURE);
         if (longest(now, c).within(c.deadline - settings.reserveNs() - now) >= least) {
             return false;
         }
+        return refused(c, as, "too-little-time");
+    }
+
+    /** Refuses, unless this is the one of many that is let through. */
+    private boolean refused(Chain c, Count as, String why) {
         if (settings.letThrough() > 0 && ++wouldRefuse % settings.letThrough() == 0) {
             c.letThrough = true;
             add(Count.LET_THROUGH);
@@ -414,7 +432,7 @@
         }
         add(as);
         loadForTheNext(c);
-        endEarly(c, "too-little-time");
+        endEarly(c, why);
         return true;
     }
 
@@ -448,6 +466,12 @@
 
     private void end(Chain c, Kind kind, String reason) {
         add(kind == Kind.SERVED ? Count.SERVED : kind == Kind.REFUSED ? Count.REFUSED : Count.FAILED);
+        boolean begun = Arrays.stream(c.states).anyMatch(s -> s != StepState.NOT_STARTED);
+        if (kind == Kind.SERVED) {
+            mayBeOpen *= chains.size() >= mayBeOpen / 2 ? 1 + OPEN_RAISE : 1;
+        } else if (begun) {
+            mayBeOpen = Math.max(OPEN_LEAST, mayBeOpen * (1 - OPEN_CUT));
+        }
         if (c.letThrough && kind == Kind.SERVED) {
             add(Count.LET_THROUGH_SERVED);
         }
--- a/decisions/src/test/java/wharfhinge/decisions/chain/ChainDecisionsTest.java
+++ b/decisions/src/test/java/wharfhinge/decisions/chain/ChainDecisionsTest.java
@@ -134,6 +134,35 @@
         assertTrue(did.contains("end 2 SERVED all-steps-finished-before"));
     }
 
+    @Test
+    void lostChainsLowerHowManyMayBeOpenAndServedOnesRaiseIt() throws Exception {
+        ChainDecisions many = decisions(new ChainSettings(ChainSettings.Clock.ONE, true, 0, false, 1000, 1000, 1, 1 << 20,
+            4 * MS));
+        ChainPlan plan = plan(step("a", Effect.IDEMPOTENT));
+        for (int i = 0; i < 60; i++) {
+            many.begin(0, i, plan, "t", 600 * MS, null);
+        }
+        long refused = many.count(Count.REFUSED_AT_START);
+        assertTrue(refused > 0 && refused < 60, "bounded before anything is known");
+        for (int i = 0; i < 60; i++) {
+            many.stepEnded(10 * MS, i, 0, StepEnd.REFUSED, 10 * MS, false);
+        }
+        for (int i = 100; i < 160; i++) {
+            many.begin(1000 * MS, i, plan, "t", 1600 * MS, null);
+        }
+        long afterLosses = many.count(Count.REFUSED_AT_START) - refused;
+        assertTrue(afterLosses > refused, "fewer may be open after losses");
+        for (int round = 0; round < 300; round++) {
+            for (int i = 100; i < 160; i++) {
+                many.stepEnded(1010 * MS, i + 1000L * round, 0, StepEnd.SERVED, 10 * MS, false);
+            }
+            for (int i = 100; i < 160; i++) {
+                many.begin(2000 * MS, i + 1000L * (round + 1), plan, "t", 2600 * MS, null);
+            }
+        }
+        assertTrue(many.open() > 32, "it grows back as chains are served");
+    }
+
     @Test
     void plansThatAreNoneNameTheirPlace() {
         for (List<Step> bad : List.of(List.<Step>of(), List.of(step("a", Effect.IDEMPOTENT, "b"), step("b",
--- a/stand-ins/src/main/java/wharfhinge/standin/WorkerModel.java
+++ b/stand-ins/src/main/java/wharfhinge/standin/WorkerModel.java
@@ -26,6 +26,8 @@
 public final class WorkerModel {
     private static final double FETCH_SHARE = 0.6;
     private static final double SLACK = 1.25;
+    private static final long MOST_WORK_US = 60_000_000;
+    private static final long USUAL_WORK_US = 20_000;
 
     /** What a worker is; times in milliseconds, memory in MB. */
     public record Spec(String zone, String kind, int cell, int cores, double speed, double memoryMb, int queue,
@@ -68,9 +70,10 @@
             this.lanes = h.getInt(WorkerProtocol.LANES.toString(), 1);
             this.loadMs = Double.parseDouble(h.get(WorkerProtocol.LOAD_MS, "500"));
             String cost = h.get(WorkerProtocol.COST_US); // steps of chains tell it; other calls carry it in their body
-            boolean told = request.content().readableBytes() >= Long.BYTES;
-            this.workUs = cost != null ? Long.parseLong(cost)
-                : told ? Math.max(0, request.content().getLong(request.content().readerIndex())) : 20_000;
+            long told = request.content().readableBytes() < Long.BYTES ? -1
+                : request.content().getLong(request.content().readerIndex());
+            boolean work = told >= 0 && told < MOST_WORK_US; // else it is text that somebody typed
+            this.workUs = cost != null ? Long.parseLong(cost) : work ? told : USUAL_WORK_US;
             this.reply = reply;
         }
 
