Exit codes and version in a class of their own: no circle between the commands

Need: commands took exit codes and version from `Main`, which names all commands.

Changed: `Program` holds them and the class to start processes with. Behaviour as it was.

Measured: nothing; architecture and command line tests pass.

--- a/app/src/main/java/wharfhinge/app/CheckCommand.java
+++ b/app/src/main/java/wharfhinge/app/CheckCommand.java
@@ -9,7 +9,7 @@
 import wharfhinge.config.InvalidFileException;
 
 /** Checks settings files. */
-@Command(name = "check", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
+@Command(name = "check", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
     description = "Checks settings files and prints all that is wrong with them; exits with 1 if anything is.")
 final class CheckCommand implements Callable<Integer> {
     @Parameters(arity = "1..*", paramLabel = "FILE", description = "Settings files.")
@@ -17,14 +17,14 @@
 
     @Override
     public Integer call() {
-        int code = Main.OK;
+        int code = Program.OK;
         for (Path file : files) {
             try {
                 GatewayConfig config = GatewayConfig.load(file);
                 System.out.println(file + ": well, gateway " + config.name());
             } catch (InvalidFileException e) {
                 System.out.println(e.getMessage());
-                code = Main.WANTING;
+                code = Program.WANTING;
             }
         }
         return code;
--- a/app/src/main/java/wharfhinge/app/Main.java
+++ b/app/src/main/java/wharfhinge/app/Main.java
@@ -2,25 +2,17 @@
 
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
-import picocli.CommandLine.IVersionProvider;
 import wharfhinge.app.drill.DrillCommand;
 import wharfhinge.app.drill.DrillGatewayCommand;
 import wharfhinge.app.measure.MeasureCommand;
 
 /** The command line. Exit codes: 0 done, 1 found wanting, 2 used wrongly. */
-@Command(name = "wharfhinge", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
+@Command(name = "wharfhinge", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
     description = "A gateway for calls on workers that load functions on demand.",
     synopsisSubcommandLabel = "COMMAND",
     subcommands = {ServeCommand.class, CheckCommand.class, StandInCommand.class, DrillCommand.class,
         DrillGatewayCommand.class, MeasureCommand.class})
 public final class Main implements Runnable {
-    /** Done. */
-    public static final int OK = 0;
-    /** What was looked at is not as it should be. */
-    public static final int WANTING = 1;
-    /** The command line is wrong. */
-    public static final int USAGE = 2;
-
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
@@ -38,16 +30,7 @@
     static CommandLine commandLine() {
         return new CommandLine(new Main()).setExecutionExceptionHandler((e, command, result) -> {
             command.getErr().println("wharfhinge: " + (e.getMessage() == null ? e : e.getMessage()));
-            return WANTING;
+            return Program.WANTING;
         });
     }
-
-    /** The version that the build wrote into the jar. */
-    public static final class Version implements IVersionProvider {
-        @Override
-        public String[] getVersion() {
-            String version = Main.class.getPackage().getImplementationVersion();
-            return new String[] {"wharfhinge " + (version == null ? "(not built as a jar)" : version)};
-        }
-    }
 }
--- a/app/src/main/java/wharfhinge/app/ServeCommand.java
+++ b/app/src/main/java/wharfhinge/app/ServeCommand.java
@@ -8,7 +8,7 @@
 import wharfhinge.gateway.loop.DispatcherFactory;
 
 /** Runs a gateway until it is told to stop. */
-@Command(name = "serve", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
+@Command(name = "serve", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
     description = "Runs a gateway until it gets a TERM or INT signal, then answers what is open and ends.")
 final class ServeCommand implements Callable<Integer> {
     @Option(names = "--config", required = true, paramLabel = "FILE", description = "The settings, an XML file.")
--- a/app/src/main/java/wharfhinge/app/Serving.java
+++ b/app/src/main/java/wharfhinge/app/Serving.java
@@ -20,7 +20,7 @@
             config = changed.apply(GatewayConfig.load(file));
         } catch (InvalidFileException e) {
             System.err.println(e.getMessage());
-            return Main.WANTING;
+            return Program.WANTING;
         }
         Logs.set(config.log());
         Gateway gateway = new Gateway(config, decisions, null);
@@ -36,6 +36,6 @@
         }, "stop"));
         gateway.start();
         stopped.await();
-        return Main.OK;
+        return Program.OK;
     }
 }
--- a/app/src/main/java/wharfhinge/app/StandInCommand.java
+++ b/app/src/main/java/wharfhinge/app/StandInCommand.java
@@ -20,7 +20,7 @@
 import wharfhinge.standin.WorkerStandIn;
 
 /** Runs stand-ins to try a gateway against by hand. */
-@Command(name = "stand-in", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
+@Command(name = "stand-in", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
     description = "Runs scripted peers on loopback until stopped.", synopsisSubcommandLabel = "KIND",
     subcommands = {StandInCommand.Fleet.class, StandInCommand.Worker.class, StandInCommand.Roster.class,
         StandInCommand.Store.class})
@@ -35,7 +35,7 @@
 
     private static int untilStopped() throws InterruptedException {
         new CountDownLatch(1).await();
-        return Main.OK;
+        return Program.OK;
     }
 
     private static List<WorkerStandIn> workers(Scenario scenario, EventLoopGroup group, int first, int count, int store,
@@ -56,7 +56,7 @@
     }
 
     /** Store, workers and the roster that lists them. */
-    @Command(name = "fleet", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
+    @Command(name = "fleet", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
         description = "A store, workers and a roster that lists them.")
     static final class Fleet implements Callable<Integer> {
         @Option(names = "--scenario", paramLabel = "FILE", description = "Figures of the fleet; the bad day's if left out.")
@@ -82,7 +82,7 @@
     }
 
     /** Workers. */
-    @Command(name = "worker", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
+    @Command(name = "worker", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
         description = "Scripted workers.")
     static final class Worker implements Callable<Integer> {
         @Option(names = "--scenario", paramLabel = "FILE", description = "Figures of the fleet; the bad day's if left out.")
@@ -102,7 +102,7 @@
     }
 
     /** A roster. */
-    @Command(name = "roster", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
+    @Command(name = "roster", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
         description = "A roster that lists the workers named.")
     static final class Roster implements Callable<Integer> {
         @Option(names = "--port", required = true, description = "Its port.")
@@ -125,7 +125,7 @@
     }
 
     /** A store. */
-    @Command(name = "store", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
+    @Command(name = "store", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
         description = "A store that slows when crowded and turns fetches away past its limit.")
     static final class Store implements Callable<Integer> {
         @Option(names = "--port", required = true, description = "Its port.")
--- a/app/src/main/java/wharfhinge/app/drill/DrillCommand.java
+++ b/app/src/main/java/wharfhinge/app/drill/DrillCommand.java
@@ -8,12 +8,12 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
-import wharfhinge.app.Main;
+import wharfhinge.app.Program;
 import wharfhinge.standin.Scenario;
 import wharfhinge.standin.judge.Judge;
 
 /** Plays a day over real gateways and judges it from the traffic. */
-@Command(name = "drill", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
+@Command(name = "drill", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
     description = "Plays a scenario over real gateways on loopback and judges the five rules from the traffic; "
         + "exits with 1 unless all are kept.")
 public final class DrillCommand implements Callable<Integer> {
@@ -83,7 +83,7 @@
             verdict = played.play();
         }
         Judge.report(verdict).forEach(System.out::println);
-        return verdict.kept() == 5 ? Main.OK : Main.WANTING;
+        return verdict.kept() == 5 ? Program.OK : Program.WANTING;
     }
 
     private int playChains() throws Exception {
@@ -106,7 +106,7 @@
                 }
             }
         }
-        return Main.OK;
+        return Program.OK;
     }
 
     private int playEach() throws Exception {
@@ -134,7 +134,7 @@
             }
         }
         System.out.println("days with all rules kept: " + (EACH.size() - wanting) + " of " + EACH.size());
-        return wanting == 0 ? Main.OK : Main.WANTING;
+        return wanting == 0 ? Program.OK : Program.WANTING;
     }
 
     private static Scenario.Trouble trouble(String text) {
--- a/app/src/main/java/wharfhinge/app/drill/GatewayProcess.java
+++ b/app/src/main/java/wharfhinge/app/drill/GatewayProcess.java
@@ -7,7 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import wharfhinge.app.Main;
+import wharfhinge.app.Program;
 import wharfhinge.standin.Trace;
 
 /** One gateway in a process of its own, to be killed, stopped and started again. */
@@ -41,7 +41,7 @@
     void start() throws IOException, InterruptedException {
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
             "-Xmx256m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
-            Main.class.getName()));
+            Program.MAIN));
         command.addAll(mutant == null ? List.of("serve") : List.of("drill-gateway", "--mutant", mutant.name()));
         command.addAll(List.of("--config", config.toString()));
         Path log = config.resolveSibling(name + ".log");
--- a/app/src/main/java/wharfhinge/app/measure/ChainCostCommand.java
+++ b/app/src/main/java/wharfhinge/app/measure/ChainCostCommand.java
@@ -6,7 +6,7 @@
 import org.HdrHistogram.Histogram;
 import picocli.CommandLine.Command;
 import wharfhinge.Dispatcher.Effect;
-import wharfhinge.app.Main;
+import wharfhinge.app.Program;
 import wharfhinge.decisions.chain.ChainDecisions;
 import wharfhinge.decisions.chain.ChainDecisions.StepEnd;
 import wharfhinge.decisions.chain.ChainEnd;
@@ -14,7 +14,7 @@
 import wharfhinge.decisions.chain.ChainSettings;
 
 /** What the decisions on a chain cost, without sockets and without the policy. */
-@Command(name = "chain-cost", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
+@Command(name = "chain-cost", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
     description = "Measures the decisions on chains of 2, 4, 8 and 16 steps in a row: microseconds a step, warm.")
 final class ChainCostCommand implements Callable<Integer> {
     private static final long MS = 1_000_000L;
@@ -36,7 +36,7 @@
             System.out.printf("%5d  %11.2f %7.2f %6.2f%n", steps, cost.getValueAtPercentile(50) / 1000.0 / steps,
                 cost.getValueAtPercentile(99) / 1000.0 / steps, cost.getMean() / 1000 / steps);
         }
-        return Main.OK;
+        return Program.OK;
     }
 
     /** Whole chains from begin to end; each histogram value is one chain's time. */
--- a/app/src/main/java/wharfhinge/app/measure/EchoCommand.java
+++ b/app/src/main/java/wharfhinge/app/measure/EchoCommand.java
@@ -5,12 +5,12 @@
 import java.util.concurrent.CountDownLatch;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
-import wharfhinge.app.Main;
+import wharfhinge.app.Program;
 import wharfhinge.standin.Echo;
 import wharfhinge.standin.Net;
 
 /** The peers of a measurement: workers that answer at once, the same over HTTP/1.1, and a bare pass-through. */
-@Command(name = "echo", hidden = true, mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
+@Command(name = "echo", hidden = true, mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
     description = "Peers of a measurement.")
 final class EchoCommand implements Callable<Integer> {
     @Option(names = "--workers", required = true, description = "How many.")
@@ -31,6 +31,6 @@
         }
         System.out.println(ports);
         new CountDownLatch(1).await();
-        return Main.OK;
+        return Program.OK;
     }
 }
--- a/app/src/main/java/wharfhinge/app/measure/MeasureCommand.java
+++ b/app/src/main/java/wharfhinge/app/measure/MeasureCommand.java
@@ -25,7 +25,7 @@
 import org.HdrHistogram.Histogram;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
-import wharfhinge.app.Main;
+import wharfhinge.app.Program;
 import wharfhinge.protocol.RosterEntry;
 import wharfhinge.standin.HttpCaller;
 import wharfhinge.standin.Net;
@@ -33,7 +33,7 @@
 import wharfhinge.standin.Trace;
 
 /** Measures what the gateway adds: direct, a bare pass-through, the gateway; each its own process, all in one run. */
-@Command(name = "measure", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
+@Command(name = "measure", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
     description = "Measures on loopback what the gateway adds to a call, beside a call straight to the worker and a bare "
         + "pass-through with random choice. Latency counts from the time a call was due, so that a stall is not left out.",
     subcommands = {EchoCommand.class, ChainCostCommand.class})
@@ -102,7 +102,7 @@
                 / highest.get("pass-through"));
             status(gatewayPort);
             memory(gateway, gatewayPort, group);
-            return Main.OK;
+            return Program.OK;
         } finally {
             processes.forEach(Process::destroy);
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
@@ -254,7 +254,7 @@
 
     private Process java(String name, Path folder, String... arguments) throws IOException {
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-Xms512m", "-Xmx512m", "-cp", System.getProperty("java.class.path"), Main.class.getName()));
+            "-Xms512m", "-Xmx512m", "-cp", System.getProperty("java.class.path"), Program.MAIN));
         command.addAll(List.of(arguments));
         Process process = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(
             name.equals("echo") ? ProcessBuilder.Redirect.PIPE
--- a/app/src/test/java/wharfhinge/app/CommandLineTest.java
+++ b/app/src/test/java/wharfhinge/app/CommandLineTest.java
@@ -50,7 +50,7 @@
             String[] arguments = java.util.stream.Stream.concat(words.stream(), java.util.stream.Stream.of(option))
                 .toArray(String[]::new);
             Ran ran = run(arguments);
-            assertEquals(Main.OK, ran.code, command + option);
+            assertEquals(Program.OK, ran.code, command + option);
             assertTrue(ran.text().contains("wharfhinge"), ran.text());
         }
     }
@@ -58,24 +58,24 @@
     @ParameterizedTest
     @ValueSource(strings = {"", "nonsense", "serve", "serve --config", "drill --mutant none", "check", "stand-in"})
     void wrongUseIsTwo(String command) {
-        assertEquals(Main.USAGE, run(command.isEmpty() ? new String[0] : command.split(" ")).code);
+        assertEquals(Program.USAGE, run(command.isEmpty() ? new String[0] : command.split(" ")).code);
     }
 
     @Test
     void checkTellsAllThatIsWrong() throws Exception {
-        assertEquals(Main.OK, run("check", SAMPLE).code);
+        assertEquals(Program.OK, run("check", SAMPLE).code);
         Path wrong = folder.resolve("wrong.xml");
         Files.writeString(wrong, Files.readString(Path.of(SAMPLE)).replace("8400", "x").replace("idempotent", "y"));
         Ran ran = run("check", SAMPLE, wrong.toString());
-        assertEquals(Main.WANTING, ran.code);
+        assertEquals(Program.WANTING, ran.code);
         assertTrue(ran.text().contains("found 'x'") && ran.text().contains("found 'y'"), ran.text());
-        assertEquals(Main.WANTING, run("serve", "--config", wrong.toString()).code);
+        assertEquals(Program.WANTING, run("serve", "--config", wrong.toString()).code);
     }
 
     @Test
     void anUnknownDrillIsNamed() {
         Ran ran = run("drill", "no-such-day");
-        assertEquals(Main.WANTING, ran.code);
+        assertEquals(Program.WANTING, ran.code);
         assertTrue(ran.text().contains("found 'no-such-day', allowed: [bad-day, calm, loads-on-call, bad-day-chains, chains]"), ran.text());
     }
 }
