--- a/app/src/main/java/wharfhinge/app/ServeCommand.java
+++ b/app/src/main/java/wharfhinge/app/ServeCommand.java
@@ -16,6 +16,7 @@
 
     @Override
     public Integer call() throws InterruptedException {
-        return Serving.serve(config, DispatcherFactory.CHOICE, UnaryOperator.identity());
+        return Serving.serve(config, DispatcherFactory.CHOICE, UnaryOperator.identity(),
+            UnaryOperator.identity());
     }
 }
--- a/app/src/main/java/wharfhinge/app/Serving.java
+++ b/app/src/main/java/wharfhinge/app/Serving.java
@@ -7,6 +7,8 @@
 import wharfhinge.config.InvalidFileException;
 import wharfhinge.gateway.Gateway;
 import wharfhinge.gateway.loop.DispatcherFactory;
+import wharfhinge.gateway.roster.FleetSource;
+import wharfhinge.gateway.roster.HttpRoster;
 
 /** The life of a gateway process. */
 public final class Serving {
@@ -14,7 +16,8 @@
     private Serving() { }
 
     /** Serves with the given decisions; returns once the gateway has stopped. */
-    public static int serve(Path file, DispatcherFactory decisions, UnaryOperator<GatewayConfig> changed) throws InterruptedException {
+    public static int serve(Path file, DispatcherFactory decisions, UnaryOperator<GatewayConfig> changed,
+                            UnaryOperator<FleetSource> heard) throws InterruptedException {
         GatewayConfig config;
         try {
             config = changed.apply(GatewayConfig.load(file));
@@ -23,7 +26,7 @@
             return Program.WANTING;
         }
         Logs.set(config.log());
-        Gateway gateway = new Gateway(config, decisions, null);
+        Gateway gateway = new Gateway(config, decisions, (group, type) -> heard.apply(new HttpRoster(config, group, type)));
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
--- a/app/src/main/java/wharfhinge/app/drill/DrillGatewayCommand.java
+++ b/app/src/main/java/wharfhinge/app/drill/DrillGatewayCommand.java
@@ -18,6 +18,6 @@
 
     @Override
     public Integer call() throws InterruptedException {
-        return Serving.serve(config, mutant.factory(), mutant::change);
+        return Serving.serve(config, mutant.factory(), mutant::change, mutant::heard);
     }
 }
--- a/app/src/main/java/wharfhinge/app/drill/Mutant.java
+++ b/app/src/main/java/wharfhinge/app/drill/Mutant.java
@@ -1,12 +1,11 @@
 package wharfhinge.app.drill;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.function.Consumer;
 import wharfhinge.Choice;
 import wharfhinge.Dispatcher;
 import wharfhinge.Dispatcher.Actions;
-import wharfhinge.Dispatcher.Availability;
 import wharfhinge.Dispatcher.Effect;
 import wharfhinge.Dispatcher.FamilyInfo;
 import wharfhinge.Dispatcher.ListMode;
@@ -16,6 +15,9 @@
 import wharfhinge.config.GatewayConfig;
 import wharfhinge.decisions.chain.ChainSettings;
 import wharfhinge.gateway.loop.DispatcherFactory;
+import wharfhinge.gateway.roster.FleetSource;
+import wharfhinge.gateway.roster.FleetUpdate;
+import wharfhinge.protocol.RosterEntry;
 
 /** Gateways with one guard broken on purpose, at least one for each rule, so that the judge is seen to find it. */
 enum Mutant {
@@ -38,15 +40,38 @@
     /** Rule 3: does not hear that a worker leaves. */
     DEAF_TO_DRAINS {
         @Override
-        DispatcherFactory factory() {
-            return (now, seed, settings, actions) -> listed(new Choice(now, seed, settings, actions), true);
+        FleetSource heard(FleetSource source) {
+            return new FleetSource() {
+                @Override
+                public void start(Consumer<FleetUpdate> updates) {
+                    source.start(update -> updates.accept(new FleetUpdate(update.mode() == ListMode.REFUSED
+                        ? ListMode.REFUSED : ListMode.CHANGES, update.revision(), update.entries().stream().map(e ->
+                        new RosterEntry(e.id(), e.zone(), e.kind(), e.cell(), RosterEntry.State.UP, e.weight(), e.ageMs(),
+                            e.boot())).toList())));
+                }
+
+                @Override
+                public void listen(boolean on) {
+                    source.listen(on);
+                }
+
+                @Override
+                public void reload() {
+                    source.reload();
+                }
+
+                @Override
+                public void close() {
+                    source.close();
+                }
+            };
         }
     },
     /** Rule 4: takes a worker that has just started for a warm one. */
     COLD_AS_WARM {
         @Override
         DispatcherFactory factory() {
-            return (now, seed, settings, actions) -> listed(new Choice(now, seed, settings, actions), false);
+            return (now, seed, settings, actions) -> allWarm(new Choice(now, seed, settings, actions));
         }
     },
     /** Rule 5: knows no ration. */
@@ -85,6 +110,11 @@
         return DispatcherFactory.CHOICE;
     }
 
+    /** The list as it hears it. */
+    FleetSource heard(FleetSource source) {
+        return source;
+    }
+
     /** The settings it runs with. */
     GatewayConfig change(GatewayConfig config) {
         return config;
@@ -113,17 +143,13 @@
             s.limits(), s.obligations(), s.prices(), s.callers());
     }
 
-    /** Decisions that are told another list: none that leave, or none that start. */
-    private static Dispatcher listed(Dispatcher to, boolean noneLeave) {
+    /** Decisions that are told that no worker has just started. */
+    private static Dispatcher allWarm(Dispatcher to) {
         return new Forwarding(to) {
             @Override
             public void members(long now, ListMode mode, long revision, List<Worker> entries) {
-                List<Worker> told = new ArrayList<>();
-                for (Worker w : entries) {
-                    told.add(new Worker(w.id(), w.zone(), w.kind(), w.cell(),
-                        noneLeave ? Availability.UP : w.availability(), w.weight(), noneLeave ? w.startedAt() : 0));
-                }
-                super.members(now, noneLeave && mode != ListMode.REFUSED ? ListMode.CHANGES : mode, revision, told);
+                super.members(now, mode, revision, entries.stream().map(w -> new Worker(w.id(), w.zone(), w.kind(),
+                    w.cell(), w.availability(), w.weight(), 0)).toList());
             }
         };
     }
--- a/app/src/test/java/wharfhinge/app/drill/DrillTest.java
+++ b/app/src/test/java/wharfhinge/app/drill/DrillTest.java
@@ -51,7 +51,7 @@
         Judge.Verdict verdict = switch (mutant) {
             case FORGETS_ANSWERS -> play(mutant, 4, new Trouble("fast_errors", 0, 9, 1, 0.9, 0));
             case REPEATS_UNSAFE -> play(mutant, 4, new Trouble("fast_errors", 0, 9, 1, 0.5, 0));
-            case DEAF_TO_DRAINS -> play(mutant, 5, new Trouble("drain", 0.5, 9, 0.5, 0, 1));
+            case DEAF_TO_DRAINS -> play(mutant, 6, new Trouble("drain", 0.5, 9, 0.5, 0, 1));
             case COLD_AS_WARM -> play(mutant, 6, new Trouble("restart", 1, 0.2, 0.5, 0, 0),
                 new Trouble("overload", 1, 9, 0, 2, 0));
             case CLOCK_FOR_EACH_STEP -> play(mutant, 4, new Trouble("chains", 0, 9, 0, 0.6, 0),
--- a/gateway/src/main/java/wharfhinge/gateway/upstream/HttpWorkers.java
+++ b/gateway/src/main/java/wharfhinge/gateway/upstream/HttpWorkers.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http2.DefaultHttp2Headers;
 import io.netty.handler.codec.http2.Http2Headers;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -24,6 +25,7 @@
     private final Class<? extends Channel> channel;
     private final LongSupplier nanoTime;
     private final Map<String, WorkerPool> pools = new ConcurrentHashMap<>();
+    private final Set<String> left = ConcurrentHashMap.newKeySet(); // told to be leaving; a new pool must know
 
     /** Uses {@code group}, which stays the caller's. */
     public HttpWorkers(GatewayConfig config, EventLoopGroup group, Class<? extends Channel> channel,
@@ -37,7 +39,8 @@
     }
 
     private WorkerPool pool(String worker) {
-        return pools.computeIfAbsent(worker, id -> new WorkerPool(id, group.next(), channel, config.workers()));
+        return pools.computeIfAbsent(worker, id -> new WorkerPool(id, group.next(), channel, config.workers(),
+            left.contains(id)));
     }
 
     private void sweep() {
@@ -102,6 +105,7 @@
 
     @Override
     public void leaving(String worker) {
+        left.add(worker);
         WorkerPool pool = pools.get(worker);
         if (pool != null) {
             pool.loop().execute(pool::leave);
@@ -110,6 +114,7 @@
 
     @Override
     public void listed(String worker) {
+        left.remove(worker);
         WorkerPool pool = pools.get(worker);
         if (pool != null) {
             pool.loop().execute(pool::back);
--- a/gateway/src/main/java/wharfhinge/gateway/upstream/WorkerPool.java
+++ b/gateway/src/main/java/wharfhinge/gateway/upstream/WorkerPool.java
@@ -30,7 +30,9 @@
     private int dialing;
     private boolean gone;
 
-    WorkerPool(String id, EventLoop loop, Class<? extends Channel> channel, GatewayConfig.Workers settings) {
+    WorkerPool(String id, EventLoop loop, Class<? extends Channel> channel, GatewayConfig.Workers settings,
+               boolean gone) {
+        this.gone = gone;
         this.loop = loop;
         this.settings = settings;
         int colon = id.lastIndexOf(':');
