--- a/stand-ins/src/main/java/wharfhinge/standin/judge/Judge.java
+++ b/stand-ins/src/main/java/wharfhinge/standin/judge/Judge.java
@@ -308,6 +308,12 @@
         }
     }
 
+    /** A gateway that stood still takes what was sent to it meanwhile when it goes on. */
+    private long takenAt(Line line) {
+        return gatewayTroubles.getOrDefault(line.get("gw"), List.of()).stream()
+            .filter(s -> s.from <= line.at && line.at <= s.to).mapToLong(Span::to).findFirst().orElse(line.at);
+    }
+
     /** A chain's steps are calls of their own; the first stands for the chain's being taken. */
     private static boolean laterStep(Line line) {
         String call = line.get("call");
@@ -339,7 +345,7 @@
                     taken.computeIfAbsent(process, g -> new ArrayList<>()).add(line.at);
                 }
             } else if (line.word.equals("sent") || laterStep(line)) {
-                taken.computeIfAbsent(process, g -> new ArrayList<>()).add(line.at);
+                taken.computeIfAbsent(process, g -> new ArrayList<>()).add(takenAt(line));
             } else if (line.word.equals("hold") && line.number("count") > 0) {
                 orders.computeIfAbsent(process, g -> new ArrayList<>()).add(line.at);
             }
