--- a/gateway/src/main/java/wharfhinge/gateway/loop/DecisionLoop.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/DecisionLoop.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -76,6 +77,7 @@
         }
     };
     private final Fleet fleet = new Fleet();
+    private final Set<String> streamed; // names of classes
     private final ChainRunner chains;
     private Dispatcher dispatcher;
     private long now;
@@ -97,6 +99,8 @@
         this.log = log;
         this.nanoTime = nanoTime;
         this.clock = new LoopClock(nanoTime);
+        this.streamed = config.settings().classes().stream().filter(Dispatcher.RequestClass::stream)
+            .map(Dispatcher.RequestClass::name).collect(Collectors.toSet());
         this.chains = new ChainRunner(new StepCalls(), config.chains(), config.settings().realms().stream()
             .map(Dispatcher.Realm::name).collect(Collectors.toSet()), journal);
     }
@@ -524,8 +528,7 @@
             stats.add(Count.ATTEMPTS);
             long wait = timeoutNs == 0 ? left : Math.min(timeoutNs, left);
             var head = c.call.head();
-            boolean streams = config.settings().classes().stream()
-                .anyMatch(k -> k.stream() && k.name().equals(c.call.requestClass()));
+            boolean streams = streamed.contains(c.call.requestClass());
             a.sent = workers.attempt(new WorkerSide.Order(worker, c.outerId(), a.index, functions.get(head.function()),
                 c.call.requestClass(), head.tenant(), wait, head.costUs(), c.call.body(), c.call.contentType(), streams),
                 new WorkerSide.AttemptListener() {
