--- a/decisions/src/main/java/wharfhinge/decisions/chain/ChainDecisions.java
+++ b/decisions/src/main/java/wharfhinge/decisions/chain/ChainDecisions.java
@@ -34,13 +34,14 @@
     static final double CHANCE_UNDER_PRESSURE = 0.2;
     static final double FULL_PRESSURE = 0.1;
     /**
-     * Chains open at once follow how they end: a served one raises the bound, one that was begun and lost cuts it, so that it
-     * settles where about one in four begun is lost, at any size. Acts on any shortage; where each step is turned away by
-     * chance, chains lose work that single calls would not. It hurts where chains are lost for reasons of their own.
+     * Chains open at once follow how they end: a served one raises the bound, one that is lost cuts it by the part of it that
+     * had run, so that it settles where about a fifth of the work is lost, at any size; a chain whose first step is turned
+     * away cost nothing and cuts nothing. Acts on any shortage; where each step is turned away by chance, chains lose work
+     * that single calls would not. It hurts where chains are lost for reasons of their own.
      */
     private static final double OPEN_START = 32;
     private static final double OPEN_RAISE = 0.01;
-    private static final double OPEN_CUT = 0.03;
+    private static final double OPEN_CUT = 0.045;
     private static final double OPEN_LEAST = 2;
     private static final double SMOOTH_PRESSURE = 0.01; // some hundred steps decide
     private static final int FUNCTIONS = 4096;
@@ -466,11 +467,10 @@
 
     private void end(Chain c, Kind kind, String reason) {
         add(kind == Kind.SERVED ? Count.SERVED : kind == Kind.REFUSED ? Count.REFUSED : Count.FAILED);
-        boolean begun = Arrays.stream(c.states).anyMatch(s -> s != StepState.NOT_STARTED);
         if (kind == Kind.SERVED) {
             mayBeOpen *= chains.size() >= mayBeOpen / 2 ? 1 + OPEN_RAISE : 1;
-        } else if (begun) {
-            mayBeOpen = Math.max(OPEN_LEAST, mayBeOpen * (1 - OPEN_CUT));
+        } else {
+            mayBeOpen = Math.max(OPEN_LEAST, mayBeOpen * (1 - OPEN_CUT * partLost(c)));
         }
         if (c.letThrough && kind == Kind.SERVED) {
             add(Count.LET_THROUGH_SERVED);
@@ -481,6 +481,12 @@
         actions.end(c.id, new ChainEnd(kind, reason, List.copyOf(states)));
     }
 
+    /** Of a chain that is lost, the steps on which work was spent. */
+    private static double partLost(Chain c) {
+        long spent = Arrays.stream(c.states).filter(s -> s != StepState.NOT_STARTED && s != StepState.REFUSED).count();
+        return spent / (double) c.states.length;
+    }
+
     private void drop(Chain c) {
         chains.remove(c.id);
         for (int i = 0; i < c.states.length; i++) {
