--- a/app/src/main/java/wharfhinge/app/Logs.java
+++ b/app/src/main/java/wharfhinge/app/Logs.java
@@ -20,11 +20,16 @@
 
     /** From here on logs go where the settings say; what the writer can't keep up with is left out, never waited for. */
     static void set(GatewayConfig.Log settings) {
+        set(settings.json(), settings.level());
+    }
+
+    /** The same with JSON or plain lines, from a level on. */
+    static void set(boolean json, String level) {
         LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
         context.reset();
         ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
         console.setContext(context);
-        console.setEncoder(settings.json() ? json(context) : plain(context));
+        console.setEncoder(json ? json(context) : plain(context));
         console.setImmediateFlush(true);
         console.start();
         AsyncAppender async = new AsyncAppender();
@@ -35,7 +40,7 @@
         async.addAppender(console);
         async.start();
         Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
-        root.setLevel(Level.toLevel(settings.level()));
+        root.setLevel(Level.toLevel(level));
         root.addAppender(async);
         context.getLogger("io.netty").setLevel(Level.WARN);
     }
--- a/app/src/main/java/wharfhinge/app/Main.java
+++ b/app/src/main/java/wharfhinge/app/Main.java
@@ -10,8 +10,8 @@
 @Command(name = "wharfhinge", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
     description = "A gateway for calls on workers that load functions on demand.",
     synopsisSubcommandLabel = "COMMAND",
-    subcommands = {ServeCommand.class, CheckCommand.class, StandInCommand.class, DrillCommand.class,
-        DrillGatewayCommand.class, MeasureCommand.class})
+    subcommands = {ServeCommand.class, CheckCommand.class, WorkerCommand.class, StoreCommand.class, PackageCommand.class,
+        StandInCommand.class, DrillCommand.class, DrillGatewayCommand.class, MeasureCommand.class})
 public final class Main implements Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
--- /dev/null
+++ b/app/src/main/java/wharfhinge/app/StoreCommand.java
@@ -0,0 +1,36 @@
+package wharfhinge.app;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import wharfhinge.standin.Net;
+import wharfhinge.worker.store.Store;
+
+/** Serves packages to workers until stopped. */
+@Command(name = "store", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
+    description = "Serves the packages (NAME.pkg) of a folder to workers, until stopped.")
+final class StoreCommand implements Callable<Integer> {
+    @Option(names = "--folder", required = true, paramLabel = "FOLDER", description = "Where the packages are.")
+    private Path folder;
+    @Option(names = "--port", defaultValue = "8600", description = "The port on loopback; default ${DEFAULT-VALUE}.")
+    private int port;
+    @Option(names = "--most", defaultValue = "64", description = "Fetches in hand beyond which it turns away with 503; "
+        + "default ${DEFAULT-VALUE}.")
+    private int most;
+
+    @Override
+    public Integer call() throws InterruptedException {
+        if (!Files.isDirectory(folder)) {
+            System.err.println("--folder: found " + folder + ", allowed: a folder");
+            return Program.WANTING;
+        }
+        try (Store store = new Store(Net.group(2), port, folder, most)) {
+            System.out.println("store 127.0.0.1:" + store.port());
+            new CountDownLatch(1).await();
+        }
+        return Program.OK;
+    }
+}
--- a/app/src/main/java/wharfhinge/app/drill/Day.java
+++ b/app/src/main/java/wharfhinge/app/drill/Day.java
@@ -30,6 +30,7 @@
 import wharfhinge.standin.WorkerModel;
 import wharfhinge.standin.WorkerStandIn;
 import wharfhinge.standin.judge.Judge;
+import wharfhinge.standin.judge.MemoryJudge;
 
 /** Plays a scenario: gateways in processes of their own, everything else in this one; ends with the judge's verdict. */
 final class Day implements AutoCloseable {
@@ -42,22 +43,32 @@
     private final EventLoopGroup group = Net.group(4);
     private final Random random;
     private final ScheduledExecutorService player = Executors.newScheduledThreadPool(8);
-    private final List<WorkerStandIn> workers = new ArrayList<>();
+    private final List<Member> workers = new ArrayList<>();
     private final List<GatewayProcess> gateways = new ArrayList<>();
     private final RosterStandIn roster;
     private final StoreStandIn store;
+    private final RealFleet real;
+    private final List<String> leftOut = new ArrayList<>();
+    private MemoryJudge memory;
     private LoadClients clients;
     private int nextPort;
 
-    Day(Scenario scenario, Mutant mutant, Path folder) throws IOException {
+    Day(Scenario scenario, Mutant mutant, Path folder) throws IOException, InterruptedException {
         this.scenario = scenario;
         this.folder = folder;
         this.random = new Random(scenario.seed());
         roster = new RosterStandIn(group, 0, 0, trace);
         store = new StoreStandIn(group, 0, scenario.store().fullPace(), scenario.store().most(), trace);
-        HttpCaller fetches = new HttpCaller(group, store.port());
-        for (int i = 0; i < scenario.workers().count(); i++) {
-            workers.add(new WorkerStandIn(group, 0, scenario.worker(i, false), fetches, trace));
+        real = scenario.workers().real() ? new RealFleet(group, scenario, folder, trace) : null;
+        if (real != null) {
+            workers.addAll(real.start());
+        } else {
+            HttpCaller fetches = new HttpCaller(group, store.port());
+            for (int i = 0; i < scenario.workers().count(); i++) {
+                workers.add(new ScriptedMember(new WorkerStandIn(group, 0, scenario.worker(i, false), fetches, trace)));
+            }
+        }
+        for (int i = 0; i < workers.size(); i++) {
             report(i, State.UP, false);
         }
         for (int i = 0; i < scenario.gateways(); i++) {
@@ -91,6 +102,7 @@
         gateways.forEach(g -> ports.put(g.name(), g.port()));
         clients = new LoadClients(group, ports, scenario.offered(), scenario.seed(), trace);
         scenario.troubles().forEach(this::plan);
+        MemoryWatch watch = real == null ? null : new MemoryWatch(group, real.processes());
         clients.start(scenario.seconds());
         Thread.sleep((long) (scenario.seconds() * 1000));
         long most = scenario.offered().classes().stream().mapToLong(LoadClients.CallClass::giveUpMs).max().orElse(0);
@@ -99,10 +111,27 @@
         }
         player.shutdownNow();
         Thread.sleep(200);
+        if (real != null) {
+            memory = watch.stop();
+            real.stop();
+            for (WorkerProcess worker : real.processes()) {
+                trace.take(worker.events());
+            }
+        }
         trace.write(folder.resolve("trace.tsv"));
         return Judge.judge(scenario.judged(), trace.lines());
     }
 
+    /** What was found of the workers' books, or null where they are scripted. */
+    MemoryJudge memory() {
+        return memory;
+    }
+
+    /** Troubles that these workers can't be made to suffer. */
+    List<String> leftOut() {
+        return leftOut;
+    }
+
     /** The gateways' own figures, added up; asked for after the day. */
     Map<String, Long> figures() throws IOException {
         Map<String, Long> all = new LinkedHashMap<>();
@@ -116,11 +145,11 @@
     }
 
     private void report(int i, State state, boolean fresh) {
-        WorkerStandIn worker = workers.get(i);
+        Member worker = workers.get(i);
         WorkerModel.Spec spec = scenario.worker(i, false);
         long age = fresh ? 0 : 2 * spec.coldMs();
         roster.report(new RosterEntry(worker.id(), spec.zone(), spec.kind(), spec.cell(), state, spec.cores(), age,
-            worker.model().boot()));
+            worker.boot()));
     }
 
     // ---- Troubles ---------------------------------------------------------------------------
@@ -129,6 +158,20 @@
         void take() throws IOException, InterruptedException;
     }
 
+    private interface Switch {
+        void to(boolean on) throws IOException, InterruptedException;
+    }
+
+    private interface Blow {
+        void strike(Member member) throws IOException, InterruptedException;
+    }
+
+    private static void all(List<Member> members, Blow blow) throws IOException, InterruptedException {
+        for (Member member : members) {
+            blow.strike(member);
+        }
+    }
+
     private void at(double seconds, Step step) {
         player.schedule(() -> {
             try {
@@ -157,24 +200,28 @@
     }
 
     private void plan(Trouble t) {
-        List<WorkerModel> models = some(t).stream().map(i -> workers.get(i).model()).toList();
+        List<Member> some = some(t).stream().map(workers::get).toList();
+        if (real != null && !workers.get(0).suffers(t.name())) {
+            leftOut.add(t.name());
+            return;
+        }
         switch (t.name()) {
-            case "hang" -> during(t, () -> models.forEach(m -> m.hang(true)), () -> models.forEach(m -> m.hang(false)));
-            case "fast_errors" -> during(t, () -> models.forEach(m -> m.errors(t.size())),
-                () -> models.forEach(m -> m.errors(0)));
-            case "answer_lost" -> during(t, () -> models.forEach(m -> m.loseAnswers(t.size(), t.extra() > 0)),
-                () -> models.forEach(m -> m.loseAnswers(0, false)));
-            case "slow" -> during(t, () -> models.forEach(m -> m.slower(t.size())),
-                () -> models.forEach(m -> m.slower(1)));
-            case "neighbour" -> onAndOff(t, on -> models.forEach(m -> m.slower(on ? 1 / (1 - t.size()) : 1)));
+            case "hang" -> during(t, () -> all(some, m -> m.hang(true)), () -> all(some, m -> m.hang(false)));
+            case "fast_errors" -> during(t, () -> all(some, m -> m.errors(t.size())),
+                () -> all(some, m -> m.errors(0)));
+            case "answer_lost" -> during(t, () -> all(some, m -> m.loseAnswers(t.size(), t.extra() > 0)),
+                () -> all(some, m -> m.loseAnswers(0, false)));
+            case "slow" -> during(t, () -> all(some, m -> m.slower(t.size())),
+                () -> all(some, m -> m.slower(1)));
+            case "neighbour" -> onAndOff(t, on -> all(some, m -> m.slower(on ? 1 / (1 - t.size()) : 1)));
             case "pauses" -> onAndOff(t, on -> {
                 if (on) {
-                    models.forEach(m -> m.pause((long) t.size()));
+                    all(some, m -> m.pause((long) t.size()));
                 }
             });
-            case "handshake_slow" -> during(t, () -> models.forEach(m -> m.slowHandshakes((long) t.size())),
-                () -> models.forEach(m -> m.slowHandshakes(0)));
-            case "flush" -> at(t.at(), () -> workers.forEach(w -> w.model().flush(t.size())));
+            case "handshake_slow" -> during(t, () -> all(some, m -> m.slowHandshakes((long) t.size())),
+                () -> all(some, m -> m.slowHandshakes(0)));
+            case "flush" -> at(t.at(), () -> all(workers, m -> m.flush(t.size())));
             case "burst", "overload" -> during(t, () -> clients.rate(t.size()), () -> clients.rate(1));
             case "hot_key" -> during(t, () -> clients.hot(t.size(), (int) t.extra()), () -> clients.hot(0, 1));
             case "scan" -> during(t, () -> clients.scan(t.size()), () -> clients.scan(0));
@@ -185,7 +232,7 @@
                 () -> roster.lag(scenario.roster().lagMs()));
             case "roster_lost" -> during(t, () -> roster.lost(true), () -> roster.lost(false));
             case "roster_silent" -> during(t, () -> roster.mute(true), () -> roster.mute(false));
-            case "store_shut" -> during(t, () -> store.shut(true), () -> store.shut(false));
+            case "store_shut" -> during(t, () -> shut(true), () -> shut(false));
             case "drain" -> some(t).forEach(i -> drain(t, i));
             case "restart" -> some(t).forEach(i -> restart(t.at(), t.length(), i));
             case "balancer_roll" -> roll(t);
@@ -195,14 +242,22 @@
         }
     }
 
-    private void onAndOff(Trouble t, java.util.function.Consumer<Boolean> set) {
+    private void onAndOff(Trouble t, Switch set) {
         boolean on = true;
         for (double s = 0; s < t.length(); s += t.extra()) {
             boolean now = on;
-            at(t.at() + s, () -> set.accept(now));
+            at(t.at() + s, () -> set.to(now));
             on = !on;
         }
-        at(t.at() + t.length(), () -> set.accept(false));
+        at(t.at() + t.length(), () -> set.to(false));
+    }
+
+    private void shut(boolean now) {
+        if (real != null) {
+            real.shut(now);
+        } else {
+            store.shut(now);
+        }
     }
 
     private void drain(Trouble t, int i) {
@@ -241,7 +296,12 @@
         for (GatewayProcess gateway : gateways) {
             gateway.stop();
         }
-        workers.forEach(WorkerStandIn::close);
+        for (Member worker : workers) {
+            worker.close();
+        }
+        if (real != null) {
+            real.close();
+        }
         roster.close();
         store.close();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(2000);
--- /dev/null
+++ b/app/src/main/java/wharfhinge/app/drill/MemoryWatch.java
@@ -0,0 +1,72 @@
+package wharfhinge.app.drill;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import wharfhinge.standin.H2Caller;
+import wharfhinge.standin.judge.MemoryJudge;
+
+/** Samples worker processes one after the other until stopped, and has their books judged. */
+final class MemoryWatch {
+    private static final long PACE_MS = 20;
+    private final EventLoopGroup group;
+    private final List<WorkerProcess> workers;
+    private final MemoryJudge judge = new MemoryJudge();
+    private final Map<Long, H2Caller> callers = new HashMap<>();
+    private final Thread thread = new Thread(this::run, "memory-watch");
+    private volatile boolean stopped;
+
+    MemoryWatch(EventLoopGroup group, List<WorkerProcess> workers) {
+        this.group = group;
+        this.workers = workers;
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void run() {
+        for (int i = 0; !stopped; i++) {
+            WorkerProcess worker = workers.get(i % workers.size());
+            try {
+                if (worker.alive()) {
+                    sample(worker);
+                }
+                Thread.sleep(PACE_MS);
+            } catch (IOException | ExecutionException | TimeoutException | RuntimeException e) {
+                callers.remove(worker.pid()); // it died, or stands still: nothing to compare
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    private void sample(WorkerProcess worker) throws IOException, InterruptedException, ExecutionException,
+        TimeoutException {
+        long pid = worker.pid();
+        H2Caller caller = callers.computeIfAbsent(pid, p -> new H2Caller(group, worker.port()));
+        String before = books(caller);
+        String smaps = Files.readString(Path.of("/proc/" + pid + "/smaps"));
+        judge.sample(worker.id(), before, smaps, books(caller));
+    }
+
+    private static String books(H2Caller caller) throws InterruptedException, ExecutionException, TimeoutException {
+        return new String(caller.send(HttpMethod.GET, "/memory", new byte[0]).get(500, TimeUnit.MILLISECONDS).body(),
+            StandardCharsets.US_ASCII);
+    }
+
+    /** Stops, and gives what was found. */
+    MemoryJudge stop() throws InterruptedException {
+        stopped = true;
+        thread.join(2000);
+        callers.values().forEach(H2Caller::close);
+        return judge;
+    }
+}
--- a/app/src/main/java/wharfhinge/app/drill/Scenarios.java
+++ b/app/src/main/java/wharfhinge/app/drill/Scenarios.java
@@ -13,7 +13,7 @@
 public final class Scenarios {
     /** Names of those that come with the program. */
     public static final List<String> NAMES = List.of("bad-day", "calm", "loads-on-call", "bad-day-chains",
-        "chains");
+        "chains", "workers", "forty-workers");
 
     private Scenarios() { }
 
--- /dev/null
+++ b/decisions/src/main/java/wharfhinge/decisions/copies/Figures.java
@@ -0,0 +1,12 @@
+package wharfhinge.decisions.copies;
+
+/**
+ * What one copy of a function needs.
+ *
+ * @param kb    memory in KiB; 0 where it is not known
+ * @param lanes calls that it runs at a time; 0 where it is not known
+ */
+public record Figures(long kb, int lanes) {
+    /** Nothing is known. */
+    public static final Figures UNKNOWN = new Figures(0, 0);
+}
--- a/gateway/src/main/java/wharfhinge/gateway/loop/Fleet.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/Fleet.java
@@ -21,12 +21,12 @@
     private final Map<String, Known> known = new LinkedHashMap<>();
     private long revision;
 
-    /** Workers that an update brings, and those that may get nothing new after it. */
-    record Change(List<Worker> told, List<String> listed, List<String> leaving) { }
+    /** Workers that an update brings, processes by worker that may be sent to, and workers that may get nothing new. */
+    record Change(List<Worker> told, Map<String, String> listed, List<String> leaving) { }
 
     Change apply(FleetUpdate update, long now) {
         List<Worker> told = new ArrayList<>();
-        List<String> listed = new ArrayList<>();
+        Map<String, String> listed = new LinkedHashMap<>();
         List<String> leaving = new ArrayList<>();
         Set<String> named = new HashSet<>();
         revision = update.revision();
@@ -34,7 +34,11 @@
             Worker worker = worker(entry, now);
             told.add(worker);
             named.add(entry.id());
-            (worker.availability() == Availability.UP ? listed : leaving).add(entry.id());
+            if (worker.availability() == Availability.UP) {
+                listed.put(entry.id(), entry.boot());
+            } else {
+                leaving.add(entry.id());
+            }
             if (worker.availability() == Availability.WITHDRAWN) {
                 known.remove(entry.id());
             } else {
--- a/gateway/src/main/java/wharfhinge/gateway/loop/WorkerSide.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/WorkerSide.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 import wharfhinge.Dispatcher.Note;
 import wharfhinge.Dispatcher.Outcome;
+import wharfhinge.protocol.RosterEntry;
 
 /** The sockets towards the workers, as the loop uses them. No method blocks; listeners are called by I/O threads. */
 public interface WorkerSide extends AutoCloseable {
@@ -88,8 +89,12 @@
     /** Nothing new may go to a worker: what has not reached the wire ends as a failed connect. */
     void leaving(String worker);
 
-    /** A worker may be sent to (again). */
-    void listed(String worker);
+    /**
+     * A worker may be sent to (again).
+     *
+     * @param boot the process that requests are meant for from now on; {@link RosterEntry#NO_BOOT} where none is told
+     */
+    void listed(String worker, String boot);
 
     @Override
     void close();
--- a/gateway/src/main/java/wharfhinge/gateway/upstream/HttpWorkers.java
+++ b/gateway/src/main/java/wharfhinge/gateway/upstream/HttpWorkers.java
@@ -14,6 +14,7 @@
 import java.util.function.LongSupplier;
 import wharfhinge.config.GatewayConfig;
 import wharfhinge.gateway.loop.WorkerSide;
+import wharfhinge.protocol.RosterEntry;
 import wharfhinge.protocol.WorkerProtocol;
 
 /** The workers' side over HTTP/2 without TLS; a pool of connections for each worker, each pool on one event loop. */
@@ -26,6 +27,7 @@
     private final LongSupplier nanoTime;
     private final Map<String, WorkerPool> pools = new ConcurrentHashMap<>();
     private final Set<String> left = ConcurrentHashMap.newKeySet(); // told to be leaving; a new pool must know
+    private final Map<String, String> boots = new ConcurrentHashMap<>(); // the process that each request is meant for
 
     /** Uses {@code group}, which stays the caller's. */
     public HttpWorkers(GatewayConfig config, EventLoopGroup group, Class<? extends Channel> channel,
@@ -54,7 +56,8 @@
 
     @Override
     public Sent attempt(Order order, AttemptListener listener) {
-        Http2Headers headers = function("POST", WorkerProtocol.CALL_PATH + order.function().name(), order.function())
+        Http2Headers headers = function(order.worker(), "POST", WorkerProtocol.CALL_PATH + order.function().name(),
+            order.function())
             .set(WorkerProtocol.CALL, order.call())
             .setInt(WorkerProtocol.ATTEMPT, order.attempt())
             .set(WorkerProtocol.CLASS, order.requestClass())
@@ -77,20 +80,20 @@
 
     @Override
     public void probe(String worker, Consumer<Result> ended) {
-        Http2Headers headers = head("GET", WorkerProtocol.PROBE_PATH);
+        Http2Headers headers = head(worker, "GET", WorkerProtocol.PROBE_PATH);
         timed(worker, new Exchange(headers, null, nanoTime, ended, null), config.workers().probeTimeoutNs());
     }
 
     @Override
     public void hold(String worker, Function function, int count, long waitNs, Consumer<Result> ended) {
-        Http2Headers headers = function("PUT", WorkerProtocol.COPIES_PATH + function.name()
+        Http2Headers headers = function(worker, "PUT", WorkerProtocol.COPIES_PATH + function.name()
             + WorkerProtocol.COUNT_PARAMETER + count, function).setLong(WorkerProtocol.DEADLINE_MS, waitNs / MS);
         timed(worker, new Exchange(headers, null, nanoTime, ended, null), waitNs);
     }
 
     @Override
     public void unload(String worker, String function) {
-        Http2Headers headers = head("DELETE", WorkerProtocol.COPIES_PATH + function);
+        Http2Headers headers = head(worker, "DELETE", WorkerProtocol.COPIES_PATH + function);
         timed(worker, new Exchange(headers, null, nanoTime,
             result -> io.netty.util.ReferenceCountUtil.release(result.body()), null), config.workers().probeTimeoutNs());
     }
@@ -106,6 +109,7 @@
     @Override
     public void leaving(String worker) {
         left.add(worker);
+        boots.remove(worker);
         WorkerPool pool = pools.get(worker);
         if (pool != null) {
             pool.loop().execute(pool::leave);
@@ -113,8 +117,9 @@
     }
 
     @Override
-    public void listed(String worker) {
+    public void listed(String worker, String boot) {
         left.remove(worker);
+        boots.put(worker, boot);
         WorkerPool pool = pools.get(worker);
         if (pool != null) {
             pool.loop().execute(pool::back);
@@ -147,13 +152,15 @@
         });
     }
 
-    private Http2Headers head(String method, String path) {
-        return new DefaultHttp2Headers(false).method(method).path(path).scheme("http").authority("worker")
+    private Http2Headers head(String worker, String method, String path) {
+        Http2Headers headers = new DefaultHttp2Headers(false).method(method).path(path).scheme("http").authority("worker")
             .set(WorkerProtocol.GATEWAY, config.name());
+        String boot = boots.getOrDefault(worker, RosterEntry.NO_BOOT);
+        return boot.equals(RosterEntry.NO_BOOT) ? headers : headers.set(WorkerProtocol.BOOT, boot);
     }
 
-    private Http2Headers function(String method, String path, Function function) {
-        Http2Headers headers = head(method, path);
+    private Http2Headers function(String worker, String method, String path, Function function) {
+        Http2Headers headers = head(worker, method, path);
         if (function.memoryMb() > 0) {
             headers.set(WorkerProtocol.MEMORY_MB, Double.toString(function.memoryMb()));
         }
--- a/gateway/src/test/java/wharfhinge/gateway/HardCasesTest.java
+++ b/gateway/src/test/java/wharfhinge/gateway/HardCasesTest.java
@@ -188,6 +188,19 @@
         }
     }
 
+    @Test
+    void requestsNameTheProcessThatTheyAreMeantFor() throws Exception {
+        try (ScriptedPeer worker = new ScriptedPeer(in -> in.answer(SERVED, FOUND, String.valueOf(in.headers.get("wh-boot"))));
+             Rig rig = rig("")) {
+            rig.list(worker.id());
+            assertEquals("b0", get(rig.call("once", "f", 2000)).body());
+            rig.change(Rig.entry(worker.id(), wharfhinge.protocol.RosterEntry.State.UP, "b1"));
+            assertEquals("b1", get(rig.call("once", "f", 2000)).body());
+            rig.change(Rig.entry(worker.id(), wharfhinge.protocol.RosterEntry.State.UP, "-"));
+            assertEquals("null", get(rig.call("once", "f", 2000)).body(), "the roster names none");
+        }
+    }
+
     @Test
     void anAnswerWithoutEndIsCutOffAtItsLimit() throws Exception {
         try (ScriptedPeer floods = new ScriptedPeer(in -> {
--- a/protocol/src/main/java/wharfhinge/protocol/RosterEntry.java
+++ b/protocol/src/main/java/wharfhinge/protocol/RosterEntry.java
@@ -12,6 +12,8 @@
                           String boot) {
     /** No age is told. */
     public static final long UNTOLD = -1;
+    /** The process is not told. */
+    public static final String NO_BOOT = "-";
 
     /** What the roster says of a worker. */
     public enum State {
--- a/protocol/src/main/java/wharfhinge/protocol/WorkerProtocol.java
+++ b/protocol/src/main/java/wharfhinge/protocol/WorkerProtocol.java
@@ -12,6 +12,8 @@
     public static final String COUNT_PARAMETER = "?count=";
     /** A probe: {@code GET}. */
     public static final String PROBE_PATH = "/probe";
+    /** The books of a worker that keeps some: {@code GET}. */
+    public static final String MEMORY_PATH = "/memory";
     /** Most copies that one order may ask for. */
     public static final int MOST_COPIES = 16;
 
@@ -36,6 +38,9 @@
     /** The usual time of a load in milliseconds. */
     public static final AsciiString LOAD_MS = AsciiString.cached("wh-load-ms");
 
+    /** The process that a request is meant for, as the roster names it; in answers, the one that answers. */
+    public static final AsciiString BOOT = AsciiString.cached("wh-boot");
+
     /** An {@link AnswerCode}. */
     public static final AsciiString OUTCOME = AsciiString.cached("wh-outcome");
     /** A {@link CopyNote}. */
--- a/stand-ins/src/main/java/wharfhinge/standin/Scenario.java
+++ b/stand-ins/src/main/java/wharfhinge/standin/Scenario.java
@@ -66,6 +66,28 @@
         private long reportMs = 200;
         @XmlAttribute(name = "reports")
         private String reports = "piggyback";
+        @XmlAttribute(name = "real")
+        private boolean real;
+
+        /** Whether they are processes of the project's own worker. */
+        public boolean real() {
+            return real;
+        }
+
+        /** Calls that may wait. */
+        public int queue() {
+            return queue;
+        }
+
+        /** Loads at once. */
+        public int loadsAtOnce() {
+            return loadsAtOnce;
+        }
+
+        /** How often reports are made anew. */
+        public long reportMs() {
+            return reportMs;
+        }
 
         /** Workers. */
         public int count() {
@@ -269,6 +291,18 @@
         traffic.perS *= times;
     }
 
+    /** Plays the day over real workers, with memory, theirs and functions', times {@code memory}. */
+    public void real(double memory) {
+        workers.real = true;
+        workers.memoryMb *= memory;
+        traffic.classes.forEach(c -> c.memoryMb = Math.max(1, Math.rint(c.memoryMb * memory)));
+    }
+
+    /** Plays it with so many workers. */
+    public void workers(int count) {
+        workers.count = count;
+    }
+
     /** The part of what is offered that is chains. */
     public void chainShare(double share) {
         traffic.chainShare = share;
--- a/stand-ins/src/main/java/wharfhinge/standin/Trace.java
+++ b/stand-ins/src/main/java/wharfhinge/standin/Trace.java
@@ -33,6 +33,13 @@
         }
     }
 
+    /** Takes lines that another process recorded on the same clock. */
+    public void take(List<String> recorded) {
+        synchronized (lines) {
+            lines.addAll(recorded);
+        }
+    }
+
     /** All lines so far. */
     public List<String> lines() {
         synchronized (lines) {
--- /dev/null
+++ b/worker/src/main/java/wharfhinge/worker/WorkerSettings.java
@@ -0,0 +1,219 @@
+package wharfhinge.worker;
+
+import jakarta.xml.bind.annotation.XmlAccessType;
+import jakarta.xml.bind.annotation.XmlAccessorType;
+import jakarta.xml.bind.annotation.XmlAttribute;
+import jakarta.xml.bind.annotation.XmlElement;
+import jakarta.xml.bind.annotation.XmlRootElement;
+import java.net.URL;
+import java.util.ArrayList;
+import java.util.List;
+import wharfhinge.decisions.copies.CopySettings;
+
+/** A worker's settings as its file holds them; worker.xsd has units, ranges and defaults, docs/operate/worker.md the why. */
+@XmlRootElement(name = "worker")
+@XmlAccessorType(XmlAccessType.FIELD)
+public final class WorkerSettings {
+    private static final long KB_IN_MB = 1024;
+    private static final long MS = 1_000_000L;
+
+    @XmlAttribute(name = "name")
+    private String name;
+    @XmlElement(name = "listen")
+    private Listen listen;
+    @XmlElement(name = "memory")
+    private Memory memory;
+    @XmlElement(name = "calls")
+    private Calls calls = new Calls();
+    @XmlElement(name = "loads")
+    private Loads loads = new Loads();
+    @XmlElement(name = "store")
+    private StoreAt store;
+    @XmlElement(name = "images")
+    private Images images;
+    @XmlElement(name = "keys")
+    private Keys keys = new Keys();
+    @XmlElement(name = "reports")
+    private Reports reports = new Reports();
+    @XmlElement(name = "drain")
+    private Drain drain = new Drain();
+    @XmlElement(name = "events")
+    private Events events = new Events();
+
+    /** Where it listens. */
+    @XmlAccessorType(XmlAccessType.FIELD)
+    public static final class Listen {
+        @XmlAttribute(name = "port")
+        private int port;
+    }
+
+    /** Memory. */
+    @XmlAccessorType(XmlAccessType.FIELD)
+    public static final class Memory {
+        @XmlAttribute(name = "copies-mb")
+        private int copiesMb;
+        @XmlAttribute(name = "own-mb")
+        private int ownMb = 160;
+        @XmlAttribute(name = "usual-copy-mb")
+        private int usualCopyMb = 64;
+    }
+
+    /** Calls. */
+    @XmlAccessorType(XmlAccessType.FIELD)
+    public static final class Calls {
+        @XmlAttribute(name = "queue")
+        private int queue = 64;
+        @XmlAttribute(name = "not-loaded")
+        private String notLoaded = "load";
+        @XmlAttribute(name = "further-copies")
+        private String furtherCopies = "own";
+        @XmlAttribute(name = "keep-ms")
+        private long keepMs = 60_000;
+        @XmlAttribute(name = "most-body-kb")
+        private int mostBodyKb = 1024;
+    }
+
+    /** Loads. */
+    @XmlAccessorType(XmlAccessType.FIELD)
+    public static final class Loads {
+        @XmlAttribute(name = "at-once")
+        private int atOnce = 4;
+        @XmlAttribute(name = "line")
+        private int line = 32;
+        @XmlAttribute(name = "fetch-ms")
+        private long fetchMs = 10_000;
+        @XmlAttribute(name = "stop-ms")
+        private long stopMs = 500;
+    }
+
+    /** The store. */
+    @XmlAccessorType(XmlAccessType.FIELD)
+    public static final class StoreAt {
+        @XmlAttribute(name = "url")
+        private String url;
+        @XmlAttribute(name = "fresh-ms")
+        private long freshMs = 5000;
+    }
+
+    /** Images on disk. */
+    @XmlAccessorType(XmlAccessType.FIELD)
+    public static final class Images {
+        @XmlAttribute(name = "folder")
+        private String folder;
+        @XmlAttribute(name = "most-mb")
+        private long mostMb = 1024;
+    }
+
+    /** Publishers' keys. */
+    @XmlAccessorType(XmlAccessType.FIELD)
+    public static final class Keys {
+        @XmlElement(name = "key")
+        private final List<Key> keys = new ArrayList<>();
+    }
+
+    /** A publisher's public key. */
+    @XmlAccessorType(XmlAccessType.FIELD)
+    public static final class Key {
+        @XmlAttribute(name = "file")
+        private String file;
+    }
+
+    /** Reports. */
+    @XmlAccessorType(XmlAccessType.FIELD)
+    public static final class Reports {
+        @XmlAttribute(name = "refresh-ms")
+        private long refreshMs = 200;
+    }
+
+    /** Draining. */
+    @XmlAccessorType(XmlAccessType.FIELD)
+    public static final class Drain {
+        @XmlAttribute(name = "within-ms")
+        private long withinMs = 10_000;
+    }
+
+    /** The record of what came and went. */
+    @XmlAccessorType(XmlAccessType.FIELD)
+    public static final class Events {
+        @XmlAttribute(name = "file")
+        private String file = "";
+    }
+
+    /** The schema of the file. */
+    public static URL schema() {
+        return WorkerSettings.class.getResource("worker.xsd");
+    }
+
+    /** Its name, for logs. */
+    public String name() {
+        return name;
+    }
+
+    /** The port; 0 takes any. */
+    public int port() {
+        return listen.port;
+    }
+
+    /** What the decisions go by. */
+    CopySettings copies() {
+        return new CopySettings(memory.copiesMb * KB_IN_MB, memory.usualCopyMb * KB_IN_MB, calls.queue, loads.atOnce,
+            loads.line, calls.keepMs * MS, calls.notLoaded.equals("load"), calls.furtherCopies.equals("own"));
+    }
+
+    /** What the process may hold beside its copies, KiB. */
+    long ownKb() {
+        return memory.ownMb * KB_IN_MB;
+    }
+
+    int loadsAtOnce() {
+        return loads.atOnce;
+    }
+
+    int mostBodyBytes() {
+        return calls.mostBodyKb * 1024;
+    }
+
+    long fetchNs() {
+        return loads.fetchMs * MS;
+    }
+
+    long stopMs() {
+        return loads.stopMs;
+    }
+
+    String storeUrl() {
+        return store.url;
+    }
+
+    long freshNs() {
+        return store.freshMs * MS;
+    }
+
+    /** Where images are, as written: relative to the file. */
+    public String imagesFolder() {
+        return images.folder;
+    }
+
+    long imagesBytes() {
+        return images.mostMb << 20;
+    }
+
+    /** Files of trusted keys, as written: relative to the file. */
+    public List<String> keyFiles() {
+        return keys.keys.stream().map(k -> k.file).toList();
+    }
+
+    long refreshMs() {
+        return reports.refreshMs;
+    }
+
+    /** Within which a drain ends, whatever still runs. */
+    public long drainMs() {
+        return drain.withinMs;
+    }
+
+    /** Where events are written, as written: relative to the file; empty for nowhere. */
+    public String eventsFile() {
+        return events.file;
+    }
+}
--- /dev/null
+++ b/worker/src/main/java/wharfhinge/worker/copy/PackageLoader.java
@@ -0,0 +1,72 @@
+package wharfhinge.worker.copy;
+
+import java.io.ByteArrayInputStream;
+import java.io.InputStream;
+import java.util.Map;
+import org.objectweb.asm.ClassReader;
+import org.objectweb.asm.ClassVisitor;
+import org.objectweb.asm.ClassWriter;
+import org.objectweb.asm.MethodVisitor;
+import org.objectweb.asm.Opcodes;
+import wharfhinge.worker.api.Function;
+
+/**
+ * The classes of one copy. Of the worker it sees the API alone, else the JDK; two copies share no class and so no static
+ * field. Calls of {@link System#exit}, {@link Runtime#exit} and {@link Runtime#halt} become
+ * {@link wharfhinge.worker.api.ExitRefused}: rewritten here, since Java 17 is the last with a security manager that could
+ * ask. By reflection they still can be reached; docs/design/worker.md lists what can't be held.
+ */
+final class PackageLoader extends ClassLoader {
+    private static final String API = "wharfhinge.worker.api.";
+    private static final String REFUSED = "wharfhinge/worker/api/ExitRefused";
+
+    private final Map<String, byte[]> files;
+
+    PackageLoader(Map<String, byte[]> files) {
+        super(ClassLoader.getPlatformClassLoader());
+        this.files = files;
+    }
+
+    @Override
+    protected Class<?> findClass(String name) throws ClassNotFoundException {
+        if (name.startsWith(API)) {
+            return Function.class.getClassLoader().loadClass(name);
+        }
+        byte[] bytes = files.get("classes/" + name.replace('.', '/') + ".class");
+        if (bytes == null) {
+            throw new ClassNotFoundException(name);
+        }
+        byte[] guarded = guarded(bytes);
+        return defineClass(name, guarded, 0, guarded.length);
+    }
+
+    @Override
+    public InputStream getResourceAsStream(String name) {
+        byte[] bytes = files.get("classes/" + name);
+        return bytes == null ? super.getResourceAsStream(name) : new ByteArrayInputStream(bytes);
+    }
+
+    private static byte[] guarded(byte[] bytes) {
+        ClassReader reader = new ClassReader(bytes);
+        ClassWriter writer = new ClassWriter(reader, 0);
+        reader.accept(new ClassVisitor(Opcodes.ASM9, writer) {
+            @Override
+            public MethodVisitor visitMethod(int access, String name, String type, String signature, String[] thrown) {
+                return new MethodVisitor(Opcodes.ASM9, super.visitMethod(access, name, type, signature, thrown)) {
+                    @Override
+                    public void visitMethodInsn(int opcode, String owner, String method, String of, boolean isInterface) {
+                        boolean exits = method.equals("exit") || method.equals("halt");
+                        if (owner.equals("java/lang/System") && method.equals("exit")) {
+                            super.visitMethodInsn(Opcodes.INVOKESTATIC, REFUSED, "exit", "(I)V", false);
+                        } else if (owner.equals("java/lang/Runtime") && exits) {
+                            super.visitMethodInsn(Opcodes.INVOKESTATIC, REFUSED, "exit", "(Ljava/lang/Runtime;I)V", false);
+                        } else {
+                            super.visitMethodInsn(opcode, owner, method, of, isInterface);
+                        }
+                    }
+                };
+            }
+        }, 0);
+        return writer.toByteArray();
+    }
+}
--- /dev/null
+++ b/worker/src/main/java/wharfhinge/worker/pack/Digests.java
@@ -0,0 +1,30 @@
+package wharfhinge.worker.pack;
+
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/** SHA-256, which every JDK has. */
+public final class Digests {
+
+    private Digests() { }
+
+    /** A digest to be fed. */
+    public static MessageDigest sha256() {
+        try {
+            return MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** In hexadecimal. */
+    public static String hex(byte[] digest) {
+        return HexFormat.of().formatHex(digest);
+    }
+
+    /** The digest of all bytes, in hexadecimal. */
+    public static String of(byte[] bytes) {
+        return hex(sha256().digest(bytes));
+    }
+}
--- /dev/null
+++ b/worker/src/main/java/wharfhinge/worker/pack/Keys.java
@@ -0,0 +1,99 @@
+package wharfhinge.worker.pack;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.security.GeneralSecurityException;
+import java.security.KeyFactory;
+import java.security.KeyPair;
+import java.security.KeyPairGenerator;
+import java.security.PrivateKey;
+import java.security.PublicKey;
+import java.security.Signature;
+import java.security.spec.PKCS8EncodedKeySpec;
+import java.security.spec.X509EncodedKeySpec;
+import java.util.Base64;
+
+/** Ed25519 keys of publishers, in PEM files, and signatures by them. Private keys are never shown or logged. */
+public final class Keys {
+    private static final String ALGORITHM = "Ed25519";
+    private static final Base64.Encoder LINES = Base64.getMimeEncoder(64, new byte[] {'\n'});
+
+    private Keys() { }
+
+    /** Makes a pair and writes {@code file} (private, for its owner alone) and {@code file.pub}; neither may exist. */
+    public static void generate(Path file) throws IOException {
+        try {
+            KeyPair pair = KeyPairGenerator.getInstance(ALGORITHM).generateKeyPair();
+            Files.createFile(file, PosixFilePermissions.asFileAttribute(PosixFilePermissions.fromString("rw-------")));
+            Files.writeString(file, pem("PRIVATE KEY", pair.getPrivate().getEncoded()));
+            Files.writeString(file.resolveSibling(file.getFileName() + ".pub"),
+                pem("PUBLIC KEY", pair.getPublic().getEncoded()), StandardOpenOption.CREATE_NEW);
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Reads a private key. @throws IOException where the file is none, without showing it */
+    public static PrivateKey privateKey(Path file) throws IOException {
+        try {
+            return KeyFactory.getInstance(ALGORITHM).generatePrivate(new PKCS8EncodedKeySpec(body(file, "PRIVATE KEY")));
+        } catch (GeneralSecurityException e) {
+            throw new IOException(file + ": no Ed25519 private key");
+        }
+    }
+
+    /** Reads a public key. @throws IOException where the file is none */
+    public static PublicKey publicKey(Path file) throws IOException {
+        try {
+            return KeyFactory.getInstance(ALGORITHM).generatePublic(new X509EncodedKeySpec(body(file, "PUBLIC KEY")));
+        } catch (GeneralSecurityException e) {
+            throw new IOException(file + ": no Ed25519 public key");
+        }
+    }
+
+    private static String pem(String kind, byte[] encoded) {
+        return "-----BEGIN " + kind + "-----\n" + LINES.encodeToString(encoded) + "\n-----END " + kind + "-----\n";
+    }
+
+    private static byte[] body(Path file, String kind) throws IOException {
+        String text = Files.readString(file, StandardCharsets.US_ASCII).strip();
+        String begin = "-----BEGIN " + kind + "-----";
+        String end = "-----END " + kind + "-----";
+        if (!text.startsWith(begin) || !text.endsWith(end)) {
+            throw new IOException(file + ": no PEM file of a " + kind.toLowerCase(java.util.Locale.ROOT));
+        }
+        try {
+            return Base64.getMimeDecoder().decode(text.substring(begin.length(), text.length() - end.length()));
+        } catch (IllegalArgumentException e) {
+            throw new IOException(file + ": not in base 64");
+        }
+    }
+
+    /** Signs. */
+    public static byte[] sign(PrivateKey key, byte[] bytes) {
+        try {
+            Signature signature = Signature.getInstance(ALGORITHM);
+            signature.initSign(key);
+            signature.update(bytes);
+            return signature.sign();
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Whether {@code signature} is the key's of these bytes; false also where it is malformed. */
+    public static boolean verify(PublicKey key, byte[] bytes, byte[] signature) {
+        try {
+            Signature check = Signature.getInstance(ALGORITHM);
+            check.initVerify(key);
+            check.update(bytes);
+            return check.verify(signature);
+        } catch (GeneralSecurityException e) {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/worker/src/main/java/wharfhinge/worker/pack/Manifest.java
@@ -0,0 +1,174 @@
+package wharfhinge.worker.pack;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.regex.Pattern;
+
+/**
+ * What a package says of itself: the text file {@value #NAME}, its first entry. The first line is {@value #HEAD}; then one
+ * {@code name=value} a line, each known name once, then {@code file=SHA256 SIZE PATH} for each file. It is what a publisher
+ * signs, so that the signature covers every byte of the package.
+ *
+ * @param memoryMb memory of a copy, MB
+ * @param lanes    calls that a copy runs at a time
+ * @param effect   what a repeat does: {@code idempotent}, {@code keyed} or {@code at-most-once}
+ * @param callMs   a call's limit
+ * @param startMs  limit of a copy's start
+ * @param files    files by path
+ */
+public record Manifest(String name, String version, String entry, int memoryMb, int lanes, String effect, int callMs,
+                       int startMs, Map<String, FileMark> files) {
+    /** Its file. */
+    public static final String NAME = "manifest";
+    /** Its first line: the format and its version. */
+    public static final String HEAD = "wharfhinge-package 1";
+    /** Its longest. */
+    public static final int MOST_BYTES = 256 << 10;
+    /** Most memory of a copy: what one mapping can hold. */
+    public static final int MOST_MEMORY_MB = 2047;
+    /** Most lanes of a copy. */
+    public static final int MOST_LANES = 256;
+    /** Most of all files together, unpacked. */
+    public static final long MOST_CONTENT = 256L << 20;
+    /** Most files. */
+    public static final int MOST_FILES = 2000;
+
+    private static final Pattern WORD = Pattern.compile("[A-Za-z0-9._-]{1,128}");
+    private static final Pattern CLASS = Pattern.compile("[A-Za-z_$][A-Za-z0-9_$]*(\\.[A-Za-z_$][A-Za-z0-9_$]*){0,30}");
+    private static final Pattern EFFECT = Pattern.compile("idempotent|keyed|at-most-once");
+    private static final Pattern SHA = Pattern.compile("[0-9a-f]{64}");
+    private static final Pattern PATH = Pattern.compile("classes(/[A-Za-z0-9_$.-]{1,255}){1,32}");
+    private static final int MOST_MS = 3_600_000;
+
+    /** A file's digest, in hexadecimal, and its size unpacked. */
+    public record FileMark(String sha256, long size) { }
+
+    /**
+     * Reads a manifest.
+     *
+     * @throws InvalidPackageException names the line, what it held and what is allowed
+     */
+    public static Manifest parse(byte[] bytes) throws InvalidPackageException {
+        if (bytes.length > MOST_BYTES) {
+            throw new InvalidPackageException(NAME, "found " + bytes.length + " bytes, allowed: " + MOST_BYTES);
+        }
+        String text;
+        try {
+            text = StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString();
+        } catch (CharacterCodingException e) {
+            throw new InvalidPackageException(NAME, "found bytes that are no UTF-8");
+        }
+        String[] lines = text.split("\n", -1);
+        if (!lines[0].equals(HEAD)) {
+            throw new InvalidPackageException(NAME + " line 1", "found '" + shown(lines[0]) + "', allowed: " + HEAD);
+        }
+        Map<String, String> fields = new LinkedHashMap<>();
+        Map<String, FileMark> files = new TreeMap<>();
+        for (int i = 1; i < lines.length; i++) {
+            if (i == lines.length - 1 && lines[i].isEmpty()) {
+                break;
+            }
+            line("line " + (i + 1), lines[i], fields, files);
+        }
+        Manifest manifest = new Manifest(text(fields, "name", WORD), text(fields, "version", WORD),
+            text(fields, "entry", CLASS), number(fields, "memory-mb", MOST_MEMORY_MB), number(fields, "lanes", MOST_LANES),
+            text(fields, "effect", EFFECT), number(fields, "call-ms", MOST_MS), number(fields, "start-ms", MOST_MS),
+            Collections.unmodifiableMap(files));
+        if (!fields.isEmpty()) {
+            throw new InvalidPackageException(NAME, "found unknown names " + fields.keySet());
+        }
+        String entry = "classes/" + manifest.entry.replace('.', '/') + ".class";
+        if (!files.containsKey(entry)) {
+            throw new InvalidPackageException(NAME, "entry " + manifest.entry + " is not among the files");
+        }
+        return manifest;
+    }
+
+    private static void line(String place, String line, Map<String, String> fields, Map<String, FileMark> files)
+        throws InvalidPackageException {
+        int equals = line.indexOf('=');
+        if (equals < 1) {
+            throw new InvalidPackageException(NAME + " " + place, "found '" + shown(line) + "', allowed: name=value");
+        }
+        String name = line.substring(0, equals);
+        String value = line.substring(equals + 1);
+        if (!name.equals("file")) {
+            if (fields.put(name, value) != null) {
+                throw new InvalidPackageException(NAME + " " + place, name + " stands twice");
+            }
+            return;
+        }
+        String[] parts = value.split(" ", 3);
+        boolean formed = parts.length == 3 && SHA.matcher(parts[0]).matches() && parts[1].matches("[0-9]{1,10}");
+        if (!formed) {
+            throw new InvalidPackageException(NAME + " " + place, "found '" + shown(value)
+                + "', allowed: SHA-256 in 64 hexadecimal digits, size, path");
+        }
+        checkPath(NAME + " " + place, parts[2]);
+        if (files.put(parts[2], new FileMark(parts[0], Long.parseLong(parts[1]))) != null) {
+            throw new InvalidPackageException(NAME + " " + place, parts[2] + " stands twice");
+        }
+        long content = files.values().stream().mapToLong(FileMark::size).sum();
+        if (content > MOST_CONTENT || files.size() > MOST_FILES) {
+            throw new InvalidPackageException(NAME + " " + place, "found " + files.size() + " files of " + content
+                + " bytes so far, allowed: " + MOST_FILES + " of " + MOST_CONTENT);
+        }
+    }
+
+    /** A path must stay below {@code classes/} whatever reads it. */
+    static void checkPath(String place, String path) throws InvalidPackageException {
+        boolean climbs = false;
+        for (String part : path.split("/", -1)) {
+            climbs |= part.equals("..") || part.equals(".");
+        }
+        if (climbs || !PATH.matcher(path).matches()) {
+            throw new InvalidPackageException(place, "found path '" + shown(path)
+                + "', allowed: classes/ and names of letters, digits, '_', '$', '.', '-', that do not climb");
+        }
+    }
+
+    private static String text(Map<String, String> fields, String name, Pattern allowed) throws InvalidPackageException {
+        String value = fields.remove(name);
+        if (value == null) {
+            throw new InvalidPackageException(NAME, name + " is missing");
+        }
+        if (value.length() > 512 || !allowed.matcher(value).matches()) {
+            throw new InvalidPackageException(NAME, name + ": found '" + shown(value) + "', allowed: " + allowed);
+        }
+        return value;
+    }
+
+    private static int number(Map<String, String> fields, String name, int most) throws InvalidPackageException {
+        String value = fields.remove(name);
+        int number = value != null && value.matches("[0-9]{1,9}") ? Integer.parseInt(value) : 0;
+        if (number < 1 || number > most) {
+            throw new InvalidPackageException(NAME, name + ": found '" + shown(value) + "', allowed: 1 to " + most);
+        }
+        return number;
+    }
+
+    /** Hostile text is shown short and plain. */
+    private static String shown(String value) {
+        if (value == null) {
+            return "nothing";
+        }
+        String cut = value.length() > 60 ? value.substring(0, 60) + "..." : value;
+        return cut.replaceAll("[^\\x20-\\x7e]", "?");
+    }
+
+    /** Writes it; {@link #parse} of that gives the same. */
+    public byte[] format() {
+        StringBuilder text = new StringBuilder(HEAD).append('\n');
+        text.append("name=").append(name).append("\nversion=").append(version).append("\nentry=").append(entry)
+            .append("\nmemory-mb=").append(memoryMb).append("\nlanes=").append(lanes).append("\neffect=").append(effect)
+            .append("\ncall-ms=").append(callMs).append("\nstart-ms=").append(startMs).append('\n');
+        files.forEach((path, mark) -> text.append("file=").append(mark.sha256).append(' ').append(mark.size).append(' ')
+            .append(path).append('\n'));
+        return text.toString().getBytes(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/worker/src/main/java/wharfhinge/worker/pack/PackageBuilder.java
@@ -0,0 +1,72 @@
+package wharfhinge.worker.pack;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.PrivateKey;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import java.util.zip.ZipEntry;
+import java.util.zip.ZipOutputStream;
+
+/** Builds packages: the same input gives the same bytes. */
+public final class PackageBuilder {
+    private static final long NO_TIME = 315_532_800_000L; // 1980: zips know no earlier
+
+    private PackageBuilder() { }
+
+    /** The class files below a folder, by their paths in a package. */
+    public static Map<String, byte[]> classes(Path folder) throws IOException {
+        Map<String, byte[]> files = new TreeMap<>();
+        List<Path> found;
+        try (Stream<Path> walk = Files.walk(folder)) {
+            found = walk.filter(Files::isRegularFile).sorted().collect(Collectors.toList());
+        }
+        for (Path file : found) {
+            files.put("classes/" + folder.relativize(file).toString().replace('\\', '/'), Files.readAllBytes(file));
+        }
+        return files;
+    }
+
+    /**
+     * Writes a package.
+     *
+     * @param about what is said of it; its files are ignored
+     * @param key   signs it, or null
+     * @return the manifest as it stands in the package
+     * @throws InvalidPackageException where a worker would refuse it
+     */
+    public static Manifest write(Manifest about, Map<String, byte[]> files, PrivateKey key, OutputStream out)
+        throws IOException, InvalidPackageException {
+        Map<String, Manifest.FileMark> marks = new TreeMap<>();
+        files.forEach((path, bytes) -> marks.put(path, new Manifest.FileMark(Digests.of(bytes), bytes.length)));
+        Manifest manifest = new Manifest(about.name(), about.version(), about.entry(), about.memoryMb(), about.lanes(),
+            about.effect(), about.callMs(), about.startMs(), marks);
+        byte[] head = manifest.format();
+        Manifest.parse(head);
+        ZipOutputStream zip = new ZipOutputStream(out, StandardCharsets.UTF_8);
+        put(zip, Manifest.NAME, head);
+        if (key != null) {
+            put(zip, PackageReader.SIGNATURE, Keys.sign(key, head));
+        }
+        for (String path : marks.keySet()) {
+            put(zip, path, files.get(path));
+        }
+        zip.finish();
+        zip.flush();
+        return manifest;
+    }
+
+    private static void put(ZipOutputStream zip, String name, byte[] bytes) throws IOException {
+        ZipEntry entry = new ZipEntry(name);
+        entry.setTime(NO_TIME);
+        zip.putNextEntry(entry);
+        zip.write(bytes);
+        zip.closeEntry();
+    }
+}
--- /dev/null
+++ b/worker/src/main/java/wharfhinge/worker/pack/PackageReader.java
@@ -0,0 +1,108 @@
+package wharfhinge.worker.pack;
+
+import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.security.PublicKey;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.zip.ZipEntry;
+import java.util.zip.ZipException;
+import java.util.zip.ZipInputStream;
+
+/**
+ * Reads and checks a package: a zip whose first entry is the {@link Manifest}, whose second may be {@value #SIGNATURE}, and
+ * whose others are exactly the files that the manifest lists. It is read as a stream, so that no directory at its end can
+ * say otherwise; nothing is written to disk, and no more is kept than the manifest states, so that a bomb costs its stated
+ * size at most, which is bounded.
+ */
+public final class PackageReader {
+    /** The entry that holds the manifest's signature: 64 bytes. */
+    public static final String SIGNATURE = "signature";
+    private static final int SIGNATURE_BYTES = 64;
+
+    private PackageReader() { }
+
+    /** A package that was found whole. {@code contents} by path. */
+    public record Contents(Manifest manifest, boolean signed, Map<String, byte[]> files) { }
+
+    /**
+     * Reads a package to its end.
+     *
+     * @param trusted keys of which one must have signed it; empty asks for no signature
+     * @throws InvalidPackageException names the entry and the reason
+     */
+    public static Contents read(InputStream in, List<PublicKey> trusted) throws IOException, InvalidPackageException {
+        try {
+            return entries(new ZipInputStream(in), trusted);
+        } catch (ZipException | EOFException | IllegalArgumentException e) {
+            throw new InvalidPackageException("zip", "broken: " + e.getMessage());
+        }
+    }
+
+    private static Contents entries(ZipInputStream zip, List<PublicKey> trusted)
+        throws IOException, InvalidPackageException {
+        ZipEntry first = zip.getNextEntry();
+        if (first == null || !first.getName().equals(Manifest.NAME)) {
+            throw new InvalidPackageException("zip", "found no " + Manifest.NAME + " as first entry");
+        }
+        byte[] head = take(zip, Manifest.NAME, Manifest.MOST_BYTES);
+        Manifest manifest = Manifest.parse(head);
+        ZipEntry entry = zip.getNextEntry();
+        byte[] signature = null;
+        if (entry != null && entry.getName().equals(SIGNATURE)) {
+            signature = take(zip, SIGNATURE, SIGNATURE_BYTES);
+            entry = zip.getNextEntry();
+        }
+        check(head, signature, trusted);
+        Map<String, byte[]> files = new HashMap<>();
+        for (; entry != null; entry = zip.getNextEntry()) {
+            String path = entry.getName();
+            Manifest.FileMark mark = manifest.files().get(path);
+            if (mark == null || files.containsKey(path)) {
+                Manifest.checkPath("zip", path);
+                throw new InvalidPackageException(path, mark == null ? "not in the manifest" : "stands twice");
+            }
+            byte[] bytes = take(zip, path, mark.size());
+            if (bytes.length < mark.size()) {
+                throw new InvalidPackageException(path, "found " + bytes.length + " bytes, stated: " + mark.size());
+            }
+            if (!Digests.of(bytes).equals(mark.sha256())) {
+                throw new InvalidPackageException(path, "wrong digest");
+            }
+            files.put(path, bytes);
+        }
+        for (String path : manifest.files().keySet()) {
+            if (!files.containsKey(path)) {
+                throw new InvalidPackageException(path, "in the manifest but not in the zip");
+            }
+        }
+        return new Contents(manifest, signature != null, Map.copyOf(files));
+    }
+
+    private static void check(byte[] head, byte[] signature, List<PublicKey> trusted) throws InvalidPackageException {
+        if (trusted.isEmpty()) {
+            return;
+        }
+        if (signature == null) {
+            throw new InvalidPackageException(SIGNATURE, "missing, and only signed packages are taken");
+        }
+        if (trusted.stream().noneMatch(key -> Keys.verify(key, head, signature))) {
+            throw new InvalidPackageException(SIGNATURE, "by none of the " + trusted.size() + " trusted keys");
+        }
+    }
+
+    private static byte[] take(InputStream in, String place, long most) throws IOException, InvalidPackageException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream((int) Math.min(most, 8192));
+        byte[] part = new byte[8192];
+        for (int n = in.read(part); n >= 0; n = in.read(part)) {
+            if (out.size() + n > most) {
+                throw new InvalidPackageException(place, "unpacks to more than " + most + " bytes");
+            }
+            out.write(part, 0, n);
+        }
+        return out.toByteArray();
+    }
+}
--- /dev/null
+++ b/worker/src/main/java/wharfhinge/worker/pack/package-info.java
@@ -0,0 +1,2 @@
+/** Function packages: manifest, zip, digests, signatures. */
+package wharfhinge.worker.pack;
--- /dev/null
+++ b/worker/src/test/java/wharfhinge/worker/Packages.java
@@ -0,0 +1,46 @@
+package wharfhinge.worker;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.security.PrivateKey;
+import java.util.Map;
+import java.util.TreeMap;
+import wharfhinge.worker.pack.InvalidPackageException;
+import wharfhinge.worker.pack.Manifest;
+import wharfhinge.worker.pack.PackageBuilder;
+
+/** Packages of the classes in {@link TestFunctions}. */
+public final class Packages {
+
+    private Packages() { }
+
+    /** The files of a package whose entry is a nested class of {@link TestFunctions}. */
+    public static Map<String, byte[]> files(Class<?> entry) throws IOException {
+        Map<String, byte[]> files = new TreeMap<>();
+        String path = entry.getName().replace('.', '/') + ".class";
+        try (InputStream in = entry.getClassLoader().getResourceAsStream(path)) {
+            files.put("classes/" + path, in.readAllBytes());
+        }
+        return files;
+    }
+
+    /** What a package says. */
+    public static Manifest about(Class<?> entry, int memoryMb, int lanes, int callMs, int startMs) {
+        return new Manifest("test", "1", entry.getName(), memoryMb, lanes, "idempotent", callMs, startMs, Map.of());
+    }
+
+    /** A package, whole. */
+    public static byte[] of(Class<?> entry, int memoryMb, int lanes, int callMs, int startMs, PrivateKey key)
+        throws IOException, InvalidPackageException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        write(entry, memoryMb, lanes, callMs, startMs, key, out);
+        return out.toByteArray();
+    }
+
+    static void write(Class<?> entry, int memoryMb, int lanes, int callMs, int startMs, PrivateKey key, OutputStream out)
+        throws IOException, InvalidPackageException {
+        PackageBuilder.write(about(entry, memoryMb, lanes, callMs, startMs), files(entry), key, out);
+    }
+}
--- /dev/null
+++ b/worker/src/test/java/wharfhinge/worker/TestFunctions.java
@@ -0,0 +1,94 @@
+package wharfhinge.worker;
+
+import java.nio.charset.StandardCharsets;
+import wharfhinge.worker.api.CopyContext;
+import wharfhinge.worker.api.Function;
+import wharfhinge.worker.api.Invocation;
+
+/** Functions that behave and misbehave; each goes into a package of its own. */
+final class TestFunctions {
+
+    private TestFunctions() { }
+
+    /** Does what its input says. */
+    public static final class Obedient implements Function {
+        private static int calls; // of this copy alone, for its classes are its own
+        private CopyContext context;
+
+        @Override
+        public void start(CopyContext given) {
+            context = given;
+            context.memory().put(0, (byte) 1);
+        }
+
+        @Override
+        public byte[] call(Invocation call) throws Exception {
+            String input = new String(call.input(), StandardCharsets.UTF_8);
+            int number;
+            synchronized (Obedient.class) {
+                number = ++calls;
+            }
+            switch (input) {
+                case "throw" -> throw new IllegalStateException("as told");
+                case "exit" -> System.exit(3);
+                case "halt" -> Runtime.getRuntime().halt(3);
+                case "memory" -> {
+                    long[][] all = new long[1 << 20][];
+                    for (int i = 0; i < all.length; i++) {
+                        all[i] = new long[Integer.MAX_VALUE - 8];
+                    }
+                    return new byte[all.length];
+                }
+                case "spin" -> {
+                    while (!Boolean.getBoolean("test.spin.end")) {
+                        Thread.onSpinWait();
+                    }
+                }
+                case "cooperate" -> {
+                    while (!call.cancelled()) {
+                        Thread.onSpinWait();
+                    }
+                    System.setProperty("test.cooperated", call.id());
+                }
+                case "sleep" -> Thread.sleep(200);
+                default -> { }
+            }
+            return (input + " " + number + " " + context.memory().capacity()).getBytes(StandardCharsets.UTF_8);
+        }
+    }
+
+    /** Its start does not end until it is told. */
+    public static final class HangsAtStart implements Function {
+        @Override
+        public void start(CopyContext context) {
+            while (!Boolean.getBoolean("test.start.end")) {
+                Thread.onSpinWait();
+            }
+        }
+
+        @Override
+        public byte[] call(Invocation call) {
+            return call.input();
+        }
+    }
+
+    /** Fails halfway; whether a thread that uses the memory is left is told. */
+    public static final class FailsAtStart implements Function {
+        @Override
+        public void start(CopyContext context) {
+            if (Boolean.getBoolean("test.leave.thread")) {
+                new Thread(() -> {
+                    while (!Boolean.getBoolean("test.thread.end")) {
+                        context.memory().put(0, (byte) 1);
+                    }
+                }).start();
+            }
+            throw new IllegalStateException("no model");
+        }
+
+        @Override
+        public byte[] call(Invocation call) {
+            return call.input();
+        }
+    }
+}
