--- a/policy/src/main/java/wharfhinge/Choice.java
+++ b/policy/src/main/java/wharfhinge/Choice.java
@@ -420,37 +420,44 @@
         }
     }
 
+    @Override
+    public List<Belief> beliefs(long at, String function) {
+        now = at;
+        return workers.values().stream().map(w -> new Belief(w.id, w.up, w.ejected, cold(w),
+            standing(w, function), loading(w, function), belowValve(w, 1), w.inFlight, w.valve, load(w),
+            w.failures)).toList();
+    }
+
     // ---- 2. Ranking -------------------------------------------------------------------------
 
     // The design's order: believed warm, below the valve and with a free lane, then the home among workers
     // below it, then the fewest in flight. Departure: at the load limit a spill stays on warm workers.
     private WorkerState rank(List<WorkerState> eligible, RequestState r) {
         String function = r.request.function();
-        List<WorkerState> order = inHomeOrder(eligible, r);
         int homes = homes(eligible, r);
-        double lastHome = homes == 0 ? -1 : order.get(homes - 1).homeScore;
-        WorkerState warm = fewest(eligible, function, w -> belowValve(w, 1)
-            && (standing(w, function) || w.homeScore <= lastHome) && freeLane(w, r.request));
+        double lastHome = homes == 0 ? -1 : lastHome(eligible, r, homes);
+        WorkerState warm = fewest(eligible, function,
+            w -> (standing(w, function) || lastHome >= 0 && w.homeScore <= lastHome)
+            && belowValve(w, 1) && freeLane(w, r.request));
         if (warm != null) {
             return warm;
         }
         if (!onlyOrdersLoad()) {
             WorkerState ahead = fewest(eligible, function,
-                w -> belowValve(w, 1) && loading(w, function));
+                w -> loading(w, function) && belowValve(w, 1));
             if (ahead != null) { // ordered ahead for it: another home would load a second copy
                 return ahead;
             }
         }
-        WorkerState home = order.stream()
-            .filter(w -> belowValve(w, 1) && !believedWarm(w, function)).findFirst().orElse(null);
+        WorkerState home = home(eligible, r, w -> !believedWarm(w, function) && belowValve(w, 1));
         if (onlyOrdersLoad()) {
-            warm = fewest(eligible, function, w -> belowValve(w, 1) && standing(w, function));
+            warm = fewest(eligible, function, w -> standing(w, function) && belowValve(w, 1));
             if (warm != null && home != null && eligible.stream().noneMatch(w -> loading(w, function))) {
                 order(record(home, r.request));
             }
             warm = warm != null ? warm : fewest(eligible, function, w -> loading(w, function));
         } else if (crowdsStore()) {
-            warm = fewest(eligible, function, w -> belowValve(w, 1) && believedWarm(w, function));
+            warm = fewest(eligible, function, w -> believedWarm(w, function) && belowValve(w, 1));
         }
         warm = warm != null ? warm : home;
         return warm != null ? warm : fewest(eligible, function, w -> true);
@@ -467,8 +474,9 @@
         WorkerState best = null;
         int ties = 0;
         for (WorkerState w : eligible) {
-            int order = best == null ? -1 : compare(w, best, function);
-            if (order <= 0 && fits.test(w)) {
+            // on a large fleet few fit, and to compare is dear
+            int order = !fits.test(w) ? 1 : best == null ? -1 : compare(w, best, function);
+            if (order <= 0) {
                 ties = order < 0 ? 1 : ties + 1;
                 best = ties == 1 || random.nextInt(ties) == 0 ? w : best;
             }
@@ -477,13 +485,31 @@
     }
 
     // Departure: front ends derive one order of homes for a function (rendezvous hashing in proportion to
-    // told sizes), so that those that share nothing, and a restarted one, meet there.
-    private List<WorkerState> inHomeOrder(List<WorkerState> eligible, RequestState r) {
+    // told sizes), so that those that share nothing, and a restarted one, meet there. Least first.
+    private static double homeScore(WorkerState w, RequestState r) {
+        double uniform = ((mix(w.hash ^ r.hash) >>> 11) + 0.5) / (1L << 53);
+        return -Math.log(uniform) / (w.told.weight() > 0 ? w.told.weight() : 1);
+    }
+
+    /** The first home that qualifies, or null. */
+    private static WorkerState home(List<WorkerState> eligible, RequestState r, Predicate<WorkerState> fits) {
+        WorkerState first = null;
+        double least = Double.POSITIVE_INFINITY;
         for (WorkerState w : eligible) {
-            double uniform = ((mix(w.hash ^ r.hash) >>> 11) + 0.5) / (1L << 53);
-            w.homeScore = -Math.log(uniform) / (w.told.weight() > 0 ? w.told.weight() : 1);
+            double score = homeScore(w, r);
+            if (score < least && fits.test(w)) {
+                least = score;
+                first = w;
+            }
         }
-        return eligible.stream().sorted(Comparator.comparingDouble(w -> w.homeScore)).toList();
+        return first;
+    }
+
+    /** The score of the last of so many homes. */
+    private static double lastHome(List<WorkerState> eligible, RequestState r, int homes) {
+        eligible.forEach(w -> w.homeScore = homeScore(w, r));
+        double[] scores = eligible.stream().mapToDouble(w -> w.homeScore).sorted().toArray();
+        return scores[homes - 1];
     }
 
     // Departure: a function with a share of all calls needs that share of the workers: so many of its homes
@@ -511,7 +537,10 @@
 
     /** What it told of all front ends' requests in flight, as far as own sends do not show it; it fades. */
     private double load(WorkerState w) {
-        double fresh = w.reportedAt == 0 ? 0 : Math.exp((w.reportedAt - now) / (double) REPORT_MEMORY);
+        if (w.reportedAt == 0 || few == 1) {
+            return meanReported;
+        }
+        double fresh = Math.exp((w.reportedAt - now) / (double) REPORT_MEMORY);
         return meanReported + (1 - few) * fresh * (w.reported - meanReported);
     }
 
@@ -566,12 +595,21 @@
 
     /** Workers that may get this request now; healthy ones where they are not too few. */
     private List<WorkerState> eligible(RequestState r) {
-        List<WorkerState> open = new ArrayList<>(workers.values());
-        open.removeIf(w -> !w.up || !mayResend(r, w) || !withinColdBudget(w));
-        List<WorkerState> healthy = open.stream().filter(w -> !w.ejected).toList();
-        List<WorkerState> pool = healthy.size() >= MOST * up ? healthy : open;
-        List<WorkerState> untried = pool.stream().filter(w -> !r.tried.contains(w)).toList();
-        return untried.isEmpty() ? pool : untried;
+        List<WorkerState> open = new ArrayList<>(workers.size());
+        int healthy = 0;
+        for (WorkerState w : workers.values()) {
+            if (w.up && mayResend(r, w) && withinColdBudget(w)) {
+                open.add(w);
+                healthy += w.ejected ? 0 : 1;
+            }
+        }
+        if (healthy < open.size() && healthy >= MOST * up) {
+            open.removeIf(w -> w.ejected);
+        }
+        if (!r.tried.isEmpty() && !r.tried.containsAll(open)) {
+            open.removeIf(r.tried::contains);
+        }
+        return open;
     }
 
     private WorkerState trialDue(RequestState r) {
@@ -933,7 +971,7 @@
         RequestState r = new RequestState(request, type, now, 0);
         List<WorkerState> eligible = eligible(r);
         if (eligible.stream().noneMatch(w -> believedWarm(w, request.function()))) {
-            inHomeOrder(eligible, r).stream().filter(w -> belowValve(w, 1)).findFirst()
+            Optional.ofNullable(home(eligible, r, w -> belowValve(w, 1)))
                 .ifPresent(w -> order(record(w, request)));
         }
     }
--- a/policy/src/main/java/wharfhinge/Dispatcher.java
+++ b/policy/src/main/java/wharfhinge/Dispatcher.java
@@ -56,6 +56,21 @@
     record Completion(String request, Outcome outcome, int attempt, long tookNs, String worker,
                       Note note, int company, boolean settled, Map<String, Double> report) { }
 
+    /**
+     * What a dispatcher believes of one worker for one function, for accounts of its decisions.
+     *
+     * @param standing   a copy is believed to stand; {@code loading}: one was ordered
+     * @param belowValve it is not saturated
+     * @param load       told by it of all dispatchers' requests, faded
+     */
+    record Belief(String worker, boolean up, boolean ejected, boolean cold, boolean standing, boolean loading,
+                  boolean belowValve, int inFlight, double valve, double load, double failures) { }
+
+    /** What is believed of all workers now; changes no later decision. */
+    default List<Belief> beliefs(long now, String function) {
+        return List.of();
+    }
+
     /** The membership of the fleet changed or was told. */
     void members(long now, ListMode mode, long revision, List<Worker> entries);
 
