Capture what the decisions are told; replay, explain, try other settings, cut down

Nobody could show why a dispatcher chose what it did. A recorder now stands before the dispatcher: each event with all that was decided on it goes to a thread that writes blocks (protobuf, zstd, CRC-32C) to rolling, bounded segments; the loop never waits, what finds no room is counted and marked. `./wharfhinge replay` tells the events to fresh decisions and shows the first difference, tells why a call went where it went, tries other settings, and cuts a symptom down to a fixture by delta debugging.

--- /dev/null
+++ b/app/src/main/java/wharfhinge/app/ReplayCommand.java
@@ -0,0 +1,203 @@
+package wharfhinge.app;
+
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import wharfhinge.Choice;
+import wharfhinge.Dispatcher;
+import wharfhinge.capture.Account;
+import wharfhinge.capture.Act;
+import wharfhinge.capture.CaptureReader;
+import wharfhinge.capture.CaptureReader.Capture;
+import wharfhinge.capture.Frame;
+import wharfhinge.capture.Reducer;
+import wharfhinge.capture.Replayer;
+import wharfhinge.capture.Symptom;
+import wharfhinge.capture.Text;
+import wharfhinge.config.GatewayConfig;
+import wharfhinge.config.InvalidFileException;
+
+/** Replays what a gateway captured. */
+@Command(name = "replay", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
+    description = "Tells a capture's events to fresh decisions and compares what they decide with what was decided; exits with 1 at "
+        + "the first difference, or where the capture has a gap.")
+final class ReplayCommand implements Callable<Integer> {
+    private static final int SHOWN = 10;
+
+    @Parameters(arity = "1..*", paramLabel = "CAPTURE", description = "A segment, a folder with one gateway's segments, or a fixture "
+        + "(.jsonl). Several are merged by --merge alone.")
+    private List<Path> files;
+    @Option(names = "--until", paramLabel = "S", description = "Stops so many seconds after the capture's first frame.")
+    private Double until;
+    @Option(names = "--call", paramLabel = "ID", description = "Tells why this call went where it went; the client's id or the "
+        + "gateway's own.")
+    private String call;
+    @Option(names = "--what-if", paramLabel = "SETTINGS", description = "The same events under other settings: what would differ.")
+    private Path whatIf;
+    @Option(names = "--log", paramLabel = "FILE", description = "Writes each event with what the replay decided on it, a line each.")
+    private Path log;
+    @Option(names = "--reduce", paramLabel = "SYMPTOM", description = "Cuts the capture down to the least that still shows this, such as "
+        + "'attempt worker=127.0.0.1:7001 >= 3 and refuse >= 1', and writes it to --out.")
+    private String symptom;
+    @Option(names = "--out", paramLabel = "FILE", description = "Where a reduced capture goes, as a fixture.")
+    private Path out;
+    @Option(names = "--most-replays", defaultValue = "2000", description = "Replays that reducing may take. Default ${DEFAULT-VALUE}.")
+    private int mostReplays;
+    @Option(names = "--merge", description = "Prints the frames of all captures on one time line, by their wall clocks.")
+    private boolean merge;
+
+    @Override
+    public Integer call() throws IOException, InvalidFileException {
+        if (merge) {
+            return merged();
+        }
+        if (files.size() > 1) {
+            System.err.println("replay: found " + files.size() + " captures, allowed: one, or --merge");
+            return Program.USAGE;
+        }
+        List<String> troubles = new ArrayList<>();
+        List<Frame> frames = frames(files.get(0), troubles);
+        if (frames.isEmpty()) {
+            System.err.println(files.get(0) + ": holds no frames");
+            return Program.WANTING;
+        }
+        long end = until == null ? Long.MAX_VALUE : frames.get(0).at() + (long) (until * 1e9);
+        troubles.forEach(t -> System.out.println("trouble: " + t));
+        if (symptom != null) {
+            return reduced(frames);
+        }
+        if (whatIf != null) {
+            return otherSettings(frames, end);
+        }
+        return replayed(frames, end, troubles.isEmpty());
+    }
+
+    private static List<Frame> frames(Path file, List<String> troubles) throws IOException {
+        if (file.toString().endsWith(".jsonl")) {
+            return Text.fixture(Files.readAllLines(file));
+        }
+        Capture capture = CaptureReader.read(file);
+        troubles.addAll(capture.troubles());
+        return capture.frames();
+    }
+
+    private Integer replayed(List<Frame> frames, long end, boolean whole) throws IOException {
+        Account account = new Account(call == null ? "" : call);
+        Replayer.Result result;
+        try (BufferedWriter decided = log == null ? null : Files.newBufferedWriter(log)) {
+            result = new Replayer().replay(frames, end, new Replayer.Watcher() {
+                @Override
+                public void before(long index, Frame frame, Dispatcher dispatcher) {
+                    if (call != null) {
+                        account.before(index, frame, dispatcher);
+                    }
+                }
+
+                @Override
+                public void after(long index, Frame frame, List<Act> replayed) {
+                    if (call != null) {
+                        account.after(index, frame, replayed);
+                    }
+                    write(decided, new Frame(frame.at(), frame.event(), replayed, frame.thrown()));
+                }
+            });
+        }
+        if (call != null) {
+            account.lines().forEach(System.out::println);
+            if (account.lines().isEmpty()) {
+                System.out.println("call " + call + " is not in this capture");
+            }
+        }
+        System.out.printf("%d frames compared in %d lives, %d after a gap left out, %d lost%n", result.compared(), result.lives(),
+            result.skipped(), result.gaps());
+        if (result.difference() != null) {
+            result.difference().lines().forEach(System.out::println);
+            return Program.WANTING;
+        }
+        System.out.println(whole && result.gaps() == 0 ? "all decisions are the same"
+            : "all decisions that can be compared are the same; the capture is not whole");
+        return whole && result.gaps() == 0 && (call == null || !account.lines().isEmpty()) ? Program.OK : Program.WANTING;
+    }
+
+    private static void write(BufferedWriter to, Frame frame) {
+        if (to != null) {
+            try {
+                to.write(Text.line(frame));
+                to.newLine();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+    }
+
+    /** Counterfactual: the events stay those that the captured decisions led to. */
+    private Integer otherSettings(List<Frame> frames, long end) throws InvalidFileException {
+        GatewayConfig other = GatewayConfig.load(whatIf);
+        long[] first = {-1};
+        long[] differ = {0};
+        List<String> shown = new ArrayList<>();
+        Replayer.Result result = new Replayer(Choice::new, captured -> other.settings()).counterfactual(frames, end,
+            new Replayer.Watcher() {
+                @Override
+                public void before(long index, Frame frame, Dispatcher dispatcher) { }
+
+                @Override
+                public void after(long index, Frame frame, List<Act> replayed) {
+                    if (!replayed.equals(frame.acts())) {
+                        first[0] = first[0] < 0 ? index : first[0];
+                        differ[0]++;
+                        if (shown.size() < 2 * SHOWN) {
+                            shown.add("frame " + index + " captured " + frame.acts().stream().map(Act::line).toList());
+                            shown.add("frame " + index + " would be " + replayed.stream().map(Act::line).toList());
+                        }
+                    }
+                }
+            });
+        System.out.println("counterfactual: the same events under the settings of " + whatIf);
+        shown.forEach(System.out::println);
+        System.out.printf("%d of %d frames would be decided otherwise%s%n", differ[0], result.compared(), first[0] < 0 ? ""
+            : "; valid to frame " + first[0] + ": what follows are events that the captured decisions led to, not these");
+        return Program.OK;
+    }
+
+    private Integer reduced(List<Frame> frames) throws IOException {
+        if (out == null) {
+            System.err.println("--reduce: --out is needed");
+            return Program.USAGE;
+        }
+        try {
+            Symptom wanted = new Symptom(symptom);
+            Reducer reducer = new Reducer(wanted::shows, mostReplays);
+            List<Frame> few = reducer.reduce(frames);
+            Files.write(out, Reducer.fixture("shows: " + symptom, few));
+            System.out.printf("%d frames of %d after %d replays, in %s%n", few.size(), frames.size(), reducer.replays(), out);
+            return Program.OK;
+        } catch (IllegalArgumentException e) {
+            System.err.println(e.getMessage());
+            return Program.WANTING;
+        }
+    }
+
+    private record Placed(long wallUs, String gateway, Frame frame) { }
+
+    private Integer merged() throws IOException {
+        List<Placed> all = new ArrayList<>();
+        for (Path file : files) {
+            Capture capture = CaptureReader.read(file);
+            capture.troubles().forEach(t -> System.out.println("trouble: " + t));
+            capture.frames().forEach(f -> all.add(new Placed(capture.wallUs(f), capture.gateway(), f)));
+        }
+        all.sort(Comparator.comparingLong(Placed::wallUs)); // stable: one gateway's frames keep their order
+        all.forEach(p -> System.out.println(p.wallUs + " " + p.gateway + " " + Text.line(p.frame)));
+        return Program.OK;
+    }
+}
--- /dev/null
+++ b/app/src/main/java/wharfhinge/app/measure/DecisionCostCommand.java
@@ -0,0 +1,220 @@
+package wharfhinge.app.measure;
+
+import com.sun.management.ThreadMXBean;
+import java.io.IOException;
+import java.io.InputStream;
+import java.lang.management.ManagementFactory;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.concurrent.Callable;
+import java.util.zip.ZipEntry;
+import java.util.zip.ZipFile;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import wharfhinge.Choice;
+import wharfhinge.Dispatcher;
+import wharfhinge.Dispatcher.Completion;
+import wharfhinge.Dispatcher.Note;
+import wharfhinge.Dispatcher.Outcome;
+import wharfhinge.Dispatcher.Request;
+import wharfhinge.Dispatcher.Settings;
+import wharfhinge.Dispatcher.Worker;
+import wharfhinge.app.Program;
+import wharfhinge.capture.Recorder;
+
+/** What the decisions on a call cost by the size of the fleet, without sockets. */
+@Command(name = "decisions", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
+    description = "Measures the decisions on a call (its query, its answer, its timers, its probes) at 20 to 3000 workers, believing "
+        + "itself one of 1 and of 100: microseconds and bytes allocated, warm, one thread, simulated time.")
+final class DecisionCostCommand implements Callable<Integer> {
+    private static final long MS = 1_000_000L;
+    private static final int[] FLEETS = {20, 85, 200, 800, 3000};
+
+    @Option(names = "--against", paramLabel = "JAR", description = "A jar of an earlier build, whose decisions are measured beside.")
+    private Path against;
+    @Option(names = "--calls", defaultValue = "60000", description = "Calls of each part, after half as many. Default ${DEFAULT-VALUE}.")
+    private int calls;
+
+    @Override
+    public Integer call() throws Exception {
+        List<Recorder.Maker> makers = new ArrayList<>(List.of(Choice::new));
+        if (against != null) {
+            makers.add(0, earlier(against));
+        }
+        System.out.printf("%d processors; %d calls of each part after %d of warm-up%n",
+            Runtime.getRuntime().availableProcessors(), calls, calls / 2);
+        System.out.println("| workers | group | " + (against == null ? "" : "earlier us | earlier bytes | ") + "us a call | bytes a call |");
+        System.out.println("| --- | --- | " + (against == null ? "" : "--- | --- | ") + "--- | --- |");
+        for (int workers : FLEETS) {
+            for (int group : new int[] {1, 100}) {
+                StringBuilder row = new StringBuilder("| " + workers + " | " + group + " |");
+                for (Recorder.Maker maker : makers) {
+                    Fleet fleet = new Fleet(maker, workers, group);
+                    int few = Math.max(4000, Math.min(calls, 40_000_000 / workers / 20));
+                    fleet.run(few / 2);
+                    long[] took = fleet.run(few);
+                    row.append(String.format(java.util.Locale.ROOT, " %.1f | %d |", took[0] / 1000.0 / few, took[1] / few));
+                }
+                System.out.println(row);
+            }
+        }
+        return Program.OK;
+    }
+
+    /** The decisions of another jar, beside these: its classes of the policy, this program's interface. */
+    private static Recorder.Maker earlier(Path jar) throws IOException, ReflectiveOperationException {
+        ClassLoader loader = new ClassLoader(Choice.class.getClassLoader()) {
+            @Override
+            protected Class<?> loadClass(String name, boolean resolve) throws ClassNotFoundException {
+                if (!name.equals("wharfhinge.Choice") && !name.startsWith("wharfhinge.Choice$")) {
+                    return super.loadClass(name, resolve);
+                }
+                Class<?> known = findLoadedClass(name);
+                if (known != null) {
+                    return known;
+                }
+                try (ZipFile zip = new ZipFile(jar.toFile())) {
+                    ZipEntry entry = zip.getEntry(name.replace('.', '/') + ".class");
+                    if (entry == null) {
+                        throw new ClassNotFoundException(name + " in " + jar);
+                    }
+                    try (InputStream in = zip.getInputStream(entry)) {
+                        byte[] bytes = in.readAllBytes();
+                        return defineClass(name, bytes, 0, bytes.length);
+                    }
+                } catch (IOException e) {
+                    throw new ClassNotFoundException(name, e);
+                }
+            }
+        };
+        var made = loader.loadClass("wharfhinge.Choice").getConstructor(long.class, long.class, Settings.class,
+            Dispatcher.Actions.class);
+        return (now, seed, settings, actions) -> {
+            try {
+                return (Dispatcher) made.newInstance(now, seed, settings, actions);
+            } catch (ReflectiveOperationException e) {
+                throw new IllegalStateException(e);
+            }
+        };
+    }
+
+    private static Settings settings(int group) {
+        return new Settings(group, 0, 2 * MS, "z", List.of("z"), List.of("k"), Dispatcher.Discovery.PUSHED,
+            Dispatcher.Weights.NOMINAL, Dispatcher.WorthBy.REQUEST, 0, List.of(new Dispatcher.RequestClass("safe",
+                Dispatcher.Effect.IDEMPOTENT, Dispatcher.Group.ALL, 0, 600 * MS, 2000 * MS, 1, 0.2, false, 1)), List.of(),
+            new Dispatcher.FamilyInfo(60_000 * MS, false, Dispatcher.NotLoaded.LOAD, 10_000 * MS, 0, 0, 0, 0, List.of(4096.0), "",
+                "", true, true), new Dispatcher.Feedback(Dispatcher.Reports.PIGGYBACK, List.of("rif")),
+            new Dispatcher.Goal(1, 0, 0, 0), new Dispatcher.Limits(true, false, true, false, true, 3, 100_000, 1000 * MS,
+                250 * MS, 15_000 * MS, 100, 0, 0), new Dispatcher.Obligations(0, 0.2, 8000 * MS, 2, 1000 * MS, 2000 * MS,
+                16 * MS), new Dispatcher.Prices(0, 0, 0, 0, 0, 0), new Dispatcher.Callers(false));
+    }
+
+    private record Due(long at, long number, Runnable what) { }
+
+    /** Workers that answer after 20 ms, half of the lanes of the fleet in use, functions asked for by rank. */
+    private static final class Fleet implements Dispatcher.Actions {
+        private final ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+        private final long self = Thread.currentThread().getId();
+        private final PriorityQueue<Due> queue = new PriorityQueue<>(Comparator.comparingLong(Due::at)
+            .thenComparingLong(Due::number));
+        private final Random random = new Random(1);
+        private final Dispatcher to;
+        private final int workers;
+        private long now = MS;
+        private long number;
+        private long ids;
+        private long took;
+        private long bytes;
+
+        Fleet(Recorder.Maker maker, int workers, int group) {
+            this.workers = workers;
+            List<Worker> list = new ArrayList<>();
+            for (int i = 0; i < workers; i++) {
+                list.add(new Worker("10.0.0." + i + ":7000", "z", "k", 0, Dispatcher.Availability.UP, 1, 0));
+            }
+            to = maker.create(now, 1, settings(group), this);
+            to.members(now, Dispatcher.ListMode.ALL, 1, list);
+        }
+
+        /** Nanoseconds and bytes that the decisions on so many calls took. */
+        long[] run(int calls) {
+            took = 0;
+            bytes = 0;
+            long between = 40 * MS / workers; // half a call in flight for each worker
+            for (int i = 0; i < calls; i++) {
+                now += between;
+                while (!queue.isEmpty() && queue.peek().at <= now) {
+                    queue.poll().what.run();
+                }
+                String function = "f" + (int) (Math.pow(random.nextDouble(), 3) * workers * 4);
+                Request request = new Request("c" + ids++, null, 2000 * MS, 100, function, 20 * MS, 4, 300, "safe", false, false);
+                told(() -> to.query(now, request));
+            }
+            return new long[] {took, bytes};
+        }
+
+        private void told(Runnable what) {
+            long allocated = threads.getThreadAllocatedBytes(self);
+            long began = System.nanoTime();
+            what.run();
+            took += System.nanoTime() - began;
+            bytes += threads.getThreadAllocatedBytes(self) - allocated;
+        }
+
+        private void later(long delayNs, Runnable what) {
+            queue.add(new Due(now + delayNs, number++, what));
+        }
+
+        @Override
+        public void attempt(String request, String worker, long timeoutNs) {
+            Completion end = new Completion(request, Outcome.SERVED, 0, 20 * MS, worker, Note.FOUND_LOADED, 0, true,
+                Map.of("rif", (double) random.nextInt(4)));
+            later(20 * MS, () -> told(() -> to.completed(now, end)));
+        }
+
+        @Override
+        public void probe(String worker) {
+            later(MS, () -> told(() -> to.probed(now, worker, Outcome.SERVED, MS, Map.of("rif", 1.0))));
+        }
+
+        @Override
+        public void timer(String token, long delayNs) {
+            later(delayNs, () -> told(() -> to.due(now, token)));
+        }
+
+        @Override
+        public void cancel(String request, int attempt) { }
+
+        @Override
+        public void refuse(String request, long coolDownNs) { }
+
+        @Override
+        public void fail(String request) { }
+
+        @Override
+        public void hold(String worker, String function, int count) { }
+
+        @Override
+        public void unload(String worker, String function) { }
+
+        @Override
+        public void publish(int peer, byte[] payload) { }
+
+        @Override
+        public void listen(boolean on) { }
+
+        @Override
+        public void reload() { }
+
+        @Override
+        public void hangUp(String worker) { }
+
+        @Override
+        public void remark(String text) { }
+    }
+}
--- a/app/src/test/java/wharfhinge/app/ArchitectureTest.java
+++ b/app/src/test/java/wharfhinge/app/ArchitectureTest.java
@@ -24,6 +24,7 @@
             .layer("worker").definedBy("wharfhinge.worker..")
             .layer("gateway").definedBy("wharfhinge.gateway..")
             .layer("config").definedBy("wharfhinge.config..")
+            .layer("capture").definedBy("wharfhinge.capture..")
             .layer("protocol").definedBy("wharfhinge.protocol..")
             .layer("decisions").definedBy("wharfhinge.decisions..")
             .layer("policy").definedBy("wharfhinge")
@@ -32,9 +33,10 @@
             .whereLayer("worker").mayOnlyBeAccessedByLayers("app")
             .whereLayer("gateway").mayOnlyBeAccessedByLayers("app")
             .whereLayer("config").mayOnlyBeAccessedByLayers("app", "gateway")
+            .whereLayer("capture").mayOnlyBeAccessedByLayers("app", "gateway")
             .whereLayer("protocol").mayOnlyBeAccessedByLayers("app", "gateway", "stand-ins", "worker")
             .whereLayer("decisions").mayOnlyBeAccessedByLayers("app", "gateway", "config", "worker")
-            .whereLayer("policy").mayOnlyBeAccessedByLayers("app", "gateway", "config", "decisions")
+            .whereLayer("policy").mayOnlyBeAccessedByLayers("app", "gateway", "config", "decisions", "capture")
             .check(ALL);
     }
 
--- /dev/null
+++ b/capture/src/main/java/wharfhinge/capture/CaptureFile.java
@@ -0,0 +1,30 @@
+package wharfhinge.capture;
+
+/**
+ * The form of a segment on disk. A head line in ASCII, then blocks: a mark, the length of the compressed bytes, the CRC-32C of all
+ * that follows, the length unpacked, the first and last time, how many frames; then a {@code Block} compressed by zstd. All
+ * numbers big endian. A block that is cut or damaged is known for it, and what stands before it is whole.
+ */
+final class CaptureFile {
+    /** The first word of the head line. */
+    static final String MAGIC = "wharfhinge-capture";
+    /** The version that is written, and the only one that is read. */
+    static final int VERSION = 1;
+    /** Before each block. */
+    static final int MARK = 0x57484231;
+    /** Of a block's head, after the mark. */
+    static final int HEAD_BYTES = 4 + 4 + 4 + 8 + 8 + 4;
+    /** The checksum stands before this byte of a block and covers all from here on. */
+    static final int SUMMED_FROM = 12;
+    /** Longest block, packed or not. */
+    static final int MOST_BLOCK = 64 << 20;
+    /** Name of a segment. */
+    static final String SUFFIX = ".whcap";
+
+    private CaptureFile() { }
+
+    /** The head line of a segment; wall and loop time were read together. */
+    static String head(String gateway, long wallMs, long nanos, boolean hashed) {
+        return MAGIC + ' ' + VERSION + ' ' + gateway + ' ' + wallMs + ' ' + nanos + ' ' + (hashed ? "hashed" : "plain") + '\n';
+    }
+}
--- /dev/null
+++ b/capture/src/main/java/wharfhinge/capture/CaptureReader.java
@@ -0,0 +1,175 @@
+package wharfhinge.capture;
+
+import com.github.luben.zstd.Zstd;
+import com.github.luben.zstd.ZstdException;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.io.BufferedInputStream;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import java.util.zip.CRC32C;
+
+/** Reads captures. Where a segment is cut or damaged, what stands before is given, and the trouble is told with its place. */
+public final class CaptureReader {
+
+    /**
+     * What was read of one gateway.
+     *
+     * @param wallMs   wall clock at {@code nanos} of the gateway's own clock
+     * @param troubles where it was cut or damaged; a {@link Event.Gap} stands there
+     */
+    public record Capture(String gateway, long wallMs, long nanos, boolean hashed, List<Frame> frames, List<String> troubles) {
+        /** A frame's time on the wall clock, microseconds. */
+        public long wallUs(Frame frame) {
+            return wallMs * 1000 + (frame.at() - nanos) / 1000;
+        }
+    }
+
+    /** A block as its head tells it. */
+    public record BlockHead(Path segment, long offset, long firstNs, long lastNs, int frames) { }
+
+    private record Head(String gateway, long wallMs, long nanos, boolean hashed, int length) { }
+
+    private CaptureReader() { }
+
+    /** Segments of a folder in their order, or the one file. */
+    public static List<Path> segments(Path at) throws IOException {
+        if (!Files.isDirectory(at)) {
+            return List.of(at);
+        }
+        try (Stream<Path> files = Files.list(at)) {
+            return files.filter(p -> p.toString().endsWith(CaptureFile.SUFFIX)).sorted().collect(Collectors.toList());
+        }
+    }
+
+    /** Reads a file, or all segments of a folder that holds one gateway's. */
+    public static Capture read(Path at) throws IOException {
+        List<Frame> frames = new ArrayList<>();
+        List<String> troubles = new ArrayList<>();
+        Head first = null;
+        for (Path segment : segments(at)) {
+            Head head = read(segment, frames, troubles);
+            if (first != null && !first.gateway.equals(head.gateway)) {
+                throw new IOException(at + ": holds captures of " + first.gateway + " and " + head.gateway
+                    + "; name the files of one");
+            }
+            first = first == null ? head : first;
+        }
+        if (first == null) {
+            throw new IOException(at + ": holds no capture");
+        }
+        return new Capture(first.gateway, first.wallMs, first.nanos, first.hashed, frames, troubles);
+    }
+
+    private static Head read(Path segment, List<Frame> frames, List<String> troubles) throws IOException {
+        try (DataInputStream in = new DataInputStream(new BufferedInputStream(Files.newInputStream(segment), 1 << 16))) {
+            Head head = head(segment, in);
+            long offset = head.length;
+            long size = Files.size(segment);
+            while (offset < size) {
+                String trouble = null;
+                int length = 0;
+                if (size - offset < 4 + CaptureFile.HEAD_BYTES) {
+                    trouble = "cut inside a block's head";
+                } else if (in.readInt() != CaptureFile.MARK) {
+                    trouble = "no block begins here";
+                } else {
+                    length = in.readInt();
+                    trouble = block(in, length, size - offset - 4 - CaptureFile.HEAD_BYTES, frames);
+                }
+                if (trouble != null) {
+                    troubles.add(segment.getFileName() + " at byte " + offset + ": " + trouble
+                        + "; what follows in this segment is left out");
+                    long at = frames.isEmpty() ? 0 : frames.get(frames.size() - 1).at();
+                    frames.add(new Frame(at, new Event.Gap(1), List.of(), ""));
+                    return head;
+                }
+                offset += 4 + CaptureFile.HEAD_BYTES + length;
+            }
+            return head;
+        }
+    }
+
+    private static Head head(Path segment, InputStream in) throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int b = in.read(); b != '\n'; b = in.read()) {
+            if (b < 0 || line.length() > 500) {
+                throw new IOException(segment + ": no capture, its head line does not end");
+            }
+            line.append((char) b);
+        }
+        String[] words = line.toString().split(" ");
+        if (words.length < 2 || !words[0].equals(CaptureFile.MAGIC)) {
+            throw new IOException(segment + ": no capture, found '" + line + "'");
+        }
+        if (!words[1].equals(Integer.toString(CaptureFile.VERSION)) || words.length != 6) {
+            throw new IOException(segment + ": written in version " + words[1] + ", this program reads version "
+                + CaptureFile.VERSION + " alone; replay it with the program that wrote it");
+        }
+        return new Head(words[2], Long.parseLong(words[3]), Long.parseLong(words[4]), words[5].equals("hashed"),
+            line.length() + 1);
+    }
+
+    /** Null, or what is wrong with the block. */
+    private static String block(DataInputStream in, int length, long left, List<Frame> frames) throws IOException {
+        int crc = in.readInt();
+        byte[] head = in.readNBytes(CaptureFile.HEAD_BYTES - 8);
+        if (length < 0 || length > CaptureFile.MOST_BLOCK) {
+            return "a block of " + length + " bytes";
+        }
+        if (length > left) {
+            return "cut inside a block";
+        }
+        byte[] packed = in.readNBytes(length);
+        CRC32C sum = new CRC32C();
+        sum.update(head);
+        sum.update(packed);
+        ByteBuffer fields = ByteBuffer.wrap(head);
+        int plain = fields.getInt(0);
+        int count = fields.getInt(head.length - 4);
+        if ((int) sum.getValue() != crc || plain < 0 || plain > CaptureFile.MOST_BLOCK) {
+            return "wrong checksum";
+        }
+        try {
+            var block = wharfhinge.capture.wire.Block.parseFrom(Zstd.decompress(packed, plain));
+            List<Frame> read = new ArrayList<>();
+            for (var frame : block.getFramesList()) {
+                read.add(WireCodec.read(frame));
+            }
+            if (read.size() != count) {
+                return read.size() + " frames where " + count + " were told";
+            }
+            frames.addAll(read);
+            return null;
+        } catch (InvalidProtocolBufferException | ZstdException e) {
+            return "not to be unpacked: " + e.getMessage();
+        }
+    }
+
+    /** The heads of all blocks, without reading what they hold: the index by time. Stops where a segment is cut. */
+    public static List<BlockHead> index(Path at) throws IOException {
+        List<BlockHead> heads = new ArrayList<>();
+        for (Path segment : segments(at)) {
+            try (DataInputStream in = new DataInputStream(new BufferedInputStream(Files.newInputStream(segment)))) {
+                long offset = head(segment, in).length;
+                long size = Files.size(segment);
+                while (size - offset >= 4 + CaptureFile.HEAD_BYTES && in.readInt() == CaptureFile.MARK) {
+                    int length = in.readInt();
+                    in.readInt();
+                    in.readInt();
+                    heads.add(new BlockHead(segment, offset, in.readLong(), in.readLong(), in.readInt()));
+                    offset += 4L + CaptureFile.HEAD_BYTES + length;
+                    in.skipNBytes(Math.max(0, Math.min(length, size - offset + length)));
+                }
+            }
+        }
+        return heads;
+    }
+}
--- /dev/null
+++ b/capture/src/main/java/wharfhinge/capture/CaptureWriter.java
@@ -0,0 +1,216 @@
+package wharfhinge.capture;
+
+import com.github.luben.zstd.Zstd;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import java.util.zip.CRC32C;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Writes frames to rolling segments in a folder, on a thread of its own. {@link #accept} never blocks: what finds the hand-over
+ * full, or can't be written, is counted, and the next frame that goes through is preceded by a {@link Event.Gap}. Segments
+ * beyond the set bytes or age are deleted, the oldest first; the one being written never is.
+ */
+public final class CaptureWriter implements Consumer<Frame>, AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(CaptureWriter.class);
+    private static final int WAITING = 65_536;
+    private static final int BLOCK_FRAMES = 2000;
+    private static final long BLOCK_NS = 500_000_000L;
+    private static final int LEVEL = 1; // the fastest: writing shares the machine with calls
+    private static final long RETRY_NS = 1_000_000_000L;
+
+    /** Figures of a writer. */
+    public record Figures(long frames, long lost, long bytes, long segments) { }
+
+    private final Path folder;
+    private final String gateway;
+    private final long segmentBytes;
+    private final long mostBytes;
+    private final long mostAgeMs;
+    private final boolean hashed;
+    private final ArrayBlockingQueue<Frame> waiting = new ArrayBlockingQueue<>(WAITING);
+    private final Thread thread;
+    private final List<Frame> block = new ArrayList<>();
+    private FileChannel file;
+    private long inSegment;
+    private long blockBegan;
+    private long nextTry;
+    private long lostNow; // since the last gap; the loop's thread alone
+    private long lostOnDisk; // the writer's thread alone
+    private volatile long frames;
+    private volatile long lost;
+    private volatile long bytes;
+    private volatile long segments;
+    private volatile boolean closing;
+
+    /**
+     * A writer that begins at once.
+     *
+     * @param segmentBytes a segment is closed beyond so many
+     * @param mostBytes    of all segments of this gateway in the folder
+     */
+    public CaptureWriter(Path folder, String gateway, long segmentBytes, long mostBytes, long mostAgeMs, boolean hashed)
+        throws IOException {
+        this.folder = Files.createDirectories(folder);
+        this.gateway = gateway;
+        this.segmentBytes = segmentBytes;
+        this.mostBytes = mostBytes;
+        this.mostAgeMs = mostAgeMs;
+        this.hashed = hashed;
+        this.thread = new Thread(this::run, "capture");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** Hands a frame over; the dispatcher's thread alone calls it. */
+    @Override
+    public void accept(Frame frame) {
+        if (lostNow > 0 && waiting.remainingCapacity() > 1) {
+            waiting.offer(new Frame(frame.at(), new Event.Gap(lostNow), List.of(), ""));
+            lostNow = 0;
+        }
+        if (lostNow > 0 || !waiting.offer(frame)) {
+            lostNow++;
+            lost++;
+        }
+    }
+
+    /** What was written and lost so far. */
+    public Figures figures() {
+        return new Figures(frames, lost, bytes, segments);
+    }
+
+    private void run() {
+        try {
+            while (!closing || !waiting.isEmpty()) {
+                Frame frame = waiting.poll(50, TimeUnit.MILLISECONDS);
+                if (frame != null) {
+                    blockBegan = block.isEmpty() ? System.nanoTime() : blockBegan;
+                    block.add(frame);
+                }
+                boolean old = !block.isEmpty() && System.nanoTime() - blockBegan > BLOCK_NS;
+                if (block.size() >= BLOCK_FRAMES || old) {
+                    flush();
+                }
+            }
+            flush();
+            if (file != null) {
+                file.close();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (IOException e) {
+            LOG.warn("capture: {}", e.getMessage());
+        }
+    }
+
+    private void flush() {
+        if (block.isEmpty()) {
+            return;
+        }
+        try {
+            if (System.nanoTime() < nextTry) {
+                throw new IOException("waiting before the next try");
+            }
+            if (lostOnDisk > 0) {
+                block.add(0, new Frame(block.get(0).at(), new Event.Gap(lostOnDisk), List.of(), ""));
+            }
+            write();
+            frames += block.size();
+            lostOnDisk = 0;
+        } catch (IOException e) {
+            if (System.nanoTime() >= nextTry) {
+                LOG.warn("capture can't be written, a gap is marked: {}", e.getMessage());
+                nextTry = System.nanoTime() + RETRY_NS;
+            }
+            long gone = block.stream().filter(f -> !(f.event() instanceof Event.Gap)).count();
+            lostOnDisk += gone;
+            lost += gone;
+            close(file);
+            file = null; // a new segment: what was half written ends the old one
+        }
+        block.clear();
+    }
+
+    private static void close(FileChannel channel) {
+        try {
+            if (channel != null) {
+                channel.close();
+            }
+        } catch (IOException e) {
+            LOG.debug("closing", e);
+        }
+    }
+
+    private void write() throws IOException {
+        if (file == null || inSegment > segmentBytes) {
+            roll();
+        }
+        var wire = wharfhinge.capture.wire.Block.newBuilder();
+        block.forEach(f -> wire.addFrames(WireCodec.write(f)));
+        byte[] plain = wire.build().toByteArray();
+        byte[] packed = Zstd.compress(plain, LEVEL);
+        ByteBuffer out = ByteBuffer.allocate(4 + CaptureFile.HEAD_BYTES + packed.length);
+        out.putInt(CaptureFile.MARK).putInt(packed.length).putInt(0).putInt(plain.length)
+            .putLong(block.get(0).at()).putLong(block.get(block.size() - 1).at()).putInt(block.size()).put(packed).flip();
+        CRC32C crc = new CRC32C();
+        crc.update(out.array(), CaptureFile.SUMMED_FROM, out.limit() - CaptureFile.SUMMED_FROM);
+        out.putInt(CaptureFile.SUMMED_FROM - 4, (int) crc.getValue());
+        inSegment += out.remaining();
+        bytes += out.remaining();
+        while (out.hasRemaining()) {
+            file.write(out);
+        }
+    }
+
+    private void roll() throws IOException {
+        close(file);
+        file = null;
+        long wall = System.currentTimeMillis();
+        Path path = folder.resolve(String.format("%s-%015d-%06d%s", gateway, wall, segments, CaptureFile.SUFFIX));
+        file = FileChannel.open(path, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
+        byte[] head = CaptureFile.head(gateway, wall, block.get(block.size() - 1).at(), hashed)
+            .getBytes(StandardCharsets.US_ASCII);
+        file.write(ByteBuffer.wrap(head));
+        inSegment = head.length;
+        bytes += head.length;
+        segments++;
+        prune(path);
+    }
+
+    private void prune(Path writing) throws IOException {
+        List<Path> all;
+        try (Stream<Path> files = Files.list(folder)) {
+            all = files.filter(p -> p.getFileName().toString().startsWith(gateway + '-')
+                && p.toString().endsWith(CaptureFile.SUFFIX) && !p.equals(writing)).sorted().collect(Collectors.toList());
+        }
+        long sum = segmentBytes;
+        for (int i = all.size() - 1; i >= 0; i--) {
+            sum += Files.size(all.get(i));
+            boolean old = System.currentTimeMillis() - Files.getLastModifiedTime(all.get(i)).toMillis() > mostAgeMs;
+            if (sum > mostBytes || old) {
+                Files.deleteIfExists(all.get(i));
+            }
+        }
+    }
+
+    /** Writes what was handed over, and ends; blocks some seconds at most. */
+    @Override
+    public void close() throws InterruptedException {
+        closing = true;
+        thread.join(5000);
+    }
+}
--- /dev/null
+++ b/capture/src/test/java/wharfhinge/capture/CaptureTest.java
@@ -0,0 +1,223 @@
+package wharfhinge.capture;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import wharfhinge.Choice;
+import wharfhinge.Dispatcher;
+
+/** Captures on disk, whole and broken, and what is done with them. */
+@Timeout(60)
+class CaptureTest {
+    @TempDir
+    private Path folder;
+
+    private Path written(List<Frame> frames, long segmentBytes) throws Exception {
+        Path at = Files.createTempDirectory(folder, "c");
+        try (CaptureWriter writer = new CaptureWriter(at, "gw", segmentBytes, 1 << 30, 1 << 30, false)) {
+            frames.forEach(writer);
+        }
+        return at;
+    }
+
+    private static List<String> lines(List<Frame> frames) {
+        return frames.stream().map(Text::line).toList();
+    }
+
+    @ParameterizedTest
+    @EnumSource(SmallFleet.Trouble.class)
+    void whatWasCapturedIsDecidedAgain(SmallFleet.Trouble trouble) throws Exception {
+        List<Frame> story = SmallFleet.story(7, trouble, 120);
+        assertTrue(story.size() > 400, "a story with something in it: " + story.size());
+        CaptureReader.Capture capture = CaptureReader.read(written(story, 1 << 20));
+        assertEquals(List.of(), capture.troubles());
+        assertEquals(lines(story), lines(capture.frames()), "nothing is lost or changed on the way to disk and back");
+        Replayer.Result result = new Replayer().replay(capture.frames(), Long.MAX_VALUE, null);
+        assertNull(result.difference(), () -> String.join("\n", result.difference().lines()));
+        assertEquals(story.size(), result.compared());
+        assertEquals(lines(Reducer.decided(story)), lines(Reducer.decided(capture.frames())), "twice the same, byte for byte");
+    }
+
+    @Test
+    void theFirstDifferenceIsShownWithWhatCameBefore() throws Exception {
+        List<Frame> story = new ArrayList<>(SmallFleet.story(7, SmallFleet.Trouble.NONE, 60));
+        int at = 0;
+        for (int i = 100; at == 0; i++) {
+            at = story.get(i).acts().stream().anyMatch(a -> a.kind() == Act.Kind.ATTEMPT) ? i : 0;
+        }
+        Frame f = story.get(at);
+        story.set(at, new Frame(f.at(), f.event(), List.of(), ""));
+        Replayer.Difference difference = new Replayer().replay(story, Long.MAX_VALUE, null).difference();
+        assertEquals(at, difference.index());
+        assertEquals(10, difference.before().size());
+        assertTrue(String.join("\n", difference.lines()).contains("attempt c"));
+    }
+
+    @Test
+    void aCaptureThatIsCutInsideABlockGivesWhatStandsBefore() throws Exception {
+        List<Frame> story = SmallFleet.story(3, SmallFleet.Trouble.NONE, 400);
+        Path segment = CaptureReader.segments(written(story, 1 << 20)).get(0);
+        byte[] bytes = Files.readAllBytes(segment);
+        Files.write(segment, Arrays.copyOf(bytes, bytes.length - 100)); // as a killed process leaves it
+        CaptureReader.Capture capture = CaptureReader.read(segment);
+        assertTrue(capture.troubles().get(0).contains("cut inside a block"), capture.troubles().toString());
+        Replayer.Result result = new Replayer().replay(capture.frames(), Long.MAX_VALUE, null);
+        assertNull(result.difference());
+        assertTrue(result.compared() >= 2000 && result.gaps() == 1, result.toString());
+        Files.write(segment, Arrays.copyOf(bytes, bytes.length - 1));
+        assertEquals(1, CaptureReader.read(segment).troubles().size());
+    }
+
+    @Test
+    void aFlippedBitIsFoundWhereverItIs() throws Exception {
+        List<Frame> story = SmallFleet.story(3, SmallFleet.Trouble.NONE, 100);
+        Path segment = CaptureReader.segments(written(story, 1 << 20)).get(0);
+        byte[] bytes = Files.readAllBytes(segment);
+        int head = new String(bytes, 0, 200, java.nio.charset.StandardCharsets.ISO_8859_1).indexOf('\n') + 1;
+        for (int at : new int[] {head, head + 5, head + 9, head + 14, head + 60, bytes.length - 3}) {
+            byte[] damaged = bytes.clone();
+            damaged[at] ^= 0x10;
+            Files.write(segment, damaged);
+            assertEquals(1, CaptureReader.read(segment).troubles().size(), "byte " + at);
+        }
+    }
+
+    @Test
+    void anotherVersionAndWhatIsNoCaptureAreRefusedByName() throws Exception {
+        Path file = folder.resolve("old.whcap");
+        Files.writeString(file, "wharfhinge-capture 0 gw 1 2 plain\n");
+        assertTrue(assertThrows(IOException.class, () -> CaptureReader.read(file)).getMessage().contains("version 0"));
+        Files.writeString(file, "something else\n");
+        assertTrue(assertThrows(IOException.class, () -> CaptureReader.read(file)).getMessage().contains("no capture"));
+        Files.writeString(file, "x".repeat(2000));
+        assertTrue(assertThrows(IOException.class, () -> CaptureReader.read(file)).getMessage().contains("does not end"));
+    }
+
+    @Test
+    void whatFindsNoRoomIsCountedAndMarkedAndTheReplayGoesOnAtTheNextLife() throws Exception {
+        List<Frame> one = SmallFleet.story(3, SmallFleet.Trouble.NONE, 40);
+        List<Frame> two = SmallFleet.story(4, SmallFleet.Trouble.NONE, 40);
+        List<Frame> all = new ArrayList<>(one.subList(0, 100));
+        all.add(new Frame(0, new Event.Gap(17), List.of(), ""));
+        all.addAll(one.subList(117, one.size()));
+        all.addAll(two);
+        Replayer.Result result = new Replayer().replay(all, Long.MAX_VALUE, null);
+        assertNull(result.difference());
+        assertEquals(17, result.gaps());
+        assertEquals(one.size() - 117, result.skipped());
+        assertEquals(100 + two.size(), result.compared());
+    }
+
+    @Test
+    void aDiskThatCantBeWrittenLosesFramesButNeverHoldsTheLoop() throws Exception {
+        Path at = folder.resolve("gone");
+        try (CaptureWriter writer = new CaptureWriter(at, "gw", 1 << 20, 1 << 30, 1 << 30, false)) {
+            Files.delete(at); // no segment can be made here
+            List<Frame> story = SmallFleet.story(3, SmallFleet.Trouble.NONE, 100);
+            story.forEach(writer);
+            long end = System.nanoTime() + 10_000_000_000L;
+            while (writer.figures().lost() < story.size() && System.nanoTime() < end) {
+                Thread.sleep(5);
+            }
+            assertEquals(story.size(), writer.figures().lost());
+            Files.createDirectory(at);
+            Thread.sleep(1100); // the writer's own pause before it tries again
+            SmallFleet.story(4, SmallFleet.Trouble.NONE, 40).forEach(writer);
+        }
+        Replayer.Result result = new Replayer().replay(CaptureReader.read(at).frames(), Long.MAX_VALUE, null);
+        assertNull(result.difference());
+        assertTrue(result.gaps() > 0 && result.compared() > 100, result.toString());
+    }
+
+    @Test
+    void segmentsRollAndTheOldestGo() throws Exception {
+        Path at = folder.resolve("small");
+        try (CaptureWriter writer = new CaptureWriter(at, "gw", 4000, 20_000, 1 << 30, false)) {
+            for (int i = 0; i < 12; i++) {
+                SmallFleet.story(i, SmallFleet.Trouble.NONE, 60).forEach(writer);
+                Thread.sleep(60);
+            }
+            Thread.sleep(700);
+        }
+        long bytes = 0;
+        for (Path segment : CaptureReader.segments(at)) {
+            bytes += Files.size(segment);
+        }
+        assertTrue(bytes < 60_000, "bounded: " + bytes);
+        assertTrue(CaptureReader.index(at).size() >= 1);
+        CaptureReader.BlockHead head = CaptureReader.index(at).get(0);
+        assertTrue(head.lastNs() >= head.firstNs() && head.frames() > 0);
+    }
+
+    @Test
+    void anAccountTellsWhyACallWentWhereItWent() {
+        List<Frame> story = SmallFleet.story(7, SmallFleet.Trouble.SILENT, 120);
+        Account account = new Account("client-60");
+        new Replayer().replay(story, Long.MAX_VALUE, account);
+        String text = String.join("\n", account.lines());
+        assertTrue(text.contains("call c60 (client-60)"), text);
+        assertTrue(text.contains("decided: attempt c60 w"), text);
+        assertTrue(text.contains("since: "), text);
+        assertTrue(text.contains("believed then of 6 workers"), text);
+        Account none = new Account("client-9999");
+        new Replayer().replay(story, Long.MAX_VALUE, none);
+        assertEquals(List.of(), none.lines());
+    }
+
+    @Test
+    void anAccountChangesNoDecision() {
+        List<Frame> story = SmallFleet.story(11, SmallFleet.Trouble.FULL, 120);
+        Replayer.Result result = new Replayer().replay(story, Long.MAX_VALUE, new Replayer.Watcher() {
+            @Override
+            public void before(long index, Frame frame, Dispatcher dispatcher) {
+                if (dispatcher != null) {
+                    dispatcher.beliefs(frame.at(), "f1");
+                }
+            }
+        });
+        assertNull(result.difference());
+    }
+
+    @Test
+    void otherSettingsDecideOtherwise() {
+        List<Frame> story = SmallFleet.story(7, SmallFleet.Trouble.NONE, 60);
+        assertNotNull(new Replayer(Choice::new, s -> SmallSettings.of(true)).replay(story, Long.MAX_VALUE, null).difference());
+    }
+
+    @Test
+    void aSymptomIsCutDownToItsStory() throws Exception {
+        List<Frame> story = SmallFleet.story(7, SmallFleet.Trouble.FAILS, 200);
+        Symptom symptom = new Symptom("remark text=ejected* and attempt worker=w5 >= 2");
+        assertTrue(symptom.shows(story), "a failing worker is ejected and another taken");
+        Reducer reducer = new Reducer(symptom::shows, 3000);
+        List<Frame> few = reducer.reduce(story);
+        assertTrue(few.size() < story.size() / 8, few.size() + " of " + story.size());
+        assertTrue(symptom.shows(few));
+        Path file = folder.resolve("f.jsonl");
+        Files.write(file, Reducer.fixture("a failing worker is ejected and another taken", few));
+        List<Frame> read = Text.fixture(Files.readAllLines(file));
+        assertNull(new Replayer().replay(read, Long.MAX_VALUE, null).difference(), "a test reads it");
+        assertThrows(IllegalArgumentException.class, () -> new Reducer(new Symptom("unload >= 1")::shows, 100).reduce(story));
+    }
+
+    @Test
+    void aSymptomThatIsNoneNamesItsTerm() {
+        for (String wrong : List.of("jump", "attempt w1", "attempt colour=red", "refuse >= many")) {
+            assertTrue(assertThrows(IllegalArgumentException.class, () -> new Symptom(wrong)).getMessage().contains("allowed"));
+        }
+    }
+}
--- a/config/src/main/java/wharfhinge/config/GatewayConfig.java
+++ b/config/src/main/java/wharfhinge/config/GatewayConfig.java
@@ -17,10 +17,12 @@
  * All that one gateway is set to, checked. Times are nanoseconds, sizes bytes.
  *
  * @param settings what the decisions are told
+ * @param capture  null where nothing is captured
  * @param peers    addresses of other gateways by their number; empty where they don't talk
  */
 public record GatewayConfig(String name, long seed, Settings settings, Clients clients, Workers workers,
-                            Roster roster, Map<Integer, String> peers, ChainConfig chains, Log log) {
+                            Roster roster, Map<Integer, String> peers, ChainConfig chains, Capture capture,
+                            Log log) {
     private static final long MS = 1_000_000L;
     private static final int KB = 1024;
     private static final double ROUNDING = 1e-6;
@@ -30,7 +32,7 @@
         ChainConfig c = chains;
         return new GatewayConfig(name, seed, settings, clients, workers, roster, peers, new ChainConfig(
             changed.apply(c.settings()), c.giveUpNs(), c.resumeWindowNs(), c.resumeKeys(), c.resumeBytes(),
-            c.resumeFile(), c.named()), log);
+            c.resumeFile(), c.named()), capture, log);
     }
 
     /** The clients' side. */
@@ -45,6 +47,9 @@
     public record Roster(String host, int port, Path remembered, long silentAfterNs, long reconnectLeastNs,
                          long reconnectMostNs) { }
 
+    /** Where what the decisions are told and decide is captured; null where it is not. */
+    public record Capture(Path folder, long segmentBytes, long mostBytes, long mostAgeMs) { }
+
     /** Logs. */
     public record Log(boolean json, String level, int remarksPerS) { }
 
@@ -141,7 +146,12 @@
                 w.maxConnections, w.maxAnswerKb * KB),
             new Roster(url.getHost(), url.getPort(), folder.resolve(x.roster.remembered), x.roster.silentAfterMs * MS,
                 x.roster.reconnectLeastMs * MS, x.roster.reconnectMostMs * MS),
-            peers, ChainConfig.of(x, folder), new Log(x.log.format.equals("json"), x.log.level, x.log.remarksPerS));
+            peers, ChainConfig.of(x, folder), capture(x.capture, folder), new Log(x.log.format.equals("json"), x.log.level, x.log.remarksPerS));
+    }
+
+    private static Capture capture(SettingsXml.Capture c, Path folder) {
+        return c == null ? null : new Capture(folder.resolve(c.folder), (long) c.segmentMb << 20, (long) c.mostMb << 20,
+            c.mostHours * 3_600_000L);
     }
 
     private static Settings settings(SettingsXml x) {
--- a/config/src/main/java/wharfhinge/config/SettingsXml.java
+++ b/config/src/main/java/wharfhinge/config/SettingsXml.java
@@ -41,6 +41,8 @@
     @XmlElement
     Chains chains = new Chains();
     @XmlElement
+    Capture capture;
+    @XmlElement
     Log log = new Log();
 
     @XmlAccessorType(XmlAccessType.FIELD)
@@ -303,6 +305,18 @@
         int remarksPerS = 20;
     }
 
+    @XmlAccessorType(XmlAccessType.FIELD)
+    static final class Capture {
+        @XmlAttribute(name = "folder")
+        String folder;
+        @XmlAttribute(name = "segment-mb")
+        int segmentMb = 16;
+        @XmlAttribute(name = "most-mb")
+        int mostMb = 512;
+        @XmlAttribute(name = "most-hours")
+        int mostHours = 48;
+    }
+
     @XmlAccessorType(XmlAccessType.FIELD)
     static final class Chains {
         @XmlElement(name = "chain")
--- /dev/null
+++ b/gateway/src/main/java/wharfhinge/gateway/CapturedDecisions.java
@@ -0,0 +1,54 @@
+package wharfhinge.gateway;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Map;
+import wharfhinge.Dispatcher;
+import wharfhinge.capture.CaptureWriter;
+import wharfhinge.capture.Recorder;
+import wharfhinge.config.GatewayConfig;
+import wharfhinge.gateway.loop.DispatcherFactory;
+
+/** Decisions whose every event and action is captured on disk; the loop is never held up by it. */
+final class CapturedDecisions implements DispatcherFactory, AutoCloseable {
+    private final DispatcherFactory decisions;
+    private final CaptureWriter writer;
+    private Recorder recorder;
+    private int lives;
+
+    CapturedDecisions(DispatcherFactory decisions, String gateway, GatewayConfig.Capture settings) {
+        this.decisions = decisions;
+        try {
+            this.writer = new CaptureWriter(settings.folder(), gateway, settings.segmentBytes(), settings.mostBytes(),
+                settings.mostAgeMs(), false);
+        } catch (IOException e) {
+            throw new UncheckedIOException("capture folder " + settings.folder(), e);
+        }
+    }
+
+    @Override
+    public Dispatcher create(long now, long seed, Dispatcher.Settings settings, Dispatcher.Actions actions) {
+        recorder = new Recorder(decisions::create, now, lives++, seed, settings, actions, writer);
+        return recorder;
+    }
+
+    @Override
+    public void named(long now, String id, String outer) {
+        if (recorder != null) {
+            recorder.named(now, id, outer);
+        }
+    }
+
+    void into(Map<String, Long> figures) {
+        CaptureWriter.Figures f = writer.figures();
+        figures.put("capture_frames", f.frames());
+        figures.put("capture_lost", f.lost());
+        figures.put("capture_bytes", f.bytes());
+        figures.put("capture_segments", f.segments());
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        writer.close();
+    }
+}
--- a/gateway/src/main/java/wharfhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/wharfhinge/gateway/Gateway.java
@@ -48,6 +48,7 @@
     private final FleetSource source;
     private final RememberedList remembered;
     private final StepJournal journal;
+    private final CapturedDecisions captured;
     private final DecisionLoop loop;
     private final Front front;
     private final Slf4jAnswerLog log;
@@ -81,7 +82,8 @@
         AtomicReference<PeerLink> link = new AtomicReference<>(PeerLink.NONE);
         journal = config.chains().resumeFile() == null ? StepJournal.NONE : new MvStepJournal(
             config.chains().resumeFile(), config.chains().resumeWindowNs(), System::currentTimeMillis);
-        loop = new DecisionLoop(config, decisions, workers, source, (peer, payload) -> link.get().publish(peer, payload),
+        captured = config.capture() == null ? null : new CapturedDecisions(decisions, config.name(), config.capture());
+        loop = new DecisionLoop(config, captured == null ? decisions : captured, workers, source, (peer, payload) -> link.get().publish(peer, payload),
             journal, log, System::nanoTime);
         BiConsumer<Integer, byte[]> inbox = loop::inbox;
         Class<? extends DatagramChannel> datagrams = epoll ? EpollDatagramChannel.class : NioDatagramChannel.class;
@@ -129,6 +131,9 @@
         figures.put("connections", (long) front.connections());
         figures.put("connections_turned_away", front.turnedAway());
         figures.put("remarks_dropped", log.dropped());
+        if (captured != null) {
+            captured.into(figures);
+        }
         return figures;
     }
 
@@ -159,6 +164,9 @@
         source.close();
         remembered.close();
         journal.close();
+        if (captured != null) {
+            captured.close();
+        }
         workers.close();
         if (peers != null) {
             peers.close();
--- a/gateway/src/main/java/wharfhinge/gateway/loop/DecisionLoop.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/DecisionLoop.java
@@ -336,6 +336,7 @@
         var head = call.head();
         functions.put(head.function(), new WorkerSide.Function(head.function(), head.memoryMb(), head.lanes(),
             head.loadMs()));
+        factory.named(now, c.id, c.outerId());
         dispatcher.query(now, new Request(c.id, head.tenant(), deadline - now, head.memoryMb(), head.function(),
             head.costUs() * 1000, head.lanes(), head.loadMs(), call.requestClass(), head.repeat(), head.write()));
     }
--- a/gateway/src/main/java/wharfhinge/gateway/loop/DispatcherFactory.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/DispatcherFactory.java
@@ -11,4 +11,7 @@
 
     /** A dispatcher that knows nothing yet. */
     Dispatcher create(long now, long seed, Dispatcher.Settings settings, Dispatcher.Actions actions);
+
+    /** The client's name of a call that the dispatcher is told of next. */
+    default void named(long now, String id, String outer) { }
 }
