--- a/capture/src/main/java/wharfhinge/capture/Text.java
+++ b/capture/src/main/java/wharfhinge/capture/Text.java
@@ -15,6 +15,10 @@
     private static final ObjectMapper JSON = JsonMapper.builder().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
         .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS).build();
 
+    static {
+        JSON.registerSubtypes(Event.class.getPermittedSubclasses());
+    }
+
     private Text() { }
 
     /** A frame as a line. */
