Decisions look only at workers that hold the function; one list for each query

After the sort of homes was gone, what a query cost on a large fleet was asking every worker for the function, twice, a logarithm for each as a home, and lists. Those that hold a function are now kept by their place as entries come and go; a home is searched with a logarithm only where what it is drawn from may win; the list of eligible workers is one that is used again.

--- a/policy/src/main/java/wharfhinge/Choice.java
+++ b/policy/src/main/java/wharfhinge/Choice.java
@@ -72,6 +72,8 @@
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final Map<String, Usual> usual = new HashMap<>();
     private final Map<String, WorkerState> workers = new LinkedHashMap<>();
+    private final Map<String, List<WorkerState>> holders = new HashMap<>(); // with an entry, by place
+    private final List<WorkerState> pool = new ArrayList<>(), rest = new ArrayList<>(); // of one query
     private final Map<String, RequestState> requests = new HashMap<>();
     private final LinkedHashSet<RequestState> held = new LinkedHashSet<>(), looking = new LinkedHashSet<>();
     private final Map<String, Decayed> calls = new LinkedHashMap<>();
@@ -86,6 +88,7 @@
     private double meanLateness = 0.5, meanReported = 2, missShare, loadChance = 1;
     private double trialTokens = 1, retryTokens = RETRY_BURST, loadLimit = LOADS_START;
     private int loadsOut, up; // up: workers
+    private long places, marks;
     private boolean sweepSet;
 
     /** A dispatcher that knows nothing yet; draws only from {@code seed}. */
@@ -182,6 +185,8 @@
         private final String id;
         private final long hash;
         private final Map<String, Entry> warm = new LinkedHashMap<>();
+        private final long place; // in the order of workers
+        private long mark; // of the last query for which it is eligible
         private Worker told;
         private boolean up;
         private int inFlight;
@@ -194,8 +199,9 @@
         private boolean ejected, onTrial;
         private long reportedAt, trialAt, coldAt, pause = EJECT_FIRST;
 
-        WorkerState(String id, long now, double valve, long aim, double phase) {
+        WorkerState(String id, long place, long now, double valve, long aim, double phase) {
             this.id = id;
+            this.place = place;
             this.coldTokens = phase; // so that many front ends do not reach their first token together
             this.valve = valve;
             this.latencyNs = aim / 4.0; // until it is known
@@ -226,7 +232,8 @@
     private void update(Worker entry) {
         WorkerState old = workers.get(entry.id());
         boolean fresh = old == null || entry.startedAt() != 0 && entry.startedAt() != old.told.startedAt();
-        WorkerState w = fresh ? new WorkerState(entry.id(), now, Math.max(1, VALVE_START * few),
+        WorkerState w = fresh ? new WorkerState(entry.id(), old != null ? old.place : ++places, now,
+            Math.max(1, VALVE_START * few),
             settings.classes().get(0).onTimeNs(), random.nextDouble()) : old;
         w.told = entry;
         w.up = entry.availability() == Availability.UP;
@@ -378,13 +385,33 @@
         if (e == null || !believedWarm(w, request.function())) {
             e = new Entry(w, request.function());
             e.loading = true;
-            w.warm.put(request.function(), e);
+            if (w.warm.put(request.function(), e) == null) {
+                hold(w, request.function());
+            }
         }
         e.lastSend = now;
         e.loadNs = request.loadMs() > 0 ? (long) (request.loadMs() * MS) : LOAD_UNTOLD;
         return e;
     }
 
+    /** Those that hold a function are few on a large fleet, and are asked for at each query. */
+    private void hold(WorkerState w, String function) {
+        List<WorkerState> of = holders.computeIfAbsent(function, f -> new ArrayList<>());
+        int at = of.size();
+        while (at > 0 && of.get(at - 1).place > w.place) {
+            at--;
+        }
+        of.add(at, w);
+    }
+
+    private void letGo(WorkerState w, String function) {
+        List<WorkerState> of = holders.get(function);
+        of.remove(w);
+        if (of.isEmpty()) {
+            holders.remove(function);
+        }
+    }
+
     private void lapse() {
         for (WorkerState w : List.copyOf(workers.values())) {
             for (Entry e : List.copyOf(w.warm.values())) {
@@ -396,6 +423,7 @@
                     dropEntry(e);
                 } else if (e.waiting.isEmpty() && !believedWarm(w, e.function)) {
                     w.warm.remove(e.function);
+                    letGo(w, e.function);
                 }
             }
         }
@@ -405,7 +433,9 @@
     }
 
     private void dropEntry(Entry e) {
-        e.worker.warm.remove(e.function, e);
+        if (e.worker.warm.remove(e.function, e)) {
+            letGo(e.worker, e.function);
+        }
         pendingOrders.remove(e);
         release(e, true);
     }
@@ -434,16 +464,18 @@
     // below it, then the fewest in flight. Departure: at the load limit a spill stays on warm workers.
     private WorkerState rank(List<WorkerState> eligible, RequestState r) {
         String function = r.request.function();
+        List<WorkerState> some = holders.getOrDefault(function, List.of()).stream()
+            .filter(w -> w.mark == marks).toList();
         int homes = homes(eligible, r);
         double lastHome = homes == 0 ? -1 : lastHome(eligible, r, homes);
-        WorkerState warm = fewest(eligible, function,
+        WorkerState warm = fewest(homes == 0 ? some : eligible, function,
             w -> (standing(w, function) || lastHome >= 0 && w.homeScore <= lastHome)
             && belowValve(w, 1) && freeLane(w, r.request));
         if (warm != null) {
             return warm;
         }
         if (!onlyOrdersLoad()) {
-            WorkerState ahead = fewest(eligible, function,
+            WorkerState ahead = fewest(some, function,
                 w -> loading(w, function) && belowValve(w, 1));
             if (ahead != null) { // ordered ahead for it: another home would load a second copy
                 return ahead;
@@ -451,13 +483,13 @@
         }
         WorkerState home = home(eligible, r, w -> !believedWarm(w, function) && belowValve(w, 1));
         if (onlyOrdersLoad()) {
-            warm = fewest(eligible, function, w -> standing(w, function) && belowValve(w, 1));
-            if (warm != null && home != null && eligible.stream().noneMatch(w -> loading(w, function))) {
+            warm = fewest(some, function, w -> standing(w, function) && belowValve(w, 1));
+            if (warm != null && home != null && some.stream().noneMatch(w -> loading(w, function))) {
                 order(record(home, r.request));
             }
-            warm = warm != null ? warm : fewest(eligible, function, w -> loading(w, function));
+            warm = warm != null ? warm : fewest(some, function, w -> loading(w, function));
         } else if (crowdsStore()) {
-            warm = fewest(eligible, function, w -> believedWarm(w, function) && belowValve(w, 1));
+            warm = fewest(some, function, w -> believedWarm(w, function) && belowValve(w, 1));
         }
         warm = warm != null ? warm : home;
         return warm != null ? warm : fewest(eligible, function, w -> true);
@@ -487,19 +519,34 @@
     // Departure: front ends derive one order of homes for a function (rendezvous hashing in proportion to
     // told sizes), so that those that share nothing, and a restarted one, meet there. Least first.
     private static double homeScore(WorkerState w, RequestState r) {
-        double uniform = ((mix(w.hash ^ r.hash) >>> 11) + 0.5) / (1L << 53);
-        return -Math.log(uniform) / (w.told.weight() > 0 ? w.told.weight() : 1);
+        return -Math.log(uniform(w, r)) / size(w);
+    }
+
+    private static double uniform(WorkerState w, RequestState r) {
+        return ((mix(w.hash ^ r.hash) >>> 11) + 0.5) / (1L << 53);
+    }
+
+    private static double size(WorkerState w) {
+        return w.told.weight() > 0 ? w.told.weight() : 1;
     }
 
     /** The first home that qualifies, or null. */
     private static WorkerState home(List<WorkerState> eligible, RequestState r, Predicate<WorkerState> fits) {
         WorkerState first = null;
-        double least = Double.POSITIVE_INFINITY;
-        for (WorkerState w : eligible) {
+        double least = Double.POSITIVE_INFINITY, worse = 0, size = 0; // a logarithm is dear: most are
+        for (WorkerState w : eligible) { // known for worse by what they are drawn from
+            if (first != null && size != size(w)) {
+                size = size(w);
+                worse = 0.999999 * Math.exp(-least * size);
+            }
+            if (uniform(w, r) < worse) {
+                continue;
+            }
             double score = homeScore(w, r);
             if (score < least && fits.test(w)) {
                 least = score;
                 first = w;
+                size = 0;
             }
         }
         return first;
@@ -595,27 +642,35 @@
 
     /** Workers that may get this request now; healthy ones where they are not too few. */
     private List<WorkerState> eligible(RequestState r) {
-        List<WorkerState> open = new ArrayList<>(workers.size());
+        pool.clear(); // one query's at a time; nothing in here calls back
         int healthy = 0;
         for (WorkerState w : workers.values()) {
             if (w.up && mayResend(r, w) && withinColdBudget(w)) {
-                open.add(w);
+                pool.add(w);
                 healthy += w.ejected ? 0 : 1;
             }
         }
-        if (healthy < open.size() && healthy >= MOST * up) {
-            open.removeIf(w -> w.ejected);
+        if (healthy < pool.size() && healthy >= MOST * up) {
+            pool.removeIf(w -> w.ejected);
+        }
+        if (!r.tried.isEmpty() && !r.tried.containsAll(pool)) {
+            pool.removeIf(r.tried::contains);
         }
-        if (!r.tried.isEmpty() && !r.tried.containsAll(open)) {
-            open.removeIf(r.tried::contains);
+        marks++;
+        for (WorkerState w : pool) {
+            w.mark = marks;
         }
-        return open;
+        return pool;
     }
 
     private WorkerState trialDue(RequestState r) {
         boolean may = trialTokens >= 1 && r.attempts.isEmpty() && r.type.effect() == Effect.IDEMPOTENT;
-        return !may ? null : workers.values().stream().filter(w -> w.up && w.ejected && !w.onTrial
-            && now >= w.trialAt && withinColdBudget(w)).findFirst().orElse(null);
+        for (WorkerState w : may ? workers.values() : List.<WorkerState>of()) {
+            if (w.ejected && w.up && !w.onTrial && now >= w.trialAt && withinColdBudget(w)) {
+                return w;
+            }
+        }
+        return null;
     }
 
     private void eject(WorkerState w, String symptom) {
@@ -763,8 +818,10 @@
             return false;
         }
         r.looked = true;
-        List<WorkerState> others = eligible.stream().filter(other -> other != w).toList();
-        for (WorkerState next : others.isEmpty() ? List.of(w) : List.of(w, rank(others, r))) {
+        rest.clear();
+        eligible.stream().filter(other -> other != w).forEach(rest::add);
+        w.mark = 0;
+        for (WorkerState next : rest.isEmpty() ? List.of(w) : List.of(w, rank(rest, r))) {
             if (next.reportedAt == 0 || now - next.reportedAt > LOOK_FRESH) {
                 if (looking.stream().noneMatch(other -> other.looks.contains(next))) {
                     actions.probe(next.id);
