Worker: limits of ended calls are dropped; a deadline under a millisecond is one

Each call left a timer until its limit, ten seconds or more, so a busy worker held hundreds of thousands; they are now cancelled with the call.

--- a/worker/src/main/java/wharfhinge/worker/Worker.java
+++ b/worker/src/main/java/wharfhinge/worker/Worker.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -61,6 +62,7 @@
         private final Reply reply;
         private long copy;
         private LoadedCopy.Running running;
+        private Future<?> limit;
         private byte[] output;
 
         Call(WorkerCall head, byte[] body, Reply reply) {
@@ -294,11 +296,12 @@
         call.running = on.run(call.head.id(), call.head.attempt(), call.body, limit,
             (running, outcome) -> onLoop(() -> ended(number, outcome)),
             running -> onLoop(() -> back(copy)));
-        loop.schedule(() -> overLimit(number), limit, TimeUnit.NANOSECONDS);
+        call.limit = loop.schedule(() -> overLimit(number), limit, TimeUnit.NANOSECONDS);
     }
 
     private void ended(long number, LoadedCopy.Outcome outcome) {
         Call call = calls.get(number);
+        call.limit.cancel(false); // else thousands would wait for limits that are far
         if (outcome.cause() != null) {
             LOG.debug("call {} failed", call.head.id(), outcome.cause());
         }
--- a/worker/src/main/java/wharfhinge/worker/WorkerCall.java
+++ b/worker/src/main/java/wharfhinge/worker/WorkerCall.java
@@ -27,7 +27,7 @@
         double wait = number(h.apply(WorkerProtocol.DEADLINE_MS), MOST_MS);
         return new WorkerCall(word(h.apply(WorkerProtocol.CALL)), (int) number(h.apply(WorkerProtocol.ATTEMPT), 1e6),
             word(h.apply(WorkerProtocol.GATEWAY)), word(h.apply(WorkerProtocol.CLASS)), h.apply(WorkerProtocol.BOOT),
-            new Figures(kb, lanes), wait > 0 ? (long) wait : MOST_MS, (long) number(h.apply(WorkerProtocol.COST_US), 1e12));
+            new Figures(kb, lanes), wait > 0 ? Math.max(1, (long) wait) : MOST_MS, (long) number(h.apply(WorkerProtocol.COST_US), 1e12));
     }
 
     /** Tabs and line ends would forge lines of the event log. */
--- a/worker/src/main/java/wharfhinge/worker/WorkerServer.java
+++ b/worker/src/main/java/wharfhinge/worker/WorkerServer.java
@@ -197,9 +197,8 @@
             } else if (!mine) {
                 write(ctx, response(AnswerCode.FULL, new byte[0])); // meant for a process that is no more
             } else {
-                long[] number = {0};
                 boolean[] answered = {false};
-                number[0] = worker.call(function, head, ByteBufUtil.getBytes(request.content()),
+                long number = worker.call(function, head, ByteBufUtil.getBytes(request.content()),
                     (code, note, company, body) -> {
                         answered[0] = true;
                         call = 0;
@@ -210,7 +209,7 @@
                         response.headers().setInt(WorkerProtocol.COMPANY, company);
                         write(ctx, response);
                     });
-                call = answered[0] ? 0 : number[0];
+                call = answered[0] ? 0 : number;
             }
         }
 
--- a/worker/src/main/java/wharfhinge/worker/WorkerSettings.java
+++ b/worker/src/main/java/wharfhinge/worker/WorkerSettings.java
@@ -53,7 +53,7 @@
         @XmlAttribute(name = "copies-mb")
         private int copiesMb;
         @XmlAttribute(name = "own-mb")
-        private int ownMb = 160;
+        private int ownMb = 256;
         @XmlAttribute(name = "usual-copy-mb")
         private int usualCopyMb = 64;
     }
