--- a/app/src/main/java/wharfhinge/app/ReplayCommand.java
+++ b/app/src/main/java/wharfhinge/app/ReplayCommand.java
@@ -7,7 +7,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -54,6 +56,8 @@
     private int mostReplays;
     @Option(names = "--merge", description = "Prints the frames of all captures on one time line, by their wall clocks.")
     private boolean merge;
+    @Option(names = "--skew", paramLabel = "GATEWAY=MS", description = "With --merge: this gateway's wall clock is so much ahead.")
+    private Map<String, Double> skews = new HashMap<>();
 
     @Override
     public Integer call() throws IOException, InvalidFileException {
@@ -194,7 +198,8 @@
         for (Path file : files) {
             Capture capture = CaptureReader.read(file);
             capture.troubles().forEach(t -> System.out.println("trouble: " + t));
-            capture.frames().forEach(f -> all.add(new Placed(capture.wallUs(f), capture.gateway(), f)));
+            long aheadUs = (long) (skews.getOrDefault(capture.gateway(), 0.0) * 1000);
+            capture.frames().forEach(f -> all.add(new Placed(capture.wallUs(f) - aheadUs, capture.gateway(), f)));
         }
         all.sort(Comparator.comparingLong(Placed::wallUs)); // stable: one gateway's frames keep their order
         all.forEach(p -> System.out.println(p.wallUs + " " + p.gateway + " " + Text.line(p.frame)));
--- a/app/src/main/java/wharfhinge/app/measure/MeasureCommand.java
+++ b/app/src/main/java/wharfhinge/app/measure/MeasureCommand.java
@@ -67,9 +67,13 @@
                 roster.report(new RosterEntry("127.0.0.1:" + ports[2 + i], "z", "k", 0, RosterEntry.State.UP, 1,
                     86_000_000, "b0"));
             }
-            Path settings = settings(folder, roster.port());
+            Path settings = settings(folder, roster.port(), "");
             Process gateway = java("gateway", folder, "serve", "--config", settings.toString());
             int gatewayPort = gatewayPort(folder);
+            Path beside = Files.createDirectories(folder.resolve("capturing"));
+            java("gateway", beside, "serve", "--config", settings(beside, roster.port(), "<capture folder=\"captures\"/>")
+                .toString());
+            int capturingPort = gatewayPort(beside);
             System.out.printf("%d processors; %d calls/s for %d s after %d s of warm-up, %d workers, %d functions, %d bytes; "
                 + "gateway logs at %s%n", Runtime.getRuntime().availableProcessors(), rate, seconds, warmUp, WORKERS,
                 FUNCTIONS, BODY.length, logLevel);
@@ -77,6 +81,7 @@
             ways.put("direct", ports[0]);
             ways.put("pass-through", ports[1]);
             ways.put("gateway", gatewayPort);
+            ways.put("capturing", capturingPort);
             Map<String, Histogram> latencies = new LinkedHashMap<>();
             for (Map.Entry<String, Integer> way : ways.entrySet()) {
                 HttpCaller caller = new HttpCaller(group, way.getValue());
@@ -91,7 +96,9 @@
             System.out.printf("added by the gateway over direct: median %d us (wanted under 300), p99 %d us (wanted under "
                 + "2000)%n", us(through, 50) - us(direct, 50), us(through, 99) - us(direct, 99));
             Map<String, Double> highest = new LinkedHashMap<>();
-            for (String way : List.of("pass-through", "gateway", "pass-through", "gateway")) {
+            System.out.printf("added by capturing: median %d us, p99 %d us (wanted under 100)%n", us(latencies.get("capturing"), 50)
+                - us(through, 50), us(latencies.get("capturing"), 99) - us(through, 99));
+            for (String way : List.of("pass-through", "gateway", "capturing", "pass-through", "gateway", "capturing")) {
                 HttpCaller caller = new HttpCaller(group, ways.get(way));
                 closed(caller, 2);
                 highest.merge(way, closed(caller, seconds / 2.0), Math::max);
@@ -100,6 +107,10 @@
                 most));
             System.out.printf("gateway over pass-through: %.2f (wanted 0.7)%n", highest.get("gateway")
                 / highest.get("pass-through"));
+            Map<String, Long> captured = figures(capturingPort);
+            System.out.printf("capturing over gateway: %.2f (wanted over 0.95), %d bytes a call on disk, %d frames lost%n",
+                highest.get("capturing") / highest.get("gateway"), captured.get("capture_bytes") / captured.get("taken"),
+                captured.get("capture_lost"));
             status(gatewayPort);
             memory(gateway, gatewayPort, group);
             return Program.OK;
@@ -184,6 +195,15 @@
         return rate;
     }
 
+    private static Map<String, Long> figures(int port) throws IOException {
+        Map<String, Long> figures = new LinkedHashMap<>();
+        try (var in = URI.create("http://127.0.0.1:" + port + "/v1/status").toURL().openStream()) {
+            new String(in.readAllBytes(), StandardCharsets.UTF_8).lines().map(l -> l.split(" "))
+                .forEach(f -> figures.put(f[0], Long.parseLong(f[1])));
+        }
+        return figures;
+    }
+
     private static void status(int port) throws IOException {
         try (var in = URI.create("http://127.0.0.1:" + port + "/v1/status").toURL().openStream()) {
             String text = new String(in.readAllBytes(), StandardCharsets.UTF_8);
@@ -289,7 +309,7 @@
         throw new IOException("the gateway did not start, see " + folder);
     }
 
-    private Path settings(Path folder, int roster) throws IOException {
+    private Path settings(Path folder, int roster, String capture) throws IOException {
         Path file = folder.resolve("gateway.xml");
         Files.writeString(file, """
             <wharfhinge xmlns="urn:wharfhinge:settings:1">
@@ -304,9 +324,10 @@
               <rules stop-sending-within-ms="2000" cold-from="0.2" warm-after-ms="8000" overload-factor="2"
                      tip-after-ms="1000"/>
               <roster url="http://127.0.0.1:PORT" remembered="list"/>
-              <log level="LEVEL"/>
+              CAPTURE<log level="LEVEL"/>
             </wharfhinge>
-            """.replace("PORT", Integer.toString(roster)).replace("LEVEL", logLevel));
+            """.replace("PORT", Integer.toString(roster)).replace("LEVEL", logLevel)
+            .replace("CAPTURE", capture));
         return file;
     }
 }
--- a/app/src/test/java/wharfhinge/app/CommandLineTest.java
+++ b/app/src/test/java/wharfhinge/app/CommandLineTest.java
@@ -44,7 +44,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"", "serve", "check", "stand-in", "drill", "measure", "stand-in worker", "stand-in roster",
         "stand-in store", "stand-in fleet", "worker", "store", "package", "package build", "package inspect", "package verify",
-        "package key"})
+        "package key", "replay"})
     void helpAndVersionAreEverywhere(String command) {
         List<String> words = command.isEmpty() ? List.of() : List.of(command.split(" "));
         for (String option : List.of("--help", "--version")) {
@@ -79,4 +79,48 @@
         assertEquals(Program.WANTING, ran.code);
         assertTrue(ran.text().contains("found 'no-such-day', allowed: [bad-day, calm, loads-on-call, bad-day-chains, chains, workers, forty-workers]"), ran.text());
     }
+
+    @Test
+    void aPackageIsBuiltSignedShownAndChecked() throws Exception {
+        String key = folder.resolve("key").toString();
+        String other = folder.resolve("other").toString();
+        String out = folder.resolve("f.pkg").toString();
+        Path classes = Files.createDirectories(folder.resolve("classes/a"));
+        Files.write(classes.resolve("B.class"), new byte[] {1, 2, 3});
+        assertEquals(Program.OK, run("package", "key", key).code);
+        assertEquals(Program.OK, run("package", "key", other).code);
+        assertEquals(Program.WANTING, run("package", "key", key).code, "a key is never written over");
+        Ran built = run("package", "build", "--classes", folder.resolve("classes").toString(), "--entry", "a.B", "--name", "f",
+            "--memory-mb", "8", "--sign", key, "--out", out);
+        assertEquals(Program.OK, built.code, built.text());
+        Ran shown = run("package", "inspect", out);
+        assertTrue(shown.text().contains("entry=a.B") && shown.text().contains("# signed"), shown.text());
+        assertEquals(Program.OK, run("package", "verify", "--key", key + ".pub", out).code);
+        Ran refused = run("package", "verify", "--key", other + ".pub", out);
+        assertEquals(Program.WANTING, refused.code);
+        assertTrue(refused.text().contains("none of the 1 trusted keys"), refused.text());
+        Ran wrong = run("package", "build", "--classes", folder.resolve("classes").toString(), "--entry", "a.C", "--name", "f",
+            "--memory-mb", "8", "--out", out);
+        assertTrue(wrong.code == Program.WANTING && wrong.text().contains("entry a.C is not among the files"), wrong.text());
+        assertEquals(Program.OK, run("package", "verify", out).code, "what was there stands");
+    }
+
+    @Test
+    void whatIsNoCaptureIsNamed() throws Exception {
+        Path file = Files.writeString(folder.resolve("x.whcap"), "something else\n");
+        Ran ran = run("replay", file.toString());
+        assertEquals(Program.WANTING, ran.code);
+        assertTrue(ran.text().contains("no capture, found 'something else'"), ran.text());
+    }
+
+    @Test
+    void aWorkersSettingsTellAllThatIsWrong() throws Exception {
+        Path file = Files.writeString(folder.resolve("w.xml"), "<worker xmlns='urn:wharfhinge:worker:1' name='w'>\n"
+            + "<listen port='99999'/>\n<memory copies-mb='0'/>\n<store url='ftp://x'/>\n<images folder='i'/>\n</worker>\n");
+        Ran ran = run("worker", "--config", file.toString());
+        assertEquals(Program.WANTING, ran.code);
+        for (String place : List.of("99999", "'0'", "ftp://x")) {
+            assertTrue(ran.text().contains(place), ran.text());
+        }
+    }
 }
--- a/app/src/test/java/wharfhinge/app/drill/DrillTest.java
+++ b/app/src/test/java/wharfhinge/app/drill/DrillTest.java
@@ -1,6 +1,7 @@
 package wharfhinge.app.drill;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Path;
@@ -10,6 +11,8 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import wharfhinge.capture.CaptureReader;
+import wharfhinge.capture.Replayer;
 import wharfhinge.standin.Scenario;
 import wharfhinge.standin.Scenario.Trouble;
 import wharfhinge.standin.judge.Judge;
@@ -31,11 +34,21 @@
                 day.troubles().add(t);
             }
         }
-        try (Day played = new Day(day, mutant, folder)) {
+        try (Day played = new Day(day, mutant, folder, mutant == null)) {
             return played.play();
         }
     }
 
+    /** What each gateway captured, also one that was killed, is decided again as it was. */
+    private void replayed(int gateways) throws Exception {
+        for (int i = 0; i < gateways; i++) {
+            CaptureReader.Capture capture = CaptureReader.read(folder.resolve("gw" + i + ".capture"));
+            Replayer.Result result = new Replayer().replay(capture.frames(), Long.MAX_VALUE, null);
+            assertNull(result.difference(), () -> String.join("\n", result.difference().lines()));
+            assertTrue(result.compared() > 500, result.toString());
+        }
+    }
+
     @Test
     void aShortBadDayKeepsAllRules() throws Exception {
         Judge.Verdict verdict = play(null, 9, new Trouble("hang", 1, 3, 0.15, 0, 0), new Trouble("drain", 1, 3, 0.15, 0, 1),
@@ -44,6 +57,7 @@
             new Trouble("roster_lost", 5, 2, 0, 0, 0), new Trouble("store_shut", 6, 1, 0, 0, 0));
         assertEquals(5, verdict.kept(), Judge.report(verdict).toString());
         assertTrue(Integer.parseInt(verdict.figures().get("calls")) > 800, verdict.figures().toString());
+        replayed(3);
     }
 
     @Test
--- a/capture/src/test/java/wharfhinge/capture/CaptureTest.java
+++ b/capture/src/test/java/wharfhinge/capture/CaptureTest.java
@@ -192,6 +192,25 @@
         assertNull(result.difference());
     }
 
+    @Test
+    void hashedNamesHideFunctionsAndTenantsAndStillReplay() {
+        List<Frame> frames = new ArrayList<>();
+        List<String> held = new ArrayList<>();
+        Acts outside = new Acts(null);
+        HashedNames names = new HashedNames((now, seed, settings, actions) -> new Recorder(Choice::new, now, 0, seed, settings,
+            actions, frames::add), "0123456789abcdef".getBytes(), 1, 1, SmallSettings.of(true), outside);
+        names.members(1, Dispatcher.ListMode.ALL, 1, List.of(new Dispatcher.Worker("w0", "z", "k", 0,
+            Dispatcher.Availability.UP, 1, 0)));
+        names.query(2, new Dispatcher.Request("c", "secret-tenant", 2_000_000_000L, 100, "secret-function", 0, 1, 300, "safe",
+            false, false));
+        names.completed(3_000_000, new Dispatcher.Completion("c", Dispatcher.Outcome.MISS, 0, 1, "w0", Dispatcher.Note.NONE, 0,
+            false, java.util.Map.of()));
+        outside.take().stream().filter(a -> a.kind() == Act.Kind.HOLD).forEach(a -> held.add(a.function()));
+        assertEquals(List.of("secret-function"), held, "outside it has its name");
+        assertTrue(lines(frames).stream().noneMatch(l -> l.contains("secret")), lines(frames).toString());
+        assertNull(new Replayer().replay(frames, Long.MAX_VALUE, null).difference());
+    }
+
     @Test
     void otherSettingsDecideOtherwise() {
         List<Frame> story = SmallFleet.story(7, SmallFleet.Trouble.NONE, 60);
--- a/config/src/main/java/wharfhinge/config/GatewayConfig.java
+++ b/config/src/main/java/wharfhinge/config/GatewayConfig.java
@@ -47,8 +47,8 @@
     public record Roster(String host, int port, Path remembered, long silentAfterNs, long reconnectLeastNs,
                          long reconnectMostNs) { }
 
-    /** Where what the decisions are told and decide is captured; null where it is not. */
-    public record Capture(Path folder, long segmentBytes, long mostBytes, long mostAgeMs) { }
+    /** Where what the decisions are told and decide is captured, and the key that names are hashed with, or null. */
+    public record Capture(Path folder, Path hashKey, long segmentBytes, long mostBytes, long mostAgeMs) { }
 
     /** Logs. */
     public record Log(boolean json, String level, int remarksPerS) { }
@@ -150,7 +150,8 @@
     }
 
     private static Capture capture(SettingsXml.Capture c, Path folder) {
-        return c == null ? null : new Capture(folder.resolve(c.folder), (long) c.segmentMb << 20, (long) c.mostMb << 20,
+        return c == null ? null : new Capture(folder.resolve(c.folder), c.hashKeyFile.isEmpty() ? null
+            : folder.resolve(c.hashKeyFile), (long) c.segmentMb << 20, (long) c.mostMb << 20,
             c.mostHours * 3_600_000L);
     }
 
--- a/config/src/main/java/wharfhinge/config/SettingsXml.java
+++ b/config/src/main/java/wharfhinge/config/SettingsXml.java
@@ -309,6 +309,8 @@
     static final class Capture {
         @XmlAttribute(name = "folder")
         String folder;
+        @XmlAttribute(name = "hash-key-file")
+        String hashKeyFile = "";
         @XmlAttribute(name = "segment-mb")
         int segmentMb = 16;
         @XmlAttribute(name = "most-mb")
--- a/gateway/src/main/java/wharfhinge/gateway/CapturedDecisions.java
+++ b/gateway/src/main/java/wharfhinge/gateway/CapturedDecisions.java
@@ -2,32 +2,49 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.file.Files;
 import java.util.Map;
 import wharfhinge.Dispatcher;
 import wharfhinge.capture.CaptureWriter;
+import wharfhinge.capture.HashedNames;
 import wharfhinge.capture.Recorder;
 import wharfhinge.config.GatewayConfig;
 import wharfhinge.gateway.loop.DispatcherFactory;
 
 /** Decisions whose every event and action is captured on disk; the loop is never held up by it. */
 final class CapturedDecisions implements DispatcherFactory, AutoCloseable {
+    private static final int LEAST_KEY = 16;
+
     private final DispatcherFactory decisions;
     private final CaptureWriter writer;
+    private final byte[] key; // null where names stand as they are
     private Recorder recorder;
     private int lives;
 
     CapturedDecisions(DispatcherFactory decisions, String gateway, GatewayConfig.Capture settings) {
         this.decisions = decisions;
         try {
+            this.key = settings.hashKey() == null ? null : Files.readAllBytes(settings.hashKey());
+            if (key != null && key.length < LEAST_KEY) {
+                throw new IOException(settings.hashKey() + ": found a key of " + key.length + " bytes, allowed: " + LEAST_KEY
+                    + " or more");
+            }
             this.writer = new CaptureWriter(settings.folder(), gateway, settings.segmentBytes(), settings.mostBytes(),
-                settings.mostAgeMs(), false);
+                settings.mostAgeMs(), key != null);
         } catch (IOException e) {
-            throw new UncheckedIOException("capture folder " + settings.folder(), e);
+            throw new UncheckedIOException("capture into " + settings.folder() + ": " + e.getMessage(), e);
         }
     }
 
     @Override
     public Dispatcher create(long now, long seed, Dispatcher.Settings settings, Dispatcher.Actions actions) {
+        if (key == null) {
+            return recorded(now, seed, settings, actions);
+        }
+        return new HashedNames(this::recorded, key, now, seed, settings, actions);
+    }
+
+    private Dispatcher recorded(long now, long seed, Dispatcher.Settings settings, Dispatcher.Actions actions) {
         recorder = new Recorder(decisions::create, now, lives++, seed, settings, actions, writer);
         return recorder;
     }
