--- a/app/src/main/java/wharfhinge/app/drill/Mutant.java
+++ b/app/src/main/java/wharfhinge/app/drill/Mutant.java
@@ -12,6 +12,8 @@
 import wharfhinge.Dispatcher.RequestClass;
 import wharfhinge.Dispatcher.Settings;
 import wharfhinge.Dispatcher.Worker;
+import wharfhinge.capture.Forwarding;
+import wharfhinge.capture.ForwardingActions;
 import wharfhinge.config.GatewayConfig;
 import wharfhinge.decisions.chain.ChainSettings;
 import wharfhinge.gateway.loop.DispatcherFactory;
--- a/app/src/main/java/wharfhinge/app/drill/Forwarding.java
+++ b/capture/src/main/java/wharfhinge/capture/Forwarding.java
@@ -1,14 +1,15 @@
-package wharfhinge.app.drill;
+package wharfhinge.capture;
 
 import java.util.List;
 import java.util.Map;
 import wharfhinge.Dispatcher;
 
-/** Hands every event on to other decisions. */
-class Forwarding implements Dispatcher {
+/** Hands every event on to other decisions; those who stand before them change what they must. */
+public class Forwarding implements Dispatcher {
     private final Dispatcher to;
 
-    Forwarding(Dispatcher to) {
+    /** Hands on to {@code to}. */
+    protected Forwarding(Dispatcher to) {
         this.to = to;
     }
 
@@ -56,4 +57,19 @@
     public void resident(long now, String worker, String function, int count, Outcome outcome, long tookNs) {
         to.resident(now, worker, function, count, outcome, tookNs);
     }
+
+    @Override
+    public boolean believedWarm(long now, String function) {
+        return to.believedWarm(now, function);
+    }
+
+    @Override
+    public void expected(long now, Request request) {
+        to.expected(now, request);
+    }
+
+    @Override
+    public List<Belief> beliefs(long now, String function) {
+        return to.beliefs(now, function);
+    }
 }
--- a/app/src/main/java/wharfhinge/app/drill/ForwardingActions.java
+++ b/capture/src/main/java/wharfhinge/capture/ForwardingActions.java
@@ -1,12 +1,13 @@
-package wharfhinge.app.drill;
+package wharfhinge.capture;
 
 import wharfhinge.Dispatcher.Actions;
 
-/** Hands every action on. */
-class ForwardingActions implements Actions {
+/** Hands every action on; those who stand between change what they must. */
+public class ForwardingActions implements Actions {
     private final Actions to;
 
-    ForwardingActions(Actions to) {
+    /** Hands on to {@code to}. */
+    protected ForwardingActions(Actions to) {
         this.to = to;
     }
 
--- a/capture/src/main/java/wharfhinge/capture/HashedNames.java
+++ b/capture/src/main/java/wharfhinge/capture/HashedNames.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.security.GeneralSecurityException;
+import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -16,196 +17,121 @@
  * must have one key, for homes are derived from the name. Names are remembered to be told back in orders, {@value #KNOWN} of
  * them; an order for one that was forgotten is left out and remarked. One thread.
  */
-public final class HashedNames implements Dispatcher {
+public final class HashedNames extends Forwarding {
     private static final int KNOWN = 65_536;
     private static final int DIGITS = 16;
 
-    private final Dispatcher to;
-    private final Mac mac;
-    private final Map<String, String> hashes = new LinkedHashMap<>(64, 0.75f, true);
-    private final Map<String, String> names = new LinkedHashMap<>();
+    private final Table table;
 
-    /** Makes the dispatcher that stands behind. {@code key} is any secret; it is not kept in captures. */
-    public HashedNames(Recorder.Maker maker, byte[] key, long now, long seed, Settings settings, Actions actions) {
-        try {
-            mac = Mac.getInstance("HmacSHA256");
-            mac.init(new SecretKeySpec(key, "HmacSHA256"));
-        } catch (GeneralSecurityException e) {
-            throw new IllegalStateException(e);
-        }
-        to = maker.create(now, seed, hashed(settings), new Named(actions));
-    }
-
-    private String hash(String name) {
-        if (name == null) {
-            return null;
-        }
-        String known = hashes.get(name);
-        if (known != null) {
-            return known;
-        }
-        String hash = HexFormat.of().formatHex(mac.doFinal(name.getBytes(StandardCharsets.UTF_8))).substring(0, DIGITS);
-        hashes.put(name, hash);
-        names.put(hash, name);
-        if (hashes.size() > KNOWN) {
-            String eldest = hashes.keySet().iterator().next();
-            names.remove(hashes.remove(eldest));
-        }
-        return hash;
-    }
-
-    private Settings hashed(Settings s) {
-        List<Realm> realms = s.realms() == null ? null
-            : s.realms().stream().map(r -> new Realm(hash(r.name()), r.share(), r.quotaPerS())).toList();
-        return new Settings(s.groupSize(), s.myNumber(), s.tickNs(), s.zone(), s.zones(), s.kinds(), s.discovery(), s.weights(),
-            s.worthBy(), s.overShareWorth(), s.classes(), realms, s.familyInfo(), s.feedback(), s.goal(), s.limits(),
-            s.obligations(), s.prices(), s.callers());
-    }
-
-    private Request hashed(Request r) {
-        return new Request(r.id(), hash(r.tenant()), r.remainingNs(), r.memoryMb(), hash(r.function()), r.costNs(), r.lanes(),
-            r.loadMs(), r.requestClass(), r.repeat(), r.write());
+    private HashedNames(Table table, Dispatcher to) {
+        super(to);
+        this.table = table;
     }
 
-    @Override
-    public void members(long now, ListMode mode, long revision, List<Worker> entries) {
-        to.members(now, mode, revision, entries);
+    /** Makes the dispatcher that stands behind. {@code key} is any secret; it is not kept in captures. */
+    public static HashedNames before(Recorder.Maker maker, byte[] key, long now, long seed, Settings settings,
+                                     Actions actions) {
+        Table table = new Table(key);
+        return new HashedNames(table, maker.create(now, seed, table.hashed(settings), new Named(table, actions)));
     }
 
     @Override
     public void query(long now, Request request) {
-        to.query(now, hashed(request));
+        super.query(now, table.hashed(request));
     }
 
     @Override
     public void expected(long now, Request request) {
-        to.expected(now, hashed(request));
+        super.expected(now, table.hashed(request));
     }
 
     @Override
     public boolean believedWarm(long now, String function) {
-        return to.believedWarm(now, hash(function));
+        return super.believedWarm(now, table.hash(function));
     }
 
     @Override
     public List<Belief> beliefs(long now, String function) {
-        return to.beliefs(now, hash(function));
-    }
-
-    @Override
-    public void clientLeft(long now, String request) {
-        to.clientLeft(now, request);
-    }
-
-    @Override
-    public void probed(long now, String worker, Outcome outcome, long tookNs, Map<String, Double> report) {
-        to.probed(now, worker, outcome, tookNs, report);
-    }
-
-    @Override
-    public void established(long now, String request, int attempt, String worker) {
-        to.established(now, request, attempt, worker);
-    }
-
-    @Override
-    public void inbox(long now, int peer, byte[] payload) {
-        to.inbox(now, peer, payload);
-    }
-
-    @Override
-    public void due(long now, String token) {
-        to.due(now, token);
-    }
-
-    @Override
-    public void completed(long now, Completion completion) {
-        to.completed(now, completion);
+        return super.beliefs(now, table.hash(function));
     }
 
     @Override
     public void resident(long now, String worker, String function, int count, Outcome outcome, long tookNs) {
-        to.resident(now, worker, hash(function), count, outcome, tookNs);
+        super.resident(now, worker, table.hash(function), count, outcome, tookNs);
     }
 
     /** Tells functions by their names again. */
-    private final class Named implements Actions {
-        private final Actions doing;
+    private static final class Named extends ForwardingActions {
+        private final Table table;
 
-        Named(Actions doing) {
-            this.doing = doing;
-        }
-
-        @Override
-        public void attempt(String request, String worker, long timeoutNs) {
-            doing.attempt(request, worker, timeoutNs);
-        }
-
-        @Override
-        public void cancel(String request, int attempt) {
-            doing.cancel(request, attempt);
-        }
-
-        @Override
-        public void refuse(String request, long coolDownNs) {
-            doing.refuse(request, coolDownNs);
-        }
-
-        @Override
-        public void fail(String request) {
-            doing.fail(request);
+        Named(Table table, Actions doing) {
+            super(doing);
+            this.table = table;
         }
 
         @Override
         public void hold(String worker, String function, int count) {
-            String name = names.get(function);
+            String name = table.names.get(function);
             if (name == null) {
-                doing.remark("order for a function whose name was forgotten is left out: " + function);
+                remark("order for a function whose name was forgotten is left out: " + function);
             } else {
-                doing.hold(worker, name, count);
+                super.hold(worker, name, count);
             }
         }
 
         @Override
         public void unload(String worker, String function) {
-            String name = names.get(function);
+            String name = table.names.get(function);
             if (name != null) {
-                doing.unload(worker, name);
+                super.unload(worker, name);
             }
         }
+    }
 
-        @Override
-        public void probe(String worker) {
-            doing.probe(worker);
-        }
-
-        @Override
-        public void timer(String token, long delayNs) {
-            doing.timer(token, delayNs);
-        }
-
-        @Override
-        public void publish(int peer, byte[] payload) {
-            doing.publish(peer, payload);
-        }
+    /** Names and hashes; those asked for longest ago are forgotten. */
+    private static final class Table {
+        private final Mac mac;
+        private final Map<String, String> hashes = new LinkedHashMap<>(64, 0.75f, true);
+        private final Map<String, String> names = new HashMap<>();
 
-        @Override
-        public void listen(boolean on) {
-            doing.listen(on);
+        Table(byte[] key) {
+            try {
+                mac = Mac.getInstance("HmacSHA256");
+                mac.init(new SecretKeySpec(key, "HmacSHA256"));
+            } catch (GeneralSecurityException e) {
+                throw new IllegalStateException(e);
+            }
         }
 
-        @Override
-        public void reload() {
-            doing.reload();
+        String hash(String name) {
+            if (name == null) {
+                return null;
+            }
+            String known = hashes.get(name);
+            if (known != null) {
+                return known;
+            }
+            String hash = HexFormat.of().formatHex(mac.doFinal(name.getBytes(StandardCharsets.UTF_8))).substring(0, DIGITS);
+            hashes.put(name, hash);
+            names.put(hash, name);
+            if (hashes.size() > KNOWN) {
+                String eldest = hashes.keySet().iterator().next();
+                names.remove(hashes.remove(eldest));
+            }
+            return hash;
         }
 
-        @Override
-        public void hangUp(String worker) {
-            doing.hangUp(worker);
+        Settings hashed(Settings s) {
+            List<Realm> realms = s.realms() == null ? null
+                : s.realms().stream().map(r -> new Realm(hash(r.name()), r.share(), r.quotaPerS())).toList();
+            return new Settings(s.groupSize(), s.myNumber(), s.tickNs(), s.zone(), s.zones(), s.kinds(), s.discovery(),
+                s.weights(), s.worthBy(), s.overShareWorth(), s.classes(), realms, s.familyInfo(), s.feedback(), s.goal(),
+                s.limits(), s.obligations(), s.prices(), s.callers());
         }
 
-        @Override
-        public void remark(String text) {
-            doing.remark(text);
+        Request hashed(Request r) {
+            return new Request(r.id(), hash(r.tenant()), r.remainingNs(), r.memoryMb(), hash(r.function()), r.costNs(),
+                r.lanes(), r.loadMs(), r.requestClass(), r.repeat(), r.write());
         }
     }
 }
--- a/capture/src/test/java/wharfhinge/capture/CaptureTest.java
+++ b/capture/src/test/java/wharfhinge/capture/CaptureTest.java
@@ -197,7 +197,7 @@
         List<Frame> frames = new ArrayList<>();
         List<String> held = new ArrayList<>();
         Acts outside = new Acts(null);
-        HashedNames names = new HashedNames((now, seed, settings, actions) -> new Recorder(Choice::new, now, 0, seed, settings,
+        HashedNames names = HashedNames.before((now, seed, settings, actions) -> new Recorder(Choice::new, now, 0, seed, settings,
             actions, frames::add), "0123456789abcdef".getBytes(), 1, 1, SmallSettings.of(true), outside);
         names.members(1, Dispatcher.ListMode.ALL, 1, List.of(new Dispatcher.Worker("w0", "z", "k", 0,
             Dispatcher.Availability.UP, 1, 0)));
--- a/gateway/src/main/java/wharfhinge/gateway/CapturedDecisions.java
+++ b/gateway/src/main/java/wharfhinge/gateway/CapturedDecisions.java
@@ -41,7 +41,7 @@
         if (key == null) {
             return recorded(now, seed, settings, actions);
         }
-        return new HashedNames(this::recorded, key, now, seed, settings, actions);
+        return HashedNames.before(this::recorded, key, now, seed, settings, actions);
     }
 
     private Dispatcher recorded(long now, long seed, Dispatcher.Settings settings, Dispatcher.Actions actions) {
