--- a/decisions/src/main/java/wharfhinge/decisions/copies/CopyDecisions.java
+++ b/decisions/src/main/java/wharfhinge/decisions/copies/CopyDecisions.java
@@ -129,12 +129,12 @@
     private static final class Order {
         private final long id;
         private final int wanted;
-        private final boolean short_;
+        private final boolean partly; // not all that was asked for could be admitted
 
-        Order(long id, int wanted, boolean isShort) {
+        Order(long id, int wanted, boolean partly) {
             this.id = id;
             this.wanted = wanted;
-            this.short_ = isShort;
+            this.partly = partly;
         }
     }
 
@@ -260,7 +260,7 @@
             boolean coming = fn.any(State.LINED, State.LOADING);
             call.met = none ? Met.BEGAN : coming ? Met.WAITED : Met.FOUND;
             boolean wanted = none || settings.loadsOnCall() && settings.ownFurther() && !coming;
-            boolean admitted = wanted && admit(now, fn, hint, false);
+            boolean admitted = wanted && admit(fn, hint, false);
             if (none && !admitted) {
                 actions.answer(id, Answer.FULL, null, call.company);
             } else {
@@ -268,7 +268,7 @@
                 calls.put(id, call);
                 waiting++;
             }
-            nextLoads(now);
+            nextLoads();
         }
         forget(fn);
     }
@@ -285,8 +285,8 @@
             return;
         }
         unqueue(call);
-        dropUnwanted(now, call.fn);
-        settle(now);
+        dropUnwanted(call.fn);
+        settle();
     }
 
     /** A call's run ended, or is given up on. */
@@ -312,9 +312,9 @@
         rest(now, copy);
         serve(now, copy.fn);
         if (copy.spoiled && !draining) {
-            replace(now, copy.fn);
+            replace(copy.fn);
         }
-        settle(now);
+        settle();
     }
 
     /** The thread of a call that was given up on came back. */
@@ -325,7 +325,7 @@
         }
         copy.overdue--;
         rest(now, copy);
-        settle(now);
+        settle();
     }
 
     /** What is next for a copy that runs one call less. */
@@ -384,13 +384,13 @@
     }
 
     /** A copy was lost: where calls wait it is loaded anew at others' cost, else only where there is room. */
-    private void replace(long now, Fn fn) {
+    private void replace(Fn fn) {
         if (fn.live() && fn.waiting.isEmpty()) {
             return;
         }
         boolean room = ledger.free() + ledger.in(Part.LEAVING) - lined >= needed(fn, Figures.UNKNOWN);
         boolean comes = !fn.any(State.LINED, State.LOADING) && (room || !fn.waiting.isEmpty())
-            && admit(now, fn, Figures.UNKNOWN, false);
+            && admit(fn, Figures.UNKNOWN, false);
         if (!comes && !fn.live()) {
             turnAway(fn, Answer.FULL);
         }
@@ -412,7 +412,7 @@
         int missing = count - (int) fn.copies.stream().filter(Copy::live).count();
         boolean all = !draining;
         for (int i = 0; i < missing && all; i++) {
-            all = admit(now, fn, hint, true);
+            all = admit(fn, hint, true);
         }
         int live = (int) fn.copies.stream().filter(Copy::live).count();
         int wanted = draining ? 0 : Math.min(count, live);
@@ -422,7 +422,7 @@
             orders.put(id, fn);
             fn.copies.stream().filter(Copy::live).forEach(c -> c.ordered = true);
         }
-        nextLoads(now);
+        nextLoads();
         forget(fn);
     }
 
@@ -431,8 +431,8 @@
         Fn fn = orders.remove(id);
         if (fn != null) {
             fn.orders.removeIf(o -> o.id == id);
-            dropUnwanted(now, fn);
-            settle(now);
+            dropUnwanted(fn);
+            settle();
         }
     }
 
@@ -445,7 +445,7 @@
                     leave(c);
                 }
             }
-            settle(now);
+            settle();
         }
     }
 
@@ -454,7 +454,7 @@
         if (ready < order.wanted) {
             return false;
         }
-        actions.answerOrder(order.id, order.short_ ? OrderAnswer.FULL : OrderAnswer.SERVED, ready);
+        actions.answerOrder(order.id, order.partly ? OrderAnswer.FULL : OrderAnswer.SERVED, ready);
         return true;
     }
 
@@ -488,7 +488,7 @@
             return false;
         }
         copy.kb = figures.kb();
-        settle(now);
+        settle();
         return true;
     }
 
@@ -513,7 +513,7 @@
                 gone(copy);
             }
             boolean wanted = !draining && (!fn.waiting.isEmpty() || copy.ordered);
-            boolean again = how == LoadEnd.MISJUDGED && wanted && admit(now, fn, Figures.UNKNOWN, copy.ordered);
+            boolean again = how == LoadEnd.MISJUDGED && wanted && admit(fn, Figures.UNKNOWN, copy.ordered);
             if (!again) {
                 if (!fn.live()) {
                     turnAway(fn, how == LoadEnd.MISJUDGED ? Answer.FULL : Answer.MISS_LOAD_FAILED);
@@ -521,7 +521,7 @@
                 settleOrders(fn, true);
             }
         }
-        settle(now);
+        settle();
     }
 
     /** A copy that was told to stop is gone and its memory free. */
@@ -530,7 +530,7 @@
         if (copy != null) {
             ledger.remove(id);
             gone(copy);
-            settle(now);
+            settle();
         }
     }
 
@@ -541,14 +541,14 @@
             copy.state = State.STUCK;
             copy.spoiled = true;
             ledger.move(id, Part.STUCK);
-            settle(now);
+            settle();
         }
     }
 
     /** The process holds so much more than the books say. */
     public void leaked(long now, long kb) {
         ledger.leaked(kb);
-        settle(now);
+        settle();
     }
 
     private long needed(Fn fn, Figures hint) {
@@ -557,7 +557,7 @@
         return kb > 0 ? kb : settings.usualKb();
     }
 
-    private boolean admit(long now, Fn fn, Figures hint, boolean ordered) {
+    private boolean admit(Fn fn, Figures hint, boolean ordered) {
         long kb = needed(fn, hint);
         if (line.size() >= settings.loadLine()) {
             return false;
@@ -587,7 +587,7 @@
     }
 
     /** Begins loads in the order in which they were admitted; one whose memory was lost to a stuck copy is turned away. */
-    private void nextLoads(long now) {
+    private void nextLoads() {
         while (!line.isEmpty()) {
             Copy next = line.peek();
             if (ledger.free() >= next.kb && loading < settings.loadsAtOnce()) {
@@ -624,7 +624,7 @@
         lined -= copy.kb;
     }
 
-    private void dropUnwanted(long now, Fn fn) {
+    private void dropUnwanted(Fn fn) {
         if (fn.waiting.isEmpty() && fn.orders.isEmpty()) {
             for (Copy c : List.copyOf(fn.copies)) {
                 if (c.state == State.LINED) {
@@ -660,10 +660,10 @@
             if (call.copy == null && call.until < now) {
                 unqueue(call);
                 actions.answer(call.id, Answer.FULL, null, call.company);
-                dropUnwanted(now, call.fn);
+                dropUnwanted(call.fn);
             }
         }
-        settle(now);
+        settle();
     }
 
     /** Takes nothing new from now on; what is held is finished, and loads that only orders wanted are left out. */
@@ -675,13 +675,13 @@
                 orders.remove(order.id);
             }
             fn.orders.clear();
-            dropUnwanted(now, fn);
+            dropUnwanted(fn);
         }
-        settle(now);
+        settle();
     }
 
-    private void settle(long now) {
-        nextLoads(now);
+    private void settle() {
+        nextLoads();
         if (draining && !drained && held() == 0) {
             drained = true;
             actions.drained();
