--- a/app/src/main/java/wharfhinge/app/drill/RealFleet.java
+++ b/app/src/main/java/wharfhinge/app/drill/RealFleet.java
@@ -17,7 +17,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
-import wharfhinge.app.drill.work.Work;
+import wharfhinge.app.drill.function.Work;
 import wharfhinge.standin.LoadClients;
 import wharfhinge.standin.Scenario;
 import wharfhinge.standin.Trace;
--- a/app/src/main/java/wharfhinge/app/drill/WorkerProcess.java
+++ b/app/src/main/java/wharfhinge/app/drill/WorkerProcess.java
@@ -14,7 +14,7 @@
 import wharfhinge.standin.Trace;
 import wharfhinge.standin.WorkerModel;
 
-/** A worker in a process of its own: {@code wharfhinge worker}, with packages of {@link wharfhinge.app.drill.work.Work}. */
+/** A worker in a process of its own: {@code wharfhinge worker}, with packages of {@link wharfhinge.app.drill.function.Work}. */
 public final class WorkerProcess implements Member {
     private static final long START_MS = 30_000;
     private static final Set<String> NOT_SUFFERED = Set.of("answer_lost", "handshake_slow", "flush");
--- a/app/src/main/java/wharfhinge/app/drill/work/Work.java
+++ b/app/src/main/java/wharfhinge/app/drill/function/Work.java
@@ -1,4 +1,4 @@
-package wharfhinge.app.drill.work;
+package wharfhinge.app.drill.function;
 
 import java.io.IOException;
 import java.io.InputStream;
--- a/app/src/test/java/wharfhinge/app/drill/GatewayKilledTest.java
+++ b/app/src/test/java/wharfhinge/app/drill/GatewayKilledTest.java
@@ -31,7 +31,7 @@
 class GatewayKilledTest {
     private static final String CHAIN = """
         {"key":"k","deadline_ms":2400,"input":"in","steps":[
-         {"id":"a","function":"fa","class":"order","input":["client"],"cost_us":20000,"load_ms":20},
+         {"id":"a","function":"fa","class":"order","input":["client"],"cost_us":FIRST,"load_ms":20},
          {"id":"b","function":"fb","class":"sync","input":["a"],"cost_us":COST,"load_ms":20}]}""";
     @TempDir
     private Path folder;
@@ -49,9 +49,9 @@
         return new GatewayProcess("gw" + number, port, settings, null, trace);
     }
 
-    private CompletableFuture<HttpResponse<String>> chain(GatewayProcess at, int costUs) {
+    private CompletableFuture<HttpResponse<String>> chain(GatewayProcess at, int firstUs, int costUs) {
         return client.sendAsync(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + at.port() + "/v1/chain"))
-            .timeout(Duration.ofSeconds(10)).POST(HttpRequest.BodyPublishers.ofString(CHAIN.replace("COST", "" + costUs)))
+            .timeout(Duration.ofSeconds(10)).POST(HttpRequest.BodyPublishers.ofString(CHAIN.replace("FIRST", "" + firstUs).replace("COST", "" + costUs)))
             .build(), HttpResponse.BodyHandlers.ofString());
     }
 
@@ -60,7 +60,7 @@
         long end = System.nanoTime() + 15_000_000_000L;
         String answer = "";
         while (!answer.equals("served") && System.nanoTime() < end) {
-            answer = chain(at, 20_000).get().headers().firstValue("wh-answer").orElse("none");
+            answer = chain(at, 20_000, 20_000).get().headers().firstValue("wh-answer").orElse("none");
         }
         return answer;
     }
@@ -69,6 +69,48 @@
         return trace.lines().stream().filter(l -> l.contains("\trun\t") && l.contains("." + step + "\t")).count();
     }
 
+    /** Its clock leaps past the chain's deadline: one answer at once, and nothing is begun after it. */
+    @Test
+    void aChainAcrossAStallOfItsGatewayEndsOnceAndBeginsNothingMore() throws Exception {
+        Scenario day = Scenarios.load(null, "chains");
+        EventLoopGroup group = Net.group(2);
+        try (RosterStandIn roster = new RosterStandIn(group, 0, 0, trace);
+             StoreStandIn store = new StoreStandIn(group, 0, 10, 40, trace);
+             WorkerStandIn worker = new WorkerStandIn(group, 0, day.worker(0, false), new HttpCaller(group, store.port()),
+                 trace)) {
+            roster.report(new RosterEntry(worker.id(), "zone-a", "std", 0, State.UP, 2, 60_000, worker.model().boot()));
+            GatewayProcess gateway = gateway(day, 0, roster.port());
+            try {
+                gateway.start();
+                CompletableFuture<HttpResponse<String>> call = running(gateway, "a", 500_000, 20_000);
+                gateway.stall(true);
+                Thread.sleep(2600); // longer than the chain may take
+                gateway.stall(false);
+                assertTrue(!call.get().headers().firstValue("wh-answer").orElse("none").equals("served"));
+                assertEquals(0, ran("b"), "a step began after the deadline");
+            } finally {
+                gateway.stop();
+            }
+        } finally {
+            group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS);
+        }
+    }
+
+    /** A chain of which this step runs; one that a gateway refuses while its list is on the way is sent again. */
+    private CompletableFuture<HttpResponse<String>> running(GatewayProcess at, String step, int firstUs,
+                                                           int costUs) throws Exception {
+        CompletableFuture<HttpResponse<String>> call = chain(at, firstUs, costUs);
+        long end = System.nanoTime() + 15_000_000_000L;
+        while (ran(step) == 0 && System.nanoTime() < end) {
+            if (call.isDone() && !call.isCompletedExceptionally()) {
+                call = chain(at, firstUs, costUs);
+            }
+            Thread.sleep(2);
+        }
+        assertTrue(ran(step) > 0, "step " + step + " never ran");
+        return call;
+    }
+
     @Test
     void theSameOneGoesOnWhereItWasAndAnotherBeginsAnew() throws Exception {
         Scenario day = Scenarios.load(null, "chains");
@@ -83,14 +125,7 @@
             try {
                 one.start();
                 two.start();
-                CompletableFuture<HttpResponse<String>> first = chain(one, 1_500_000);
-                long end = System.nanoTime() + 15_000_000_000L;
-                while (ran("b") == 0 && System.nanoTime() < end) {
-                    if (first.isDone() && !first.isCompletedExceptionally()) {
-                        first = chain(one, 1_500_000); // refused while the list was on its way
-                    }
-                    Thread.sleep(5);
-                }
+                running(one, "b", 20_000, 1_500_000);
                 one.kill();
                 assertEquals(1, ran("a"));
                 one.start();
--- a/config/src/main/java/wharfhinge/config/GatewayConfig.java
+++ b/config/src/main/java/wharfhinge/config/GatewayConfig.java
@@ -146,7 +146,8 @@
                 w.maxConnections, w.maxAnswerKb * KB),
             new Roster(url.getHost(), url.getPort(), folder.resolve(x.roster.remembered), x.roster.silentAfterMs * MS,
                 x.roster.reconnectLeastMs * MS, x.roster.reconnectMostMs * MS),
-            peers, ChainConfig.of(x, folder), capture(x.capture, folder), new Log(x.log.format.equals("json"), x.log.level, x.log.remarksPerS));
+            peers, ChainConfig.of(x, folder), capture(x.capture, folder),
+            new Log(x.log.format.equals("json"), x.log.level, x.log.remarksPerS));
     }
 
     private static Capture capture(SettingsXml.Capture c, Path folder) {
--- a/gateway/src/main/java/wharfhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/wharfhinge/gateway/Gateway.java
@@ -83,8 +83,8 @@
         journal = config.chains().resumeFile() == null ? StepJournal.NONE : new MvStepJournal(
             config.chains().resumeFile(), config.chains().resumeWindowNs(), System::currentTimeMillis);
         captured = config.capture() == null ? null : new CapturedDecisions(decisions, config.name(), config.capture());
-        loop = new DecisionLoop(config, captured == null ? decisions : captured, workers, source, (peer, payload) -> link.get().publish(peer, payload),
-            journal, log, System::nanoTime);
+        loop = new DecisionLoop(config, captured == null ? decisions : captured, workers, source,
+            (peer, payload) -> link.get().publish(peer, payload), journal, log, System::nanoTime);
         BiConsumer<Integer, byte[]> inbox = loop::inbox;
         Class<? extends DatagramChannel> datagrams = epoll ? EpollDatagramChannel.class : NioDatagramChannel.class;
         peers = config.peers().isEmpty() ? null
--- a/gateway/src/test/java/wharfhinge/gateway/ChainSocketTest.java
+++ b/gateway/src/test/java/wharfhinge/gateway/ChainSocketTest.java
@@ -101,6 +101,19 @@
         assertTrue(worker.gotNothingWithin(50), "work was begun for a chain without hope");
     }
 
+    @Test
+    void aFunctionNeverSeenBeforeAtTheEndIsTriedAndLoaded() throws Exception {
+        CompletableFuture<HttpResponse<String>> call = chain(rig, steps("'deadline_ms':2000", A,
+            "{'id':'new','function':'never-seen','class':'safe','input':['a']}"));
+        worker.next().answer(SERVED, FOUND, "a");
+        ScriptedPeer.In in = worker.next();
+        assertEquals("/call/never-seen", in.headers.path().toString(), "nothing is known of it, which is no reason to refuse");
+        Thread.sleep(100); // its load
+        in.answer(SERVED, BEGAN, "loaded");
+        HttpResponse<String> response = get(call);
+        assertTrue(answer(response).equals("served") && response.body().contains("loaded"), response.body());
+    }
+
     @Test
     void aFirstStepServedLateEndsTheChainInTime() throws Exception {
         worker.silentOrders = true; // the load that is ordered ahead does not end in time
@@ -158,9 +171,11 @@
         CompletableFuture<HttpResponse<String>> call = chain(rig, steps("'deadline_ms':2000",
             step("a", "once", "'client'", 0), B));
         worker.next().answer(SERVED, FOUND, "ran");
-        for (int i = 0; i < 3 && !call.isDone(); i++) {
-            worker.next().answer(FULL, NONE, "");
-            Thread.sleep(50);
+        while (!call.isDone()) { // as often as it is tried: that is not this test's
+            ScriptedPeer.In b = worker.poll(20);
+            if (b != null) {
+                b.answer(FULL, NONE, "");
+            }
         }
         HttpResponse<String> response = get(call);
         assertEquals("failed", answer(response), "no word that a repeat is harmless");
--- a/stand-ins/src/main/java/wharfhinge/standin/H2Caller.java
+++ b/stand-ins/src/main/java/wharfhinge/standin/H2Caller.java
@@ -14,23 +14,51 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http2.DefaultHttp2ResetFrame;
+import io.netty.handler.codec.http2.Http2Error;
 import io.netty.handler.codec.http2.Http2FrameCodecBuilder;
+import io.netty.handler.codec.http2.Http2GoAwayFrame;
 import io.netty.handler.codec.http2.Http2MultiplexHandler;
 import io.netty.handler.codec.http2.Http2StreamChannel;
 import io.netty.handler.codec.http2.Http2StreamChannelBootstrap;
 import io.netty.handler.codec.http2.Http2StreamFrameToHttpObjectCodec;
+import io.netty.util.ReferenceCountUtil;
 import java.util.concurrent.CompletableFuture;
+import wharfhinge.protocol.WorkerProtocol;
 
 /** One HTTP/2 connection with prior knowledge, as a gateway keeps to a worker; any thread may call. */
 public final class H2Caller implements AutoCloseable {
     private static final int MOST_ANSWER = 1 << 20;
     private final Channel channel;
+    private final CompletableFuture<Void> goAway = new CompletableFuture<>();
 
     /** An answer. */
-    public record Answer(int status, String outcome, byte[] body) { }
+    public record Answer(int status, HttpHeaders headers, byte[] body) {
+        /** What the worker says became of it. */
+        public String outcome() {
+            return headers.get(WorkerProtocol.OUTCOME, "-");
+        }
+    }
+
+    /** A request under way. */
+    public static final class Open {
+        private final CompletableFuture<Answer> answer = new CompletableFuture<>();
+        private volatile Http2StreamChannel stream;
+
+        /** Its answer; fails where none will come. */
+        public CompletableFuture<Answer> answer() {
+            return answer;
+        }
+
+        /** Resets its stream, once it stands. */
+        public void reset() {
+            stream.writeAndFlush(new DefaultHttp2ResetFrame(Http2Error.CANCEL));
+        }
+    }
 
     /** Connects to a port on loopback; throws where nobody listens. */
     public H2Caller(EventLoopGroup group, int port) {
@@ -40,6 +68,14 @@
                 protected void initChannel(Channel c) {
                     c.pipeline().addLast(Http2FrameCodecBuilder.forClient().encoderEnforceMaxConcurrentStreams(false).build(),
                         new Http2MultiplexHandler(new ChannelInboundHandlerAdapter()), new ChannelInboundHandlerAdapter() {
+                            @Override
+                            public void channelRead(ChannelHandlerContext ctx, Object message) {
+                                if (message instanceof Http2GoAwayFrame) {
+                                    goAway.complete(null);
+                                }
+                                ReferenceCountUtil.release(message);
+                            }
+
                             @Override
                             public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
                                 ctx.close(); // the worker died; its streams tell it
@@ -49,9 +85,20 @@
             }).connect("127.0.0.1", port).syncUninterruptibly().channel();
     }
 
-    /** Sends a request; the future fails where no answer will come. Headers are names and values in turn. */
+    /** Done once the worker told this connection to go away. */
+    public CompletableFuture<Void> goAway() {
+        return goAway;
+    }
+
+    /** Sends a request and waits for nothing; the future fails where no answer will come. */
     public CompletableFuture<Answer> send(HttpMethod method, String path, byte[] body, String... headers) {
-        CompletableFuture<Answer> answer = new CompletableFuture<>();
+        return open(method, path, body, headers).answer;
+    }
+
+    /** Sends a request. Headers are names and values in turn. */
+    public Open open(HttpMethod method, String path, byte[] body, String... headers) {
+        Open open = new Open();
+        CompletableFuture<Answer> answer = open.answer;
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, Unpooled.wrappedBuffer(body));
         request.headers().set("x-http2-scheme", "http");
         for (int i = 0; i < headers.length; i += 2) {
@@ -64,7 +111,7 @@
                     new SimpleChannelInboundHandler<FullHttpResponse>() {
                         @Override
                         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse r) {
-                            answer.complete(new Answer(r.status().code(), r.headers().get("wh-outcome", "-"),
+                            answer.complete(new Answer(r.status().code(), r.headers().copy(),
                                 ByteBufUtil.getBytes(r.content())));
                         }
 
@@ -76,12 +123,13 @@
             }
         }).open().addListener(opened -> {
             if (opened.isSuccess()) {
-                ((Http2StreamChannel) opened.getNow()).writeAndFlush(request);
+                open.stream = (Http2StreamChannel) opened.getNow();
+                open.stream.writeAndFlush(request);
             } else {
                 answer.completeExceptionally(opened.cause());
             }
         });
-        return answer;
+        return open;
     }
 
     @Override
--- a/stand-ins/src/main/java/wharfhinge/standin/WorkerStandIn.java
+++ b/stand-ins/src/main/java/wharfhinge/standin/WorkerStandIn.java
@@ -109,7 +109,8 @@
 
     private void pipeline(Channel channel) {
         channel.pipeline().addLast(Http2FrameCodecBuilder.forServer().initialSettings(Http2Settings.defaultSettings()
-            .maxConcurrentStreams(1000)).decoderEnforceMaxRstFramesPerWindow(0, 0).build(), new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
+            .maxConcurrentStreams(1000)).decoderEnforceMaxRstFramesPerWindow(0, 0).build(),
+            new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel stream) {
                     stream.pipeline().addLast(new Http2StreamFrameToHttpObjectCodec(true),
--- a/stand-ins/src/main/java/wharfhinge/standin/judge/MemoryJudge.java
+++ b/stand-ins/src/main/java/wharfhinge/standin/judge/MemoryJudge.java
@@ -91,7 +91,7 @@
 
     /** In a line. */
     public String summary() {
-        return String.format(java.util.Locale.ROOT, "memory: %d samples (%d while the books moved), most held by a process %d KiB, worst deviation %.2f%%, "
-            + "faults %d", samples, moving, most, 100 * worst, faults.size());
+        return String.format(java.util.Locale.ROOT, "memory: %d samples (%d while the books moved), most held by a process %d "
+            + "KiB, worst deviation %.2f%%, faults %d", samples, moving, most, 100 * worst, faults.size());
     }
 }
--- a/worker/src/main/java/wharfhinge/worker/Worker.java
+++ b/worker/src/main/java/wharfhinge/worker/Worker.java
@@ -29,6 +29,7 @@
 import wharfhinge.decisions.copies.Ledger.Part;
 import wharfhinge.protocol.AnswerCode;
 import wharfhinge.protocol.CopyNote;
+import wharfhinge.protocol.LoadReport;
 import wharfhinge.worker.copy.LoadedCopy;
 import wharfhinge.worker.copy.Regions;
 import wharfhinge.worker.image.ImageCache;
@@ -89,7 +90,7 @@
     private String id = "-";
     private long next = 1;
     private int rounds;
-    private Map<String, Double> report = Map.of();
+    private String report = "";
     private volatile boolean closed;
 
     /** A worker that holds nothing; {@code base} is what paths in the settings are relative to. */
@@ -179,8 +180,8 @@
         decisions.drain(System.nanoTime());
     }
 
-    /** The report of the last refresh. */
-    Map<String, Double> report() {
+    /** The report of the last refresh, as answers carry it. */
+    String report() {
         return report;
     }
 
@@ -222,7 +223,7 @@
         fresh.put("x0", decisions.ledger().busyShare());
         fresh.put("q", (double) decisions.waiting());
         fresh.put("x1", (double) decisions.loads());
-        report = fresh;
+        report = LoadReport.format(fresh);
     }
 
     // ---- Decisions' actions, on the loop ----------------------------------------------------
--- a/worker/src/main/java/wharfhinge/worker/WorkerServer.java
+++ b/worker/src/main/java/wharfhinge/worker/WorkerServer.java
@@ -43,7 +43,6 @@
 import org.slf4j.LoggerFactory;
 import wharfhinge.protocol.AnswerCode;
 import wharfhinge.protocol.CopyNote;
-import wharfhinge.protocol.LoadReport;
 import wharfhinge.protocol.WorkerProtocol;
 
 /**
@@ -279,8 +278,8 @@
 
     private FullHttpResponse response(AnswerCode code, byte[] body) {
         FullHttpResponse response = plain(HttpResponseStatus.valueOf(code.status()), body);
-        response.headers().set(WorkerProtocol.OUTCOME, code.word()).set(WorkerProtocol.REPORT,
-            LoadReport.format(worker.report())).set(WorkerProtocol.BOOT, boot);
+        response.headers().set(WorkerProtocol.OUTCOME, code.word()).set(WorkerProtocol.REPORT, worker.report())
+            .set(WorkerProtocol.BOOT, boot);
         return response;
     }
 
--- a/worker/src/test/java/wharfhinge/worker/WorkerSocketTest.java
+++ b/worker/src/test/java/wharfhinge/worker/WorkerSocketTest.java
@@ -197,7 +197,7 @@
             }
         });
         drain.start();
-        assertTrue(gateway.goAway.await(5, TimeUnit.SECONDS), "no GOAWAY");
+        assertTrue(gateway.toldToGo(), "no GOAWAY");
         int served = 0;
         for (TestGateway.Open call : calls) {
             served += call.get().outcome().equals("served") ? 1 : 0;
