Streamed answers through both client libraries; a list of revoked certificates is verified

Need: streams went over both protocols but not through the libraries, a list of revoked certificates was trusted as read, and JMH had not run.

Changed: WharfhingeClient.stream tells parts as they come, reads no further than its reader, and has neither deadline nor second try once it began; gRPC's request tells a deadline for the beginning (deadline_ms). Found by its test: a client that left an answer in the middle over HTTP did not end it at the worker; the loop does now, for both protocols.

--- a/app/src/main/java/wharfhinge/app/measure/ClientCostCommand.java
+++ b/app/src/main/java/wharfhinge/app/measure/ClientCostCommand.java
@@ -12,6 +12,13 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.LongAdder;
+import org.openjdk.jmh.results.RunResult;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
+import org.openjdk.jmh.runner.options.TimeValue;
+import org.openjdk.jmh.runner.options.VerboseMode;
+import org.openjdk.jmh.util.Statistics;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import wharfhinge.app.Program;
@@ -32,7 +39,7 @@
     private static final int OPEN = 64;
     private static final int WORKERS = 8;
     private static final int ROUNDS = 3;
-    private static final Call CALL = Call.safe("f", "safe", Duration.ofSeconds(2)).body(new byte[256], "text/plain").copy(10, 64, 1).build();
+    static final Call CALL = Call.safe("f", "safe", Duration.ofSeconds(2)).body(new byte[256], "text/plain").copy(10, 64, 1).build();
 
     @Option(names = "--seconds", defaultValue = "4", description = "Of each turn. Default ${DEFAULT-VALUE}.")
     private int seconds;
@@ -41,6 +48,9 @@
     @Option(names = "--key", paramLabel = "PEM", description = "Its key, PKCS 8.")
     private Path key;
 
+    @Option(names = "--jmh", description = "One call at a time with JMH in a process of its own, in the clear, in place of turns.")
+    private boolean jmh;
+
     private interface Way {
         void call(Runnable ended);
     }
@@ -53,6 +63,9 @@
             Bench.Started gateway = bench.gateway("gateway", null, tls + "<grpc port='0'/>", "info", 1);
             String http = "127.0.0.1:" + gateway.port();
             String grpc = "127.0.0.1:" + gateway.grpcPort();
+            if (jmh) {
+                return sampled(http, grpc);
+            }
             Map<String, Way> ways = new LinkedHashMap<>();
             List<AutoCloseable> open = new ArrayList<>();
             ways.put("http transport", bare(transport(true), http, open));
@@ -80,6 +93,19 @@
         }
     }
 
+    private int sampled(String http, String grpc) throws RunnerException {
+        System.out.println("| protocol | way | mean us | p50 | p99 |");
+        System.out.println("| --- | --- | --- | --- | --- |");
+        for (RunResult r : new Runner(new OptionsBuilder().include(ClientBenchmark.class.getName()).param("http", http).param("grpc", grpc)
+            .forks(1).warmupIterations(3).measurementIterations(ROUNDS).warmupTime(TimeValue.seconds(seconds))
+            .measurementTime(TimeValue.seconds(seconds)).verbosity(VerboseMode.SILENT).build()).run()) {
+            Statistics s = r.getPrimaryResult().getStatistics();
+            System.out.printf("| %s | %s | %.0f | %.0f | %.0f |%n", r.getParams().getParam("protocol"),
+                r.getPrimaryResult().getLabel(), s.getMean(), s.getPercentile(50), s.getPercentile(99));
+        }
+        return Program.OK;
+    }
+
     private Transport transport(boolean http) throws IOException {
         SslContext tls = certificates == null ? null : http ? HttpTransport.tls(certificates) : GrpcSslContexts.forClient()
             .trustManager(certificates.toFile()).build();
--- a/client-core/src/main/java/wharfhinge/client/core/CallEnd.java
+++ b/client-core/src/main/java/wharfhinge/client/core/CallEnd.java
@@ -39,6 +39,8 @@
         TOO_MANY_OPEN,
         /** There is no gateway in the list. */
         NO_GATEWAY,
+        /** A streamed answer broke off after it had begun: what came of it is not whole. */
+        BROKE_OFF,
         /** Time. */
         DEADLINE,
         /** The caller, or the client was closed. */
--- a/client-core/src/main/java/wharfhinge/client/core/ClientDecisions.java
+++ b/client-core/src/main/java/wharfhinge/client/core/ClientDecisions.java
@@ -54,6 +54,7 @@
         private final List<Try> tries = new ArrayList<>(2);
         private final Set<String> tried = new LinkedHashSet<>();
         private boolean mayHaveRun;
+        private boolean streams; // its answer has begun: there is no way back, and no deadline
         private boolean waits; // for its next try
         private int waitNumber; // of the last wait; a timer of a former one is ignored
         private int failures;
@@ -127,7 +128,7 @@
     /** A timer that was asked for is due. */
     public void due(long now, long id, int token) {
         Call c = calls.get(id);
-        if (c == null) {
+        if (c == null || c.streams) {
             return;
         }
         if (token == DEADLINE) {
@@ -141,6 +142,20 @@
         }
     }
 
+    /**
+     * A streamed answer begins with this try: the deadline no longer runs, other copies are given up, and there is no further try, for its
+     * first parts are the caller's already. False where nobody waits for this try any more.
+     */
+    public boolean began(long now, long id, int index) {
+        Call c = calls.get(id);
+        if (c == null || c.streams || c.tries.get(index).over) {
+            return false;
+        }
+        c.streams = true;
+        giveUp(now, c, index, false);
+        return true;
+    }
+
     /** A try ended; {@code adviceNs} is when to come back, 0 where nobody said. */
     public void ended(long now, long id, int index, TryEnd end, long adviceNs) {
         Call c = calls.get(id);
@@ -150,6 +165,11 @@
         Try t = c.tries.get(index);
         t.over = true;
         gateways.ended(now, t.gateway, end != TryEnd.BROKEN && end != TryEnd.NOT_SENT);
+        if (c.streams && end != TryEnd.SERVED) {
+            c.mayHaveRun = true;
+            finish(now, c, CallEnd.Kind.FAILED, CallEnd.Reason.BROKE_OFF, 0, index);
+            return;
+        }
         switch (end) {
             case SERVED -> finish(now, c, CallEnd.Kind.SERVED, CallEnd.Reason.ANSWERED, 0, index);
             case INVALID -> finish(now, c, CallEnd.Kind.INVALID, CallEnd.Reason.ANSWERED, 0, index);
@@ -236,18 +256,24 @@
         }
     }
 
-    private void finish(long now, Call c, CallEnd.Kind kind, CallEnd.Reason reason, long comeBackNs, int index) {
+    /** Abandons all tries but one; tells whether any was out. */
+    private boolean giveUp(long now, Call c, int but, boolean late) {
         boolean out = false;
         for (int i = 0; i < c.tries.size(); i++) {
             Try t = c.tries.get(i);
-            if (!t.over) {
+            if (!t.over && i != but) {
                 t.over = true;
                 out = true;
-                boolean silent = kind == CallEnd.Kind.LATE && now - t.sentAt >= policy.silentNs(); // it owed an answer by now
+                boolean silent = late && now - t.sentAt >= policy.silentNs(); // it owed an answer by now
                 gateways.ended(now, t.gateway, silent ? Boolean.FALSE : null);
                 actions.abandon(c.id, i);
             }
         }
+        return out;
+    }
+
+    private void finish(long now, Call c, CallEnd.Kind kind, CallEnd.Reason reason, long comeBackNs, int index) {
+        boolean out = giveUp(now, c, -1, kind == CallEnd.Kind.LATE);
         calls.remove(c.id);
         boolean ran = kind != CallEnd.Kind.INVALID && (c.mayHaveRun || out || kind == CallEnd.Kind.SERVED);
         actions.finish(c.id, new CallEnd(kind, ran, comeBackNs, c.tries.size(), reason), index);
--- a/client-core/src/test/java/wharfhinge/client/core/ClientDecisionsTest.java
+++ b/client-core/src/test/java/wharfhinge/client/core/ClientDecisionsTest.java
@@ -42,6 +42,21 @@
         assertEquals(1000 * MS, sim.sent.get(0).remainingNs());
     }
 
+    @Test
+    void aStreamThatBeganHasNoDeadlineNoHedgeAndNoSecondTry() {
+        Sim sim = sim(s -> null, "a", "b");
+        sim.call(1, new CallPlan(1000 * MS, true, true));
+        sim.run(150 * MS); // a hedge is out by now
+        assertEquals(2, sim.tries(1));
+        assertTrue(sim.client.began(sim.now, 1, 0));
+        assertFalse(sim.client.began(sim.now, 1, 1), "the other copy was given up");
+        sim.run(5000 * MS);
+        assertEquals(2, sim.tries(1));
+        assertEquals(null, sim.ends.get(1L));
+        sim.client.ended(sim.now, 1, 0, TryEnd.BROKEN, 0);
+        assertEquals(new CallEnd(Kind.FAILED, true, 0, 2, Reason.BROKE_OFF), sim.ends.get(1L));
+    }
+
     @Test
     void aRefusedCallComesBackAfterTheAdviceWithinOneDeadline() {
         Sim sim = sim(s -> s.index() == 0 ? new Sim.Answer(TryEnd.REFUSED, 10 * MS, 200 * MS) : Sim.Answer.of(TryEnd.SERVED, 10),
--- a/client-grpc/src/main/java/wharfhinge/client/grpc/GrpcTransport.java
+++ b/client-grpc/src/main/java/wharfhinge/client/grpc/GrpcTransport.java
@@ -80,6 +80,7 @@
         private final Listener listener;
         private final AtomicBoolean over = new AtomicBoolean();
         private volatile boolean sent;
+        private boolean streams;
         private ClientCall<CallRequest, CallReply> rpc;
         private volatile ScheduledFuture<?> connecting; // null on a connection that stood
 
@@ -89,8 +90,9 @@
         }
 
         void begin(Call call, long remainingNs, boolean repeat) {
-            CallOptions options = CallOptions.DEFAULT.withDeadlineAfter(remainingNs, TimeUnit.NANOSECONDS)
-                .withStreamTracerFactory(new ClientStreamTracer.Factory() {
+            CallOptions timed = call.streams() ? CallOptions.DEFAULT // its parts may come for as long as they like
+                : CallOptions.DEFAULT.withDeadlineAfter(remainingNs, TimeUnit.NANOSECONDS);
+            CallOptions options = timed.withStreamTracerFactory(new ClientStreamTracer.Factory() {
                     @Override
                     public ClientStreamTracer newClientStreamTracer(ClientStreamTracer.StreamInfo info, Metadata headers) {
                         return new ClientStreamTracer() {
@@ -103,15 +105,16 @@
                 });
             ManagedChannel channel = channel(gateway);
             boolean connected = channel.getState(false) == ConnectivityState.READY;
-            rpc = channel.newCall(GatewayGrpc.getCallMethod(), options);
+            rpc = channel.newCall(call.streams() ? GatewayGrpc.getStreamMethod() : GatewayGrpc.getCallMethod(), options);
+            streams = call.streams();
             Metadata headers = new Metadata();
             String bearer = token.get();
             if (bearer != null) {
                 headers.put(GrpcProtocol.AUTHORIZATION, "Bearer " + bearer);
             }
             rpc.start(new Answers(), headers);
-            rpc.request(2);
-            rpc.sendMessage(request(call, repeat));
+            rpc.request(streams ? 1 : 2); // parts are asked for one by one
+            rpc.sendMessage(request(call, repeat, remainingNs));
             rpc.halfClose();
             if (connected) {
                 return; // it is on its way: no timer for each call
@@ -145,7 +148,21 @@
 
             @Override
             public void onMessage(CallReply message) {
-                reply = message;
+                if (!streams) {
+                    reply = message;
+                    return;
+                }
+                if (reply == null) {
+                    reply = message.toBuilder().clearBody().build();
+                    if (!over.get()) {
+                        listener.began(message.getWorker(), message.getContentType().isEmpty() ? null : message.getContentType());
+                    }
+                }
+                if (message.getBody().isEmpty() || over.get()) {
+                    rpc.request(1);
+                } else {
+                    listener.part(message.getBody().toByteArray(), () -> rpc.request(1));
+                }
             }
 
             @Override
@@ -179,10 +196,10 @@
         }
     }
 
-    private static CallRequest request(Call call, boolean repeat) {
+    private static CallRequest request(Call call, boolean repeat, long remainingNs) {
         CallRequest.Builder to = CallRequest.newBuilder().setFunction(call.function()).setRequestClass(call.requestClass())
             .setCostUs(call.costUs()).setMemoryMb(call.memoryMb()).setLanes(call.lanes()).setLoadMs(call.loadMs()).setRepeat(repeat)
-            .setWrite(call.write()).setBody(ByteString.copyFrom(call.body()));
+            .setDeadlineMs(call.streams() ? Math.max(1, remainingNs / MS) : 0).setWrite(call.write()).setBody(ByteString.copyFrom(call.body()));
         if (call.tenant() != null) {
             to.setTenant(call.tenant());
         }
--- a/client-http/src/main/java/wharfhinge/client/http/Exchange.java
+++ b/client-http/src/main/java/wharfhinge/client/http/Exchange.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http2.Http2Error;
 import io.netty.handler.codec.http2.Http2GoAwayFrame;
@@ -60,11 +61,11 @@
         end(Transport.Reply.without(TryEnd.NOT_SENT, gateway + ": " + why));
     }
 
-    private void broke(String why) {
+    void broke(String why) {
         end(Transport.Reply.without(sent ? TryEnd.BROKEN : TryEnd.NOT_SENT, gateway + ": " + why));
     }
 
-    private void end(Transport.Reply reply) {
+    void end(Transport.Reply reply) {
         if (over.compareAndSet(false, true)) {
             listener.ended(reply);
         }
@@ -86,8 +87,14 @@
             on.close();
             return;
         }
-        on.pipeline().addLast(new Http2StreamFrameToHttpObjectCodec(false), new Resets(), new HttpObjectAggregator(mostAnswerBytes),
-            new Answers());
+        on.pipeline().addLast(new Http2StreamFrameToHttpObjectCodec(false), new Resets());
+        if (call.streams()) {
+            on.config().setAutoRead(false); // read on as the caller asks for more: flow control holds the gateway back
+            on.pipeline().addLast(new StreamedAnswer(this, listener, mostAnswerBytes));
+            on.read();
+        } else {
+            on.pipeline().addLast(new HttpObjectAggregator(mostAnswerBytes), new Answers());
+        }
         on.writeAndFlush(request()).addListener(written -> {
             if (!written.isSuccess()) {
                 notSent("not written: " + written.cause());
@@ -161,8 +168,12 @@
     }
 
     private static Transport.Reply reply(FullHttpResponse r) {
+        return reply(r, ByteBufUtil.getBytes(r.content()));
+    }
+
+    /** What headers and body mean. */
+    static Transport.Reply reply(HttpResponse r, byte[] body) {
         HttpHeaders h = r.headers();
-        byte[] body = ByteBufUtil.getBytes(r.content());
         String answer = h.get(ClientProtocol.ANSWER, "");
         int status = r.status().code();
         TryEnd end = switch (answer) {
--- a/client/src/main/java/wharfhinge/client/Call.java
+++ b/client/src/main/java/wharfhinge/client/Call.java
@@ -10,11 +10,12 @@
  * @param deadline     for all tries together, from the moment of calling
  * @param safe         a repeat is harmless even where the call may have run
  * @param hedge        a second copy may be sent while the first is out; safe calls alone
+ * @param streams      its class is answered in parts, see {@link WharfhingeClient#stream}
  * @param tenant       whose it is, or null
  * @param id           the caller's own name for it, or null
  * @param lanes        and the following: figures for the gateway, 0 where untold
  */
-public record Call(String function, String requestClass, Duration deadline, boolean safe, boolean hedge, String tenant, String id,
+public record Call(String function, String requestClass, Duration deadline, boolean safe, boolean hedge, boolean streams, String tenant, String id,
                    byte[] body, String contentType, long costUs, double memoryMb, int lanes, double loadMs, boolean write) {
 
     /** Checks what is needed. */
@@ -48,6 +49,7 @@
         private final Duration deadline;
         private final boolean safe;
         private boolean hedge;
+        private boolean streams;
         private String tenant;
         private String id;
         private byte[] body;
@@ -78,6 +80,12 @@
             return this;
         }
 
+        /** Its class is answered in parts. */
+        public Builder streamed() {
+            this.streams = true;
+            return this;
+        }
+
         /** Whose call it is. */
         public Builder tenant(String name) {
             this.tenant = name;
@@ -112,8 +120,8 @@
 
         /** The call. */
         public Call build() {
-            return new Call(function, requestClass, deadline, safe, hedge, tenant, id, body, contentType, costUs, memoryMb, lanes, loadMs,
-                write);
+            return new Call(function, requestClass, deadline, safe, hedge, streams, tenant, id, body, contentType, costUs, memoryMb, lanes,
+                loadMs, write);
         }
     }
 }
--- a/client/src/main/java/wharfhinge/client/Transport.java
+++ b/client/src/main/java/wharfhinge/client/Transport.java
@@ -20,8 +20,16 @@
 
     /** Told once how a try ended, on any thread; not after it was abandoned. */
     interface Listener {
-        /** It ended. */
+        /** It ended; of an answer in parts, after its last part, with an empty body. */
         void ended(Reply reply);
+
+        /** An answer in parts began. Only for calls that stream, once, before all parts. */
+        default void began(String worker, String contentType) { }
+
+        /** A part, in order; the next one is read from the network only once {@code more} was run, on any thread. */
+        default void part(byte[] bytes, Runnable more) {
+            more.run();
+        }
     }
 
     /** A try under way. */
--- a/client/src/main/java/wharfhinge/client/WharfhingeClient.java
+++ b/client/src/main/java/wharfhinge/client/WharfhingeClient.java
@@ -30,11 +30,13 @@
     private static final class Open {
         private final Call call;
         private final CompletableFuture<Result> result;
+        private final Parts parts; // null for answers that come whole
         private final Map<Integer, Transport.Try> out = new HashMap<>();
         private final Map<Integer, Transport.Reply> replies = new HashMap<>();
         private final List<Future<?>> timers = new ArrayList<>(2);
 
-        Open(Call call, CompletableFuture<Result> result) {
+        Open(Call call, CompletableFuture<Result> result, Parts parts) {
+            this.parts = parts;
             this.call = call;
             this.result = result;
         }
@@ -85,6 +87,23 @@
 
     /** Calls. Cancelling the future gives the call up: its tries are abandoned and gateways told. */
     public CompletableFuture<Result> call(Call call) {
+        return begin(call, null);
+    }
+
+    /**
+     * Calls for an answer in parts. The result comes after the last part: served with an empty body, or failed (broke-off) where the parts
+     * are not all. Refusals, further tries and the deadline are as for other calls until the answer begins. Cancelling the future ends the
+     * stream; what {@code to} throws ends it too, as cancelled.
+     */
+    public CompletableFuture<Result> stream(Call call, Parts to) {
+        return begin(call, Objects.requireNonNull(to, "to"));
+    }
+
+    private CompletableFuture<Result> begin(Call call, Parts parts) {
+        if (call.streams() != (parts != null)) {
+            throw new IllegalArgumentException("call " + call.function() + ": found " + (call.streams() ? "one that streams" : "one that "
+                + "does not stream") + ", allowed: streamed ones with stream(), others with call()");
+        }
         CompletableFuture<Result> result = new CompletableFuture<>();
         long id = ids.incrementAndGet();
         long begun = now();
@@ -93,7 +112,7 @@
             return result;
         }
         thread.execute(() -> {
-            calls.put(id, new Open(call, result));
+            calls.put(id, new Open(call, result, parts));
             long waited = now() - begun;
             long left = Math.max(1, call.deadline().toNanos() - waited);
             decisions.begin(now(), id, new CallPlan(left, call.safe(), call.hedge()));
@@ -138,14 +157,7 @@
         @Override
         public void send(long id, int index, String gateway, long remainingNs, boolean repeat) {
             Open open = calls.get(id);
-            Transport.Listener listener = reply -> thread.execute(() -> {
-                if (calls.get(id) == open) {
-                    open.replies.put(index, reply);
-                    open.out.remove(index);
-                    decisions.ended(now(), id, index, reply.end(), reply.adviceNs());
-                }
-            });
-            open.out.put(index, transport.send(gateway, open.call, remainingNs, repeat, listener));
+            open.out.put(index, transport.send(gateway, open.call, remainingNs, repeat, new Told(id, index, open)));
         }
 
         @Override
@@ -176,6 +188,56 @@
         }
     }
 
+    /** What the transport tells of one try, handed to the client's thread in order. */
+    private final class Told implements Transport.Listener {
+        private final long id;
+        private final int index;
+        private final Open open;
+        private boolean streams; // on the client's thread
+
+        Told(long id, int index, Open open) {
+            this.id = id;
+            this.index = index;
+            this.open = open;
+        }
+
+        @Override
+        public void ended(Transport.Reply reply) {
+            thread.execute(() -> {
+                if (calls.get(id) == open) {
+                    open.replies.put(index, reply);
+                    open.out.remove(index);
+                    decisions.ended(now(), id, index, reply.end(), reply.adviceNs());
+                }
+            });
+        }
+
+        @Override
+        public void began(String worker, String contentType) {
+            thread.execute(() -> {
+                streams = calls.get(id) == open && decisions.began(now(), id, index);
+                told(() -> open.parts.began(worker, contentType));
+            });
+        }
+
+        @Override
+        public void part(byte[] bytes, Runnable more) {
+            thread.execute(() -> told(() -> open.parts.part(bytes, more)));
+        }
+
+        private void told(Runnable what) {
+            if (!streams || calls.get(id) != open) {
+                return;
+            }
+            try {
+                what.run();
+            } catch (RuntimeException e) {
+                LOG.warn("the reader of a streamed answer failed, it is given up", e);
+                decisions.cancel(now(), id);
+            }
+        }
+    }
+
     private static Result result(CallEnd end, Transport.Reply reply) {
         String reason = (reply == null || reply.reason() == null ? "" : reply.reason())
             + (end.reason() == CallEnd.Reason.ANSWERED ? "" : " (" + end.reason().name().toLowerCase(java.util.Locale.ROOT)
--- a/gateway/src/main/java/wharfhinge/gateway/grpc/GatewayService.java
+++ b/gateway/src/main/java/wharfhinge/gateway/grpc/GatewayService.java
@@ -78,15 +78,13 @@
         head = head.of(who.tenant());
         Deadline told = Context.current().getDeadline();
         long left = told == null ? type.hardLimitNs() : Math.min(type.hardLimitNs(), told.timeRemaining(TimeUnit.NANOSECONDS));
+        left = head.deadlineMs() > 0 ? Math.min(left, head.deadlineMs() * MS) : left;
         ByteBuf body = Unpooled.wrappedBuffer(request.getBody().asReadOnlyByteBuffer());
         Answer answer = new Answer(to);
         to.setOnReadyHandler(answer::ready);
         ClientCall call = new ClientCall(head, type.name(), Math.max(1, left), System.nanoTime(), body,
             request.getContentType().isEmpty() ? null : request.getContentType(), answer);
-        to.setOnCancelHandler(() -> {
-            answer.left();
-            intake.loop().clientLeft(call);
-        });
+        to.setOnCancelHandler(() -> intake.loop().clientLeft(call));
         DecisionLoop.Offered offered = intake.loop().offer(call);
         if (offered.taken() != DecisionLoop.Taken.TAKEN) {
             ReferenceCountUtil.release(body);
@@ -98,6 +96,7 @@
     private static CallHead head(CallRequest r) throws ProtocolException {
         Map<String, String> fields = new LinkedHashMap<>();
         put(fields, ClientProtocol.CLASS, r.getRequestClass());
+        put(fields, ClientProtocol.DEADLINE_MS, r.getDeadlineMs() == 0 ? "" : Long.toUnsignedString(r.getDeadlineMs()));
         put(fields, ClientProtocol.TENANT, r.getTenant());
         put(fields, ClientProtocol.ID, r.getId());
         put(fields, ClientProtocol.COST_US, r.getCostUs() == 0 ? "" : Long.toUnsignedString(r.getCostUs()));
@@ -181,20 +180,12 @@
     /** Writes one call's answer; gRPC's observers are not safe for two threads, and the loop's is the only one. */
     private static final class Answer implements Responder {
         private final ServerCallStreamObserver<CallReply> to;
-        private volatile WorkerSide.Stream stream;
         private Runnable more; // asks the worker for more; guarded by this
 
         Answer(ServerCallStreamObserver<CallReply> to) {
             this.to = to;
         }
 
-        void left() {
-            WorkerSide.Stream s = stream;
-            if (s != null) {
-                s.cancel();
-            }
-        }
-
         /** A slow client: the worker is asked for more once it has read. */
         void ready() {
             Runnable go = null;
@@ -245,7 +236,6 @@
 
         @Override
         public void streams(WorkerSide.Stream from, Facts facts) {
-            stream = from;
             to.onNext(reply(null, from.contentType(), facts).build());
             from.flowTo(new WorkerSide.Sink() {
                 @Override
--- a/gateway/src/main/java/wharfhinge/gateway/loop/DecisionLoop.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/DecisionLoop.java
@@ -210,7 +210,11 @@
 
     private void left(ClientCall call, boolean cancelAll) {
         OpenCall c = byClient.get(call);
-        if (c == null || c.answered) {
+        if (c == null) {
+            return;
+        }
+        if (c.answered) { // but its answer may still flow, which a worker would go on with for nobody
+            c.attempts.stream().filter(a -> !a.ended && a.stream != null).forEach(a -> a.stream.cancel());
             return;
         }
         answered(c, Count.LEFT, "left", null);
--- a/gateway/src/main/java/wharfhinge/gateway/tls/Tls.java
+++ b/gateway/src/main/java/wharfhinge/gateway/tls/Tls.java
@@ -64,7 +64,7 @@
             if (settings.clients() != null) {
                 AdvancedTlsX509TrustManager trust = AdvancedTlsX509TrustManager.newBuilder()
                     .setVerification(AdvancedTlsX509TrustManager.Verification.CERTIFICATE_ONLY_VERIFICATION)
-                    .setSslSocketAndEnginePeerVerifier(new Revoked(settings.revoked())).build();
+                    .setSslSocketAndEnginePeerVerifier(new Revoked(settings.revoked(), settings.clients())).build();
                 follow(() -> trust.updateTrustCredentials(settings.clients().toFile()), settings.clients());
                 builder.trustManager(trust).clientAuth(settings.needed() ? ClientAuth.REQUIRE : ClientAuth.OPTIONAL);
             }
--- a/gateway/src/test/java/wharfhinge/gateway/BothClientsTest.java
+++ b/gateway/src/test/java/wharfhinge/gateway/BothClientsTest.java
@@ -15,7 +15,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterAll;
@@ -23,6 +25,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import wharfhinge.client.Call;
+import wharfhinge.client.Parts;
 import wharfhinge.client.Result;
 import wharfhinge.client.Transport;
 import wharfhinge.client.WharfhingeClient;
@@ -314,6 +317,107 @@
         });
     }
 
+    /** Keeps what came; asks for more at once, or only when told. */
+    private static final class Reader implements Parts {
+        final BlockingQueue<String> parts = new LinkedBlockingQueue<>();
+        final boolean slow;
+        volatile Runnable more;
+
+        Reader(boolean slow) {
+            this.slow = slow;
+        }
+
+        @Override
+        public void began(String worker, String contentType) {
+            parts.add("began");
+        }
+
+        @Override
+        public void part(byte[] bytes, Runnable next) {
+            parts.add(new String(bytes, StandardCharsets.UTF_8));
+            more = next;
+            if (!slow) {
+                next.run();
+            }
+        }
+
+        String next() throws InterruptedException {
+            return parts.poll(5, TimeUnit.SECONDS);
+        }
+    }
+
+    private static Call flow(int deadlineMs) {
+        return Call.safe("f", "flow", Duration.ofMillis(deadlineMs)).streamed().build();
+    }
+
+    @Test
+    void aStreamedAnswerFlowsBeyondTheDeadlineAndIsWholeOrFailed() throws Exception {
+        both(List.of("began", "one", "two", List.of("served", "", 1), List.of("began", "half"), "failed", 1, 2L), (way, at) -> {
+            try (ScriptedPeer worker = new ScriptedPeer(null); Rig rig = rig(at); WharfhingeClient client = client(way, way.of(rig.gateway))) {
+                rig.list(worker.id());
+                Reader reader = new Reader(false);
+                CompletableFuture<Result> whole = client.stream(flow(700), reader);
+                ScriptedPeer.In in = worker.next();
+                in.head(SERVED, FOUND, false);
+                String began = reader.next();
+                in.part("one", false);
+                String one = reader.next();
+                in.later(900, () -> in.part("two", true)); // the deadline has passed
+                String two = reader.next();
+                List<Object> end = get(whole);
+                Reader half = new Reader(false);
+                CompletableFuture<Result> broken = client.stream(flow(2000), half);
+                ScriptedPeer.In second = worker.next();
+                second.head(SERVED, FOUND, false);
+                second.part("half", false);
+                List<String> got = List.of(half.next(), half.next());
+                second.reset(io.netty.handler.codec.http2.Http2Error.INTERNAL_ERROR);
+                Result r = broken.get(5, TimeUnit.SECONDS);
+                Rig.await("the gateway is done", () -> rig.figure("open_calls") == 0);
+                return List.of(began, one, two, end, got, r instanceof Result.Failed ? "failed" : r.toString(), r.tries(),
+                    rig.figure("taken"));
+            }
+        });
+    }
+
+    @Test
+    void aSlowReaderOfAStreamHoldsTheWorkerBackAndCancelEndsIt() throws Exception {
+        both(List.of("began", true, true), (way, at) -> {
+            try (ScriptedPeer worker = new ScriptedPeer(null); Rig rig = rig(at); WharfhingeClient client = client(way, way.of(rig.gateway))) {
+                rig.list(worker.id());
+                Reader slow = new Reader(true);
+                CompletableFuture<Result> call = client.stream(flow(2000), slow);
+                ScriptedPeer.In in = worker.next();
+                in.head(SERVED, FOUND, false);
+                String began = slow.next();
+                in.flood(400); // 25 MB
+                slow.next();
+                long before = -1;
+                for (int same = 0; same < 12; same = worker.flooded == before ? same + 1 : 0) {
+                    before = worker.flooded;
+                    Thread.sleep(25); // until nothing has moved for a while
+                }
+                boolean held = worker.flooded < 200;
+                slow.more.run();
+                boolean goesOn = slow.next() != null;
+                call.cancel(true);
+                assertTrue(worker.resets.poll(5, TimeUnit.SECONDS) != null, "the worker is told");
+                return List.of(began, held, goesOn);
+            }
+        });
+    }
+
+    @Test
+    void aRefusedStreamIsARefusalWithoutParts() throws Exception {
+        ClientPolicy none = new ClientPolicy(100, 0, 0, 5 * MS, 50 * MS, 5000 * MS, 3, 500 * MS, 150 * MS);
+        both(List.of("refused", true), (way, at) -> {
+            try (Rig rig = rig(at); WharfhingeClient client = new WharfhingeClient(way.transport(), none, List.of(way.of(rig.gateway)))) {
+                Reader reader = new Reader(false);
+                return List.of(get(client.stream(flow(2000), reader)).get(0), reader.parts.isEmpty());
+            }
+        });
+    }
+
     @Test
     void theListOfGatewaysMayChange() throws Exception {
         both(List.of("refused", List.of("served", "well", 1)), (way, at) -> {
--- a/gateway/src/test/java/wharfhinge/gateway/KeysTest.java
+++ b/gateway/src/test/java/wharfhinge/gateway/KeysTest.java
@@ -115,6 +115,32 @@
         }
     }
 
+    @Test
+    void aListOfRevokedThatAnotherSignedIsNotTaken() throws Exception {
+        TestKeys keys = new TestKeys(folder.resolve("keys"), "ours");
+        TestKeys forger = new TestKeys(folder.resolve("forger"), "ours"); // the same name, another key
+        TestKeys.Pair server = keys.issue("server", "gw", "127.0.0.1", -TestKeys.DAY, TestKeys.DAY);
+        TestKeys.Pair t1 = keys.client("t1");
+        TestKeys.Pair gone = keys.client("gone");
+        Path forged = forger.revoked(t1.certificate());
+        Exception refused = assertThrows(java.io.UncheckedIOException.class, () -> new Rig(folder, "", "", tls(server, keys.authority, forged,
+            "<proof/>"), DispatcherFactory.CHOICE).close());
+        assertTrue(refused.getMessage().contains("signed by none of"), refused.getMessage());
+        Path list = keys.revoked(gone.certificate());
+        try (ScriptedPeer worker = worker(); Rig rig = new Rig(folder, "", "", tls(server, keys.authority, list, "<proof/>"),
+            DispatcherFactory.CHOICE)) {
+            rig.list(worker.id());
+            Files.copy(forged, list, StandardCopyOption.REPLACE_EXISTING);
+            Files.setLastModifiedTime(list, java.nio.file.attribute.FileTime.fromMillis(System.currentTimeMillis() + 5000));
+            try (WharfhingeClient client = client(Way.HTTP, rig, keys.authority, t1, null)) {
+                assertTrue(call(client, null) instanceof Result.Served, "a forged list shuts nobody out");
+            }
+            try (WharfhingeClient client = client(Way.HTTP, rig, keys.authority, gone, null)) {
+                assertTrue(call(client, null) instanceof Result.Refused, "and the former goes on to hold");
+            }
+        }
+    }
+
     @ParameterizedTest
     @EnumSource(Way.class)
     void aServerThatIsNotWhoItShouldBeGetsNothing(Way way) throws Exception {
