Kinds and memory that are not told bound nothing; the storm as a drill and as an experiment

Need: an adapter whose site tells no kinds threw on the first call (found by SessionTest on a clone); storms had no command.

Changed: without told memory a worker's room is unbounded, as before. drill storm (over sockets) and lab storm (simulated) print spans of two seconds.

--- a/app/src/main/java/wharfhinge/app/Main.java
+++ b/app/src/main/java/wharfhinge/app/Main.java
@@ -11,7 +11,7 @@
     description = "A gateway for calls on workers that load functions on demand.",
     synopsisSubcommandLabel = "COMMAND",
     subcommands = {ServeCommand.class, CheckCommand.class, WorkerCommand.class, StoreCommand.class, PackageCommand.class,
-        ReplayCommand.class, StandInCommand.class, DrillCommand.class, DrillGatewayCommand.class, MeasureCommand.class})
+        ReplayCommand.class, StandInCommand.class, DrillCommand.class, DrillGatewayCommand.class, MeasureCommand.class, LabCommand.class})
 public final class Main implements Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
--- a/app/src/main/java/wharfhinge/app/drill/ClientFleet.java
+++ b/app/src/main/java/wharfhinge/app/drill/ClientFleet.java
@@ -157,6 +157,14 @@
             : new WharfhingeClient(new GrpcTransport(Duration.ofMillis(CONNECT_MS), 1 << 20, null, null), ClientPolicy.USUAL, grpc);
     }
 
+    /** Copies that stand, functions with one, and loads begun since the start. */
+    int[] copies() {
+        Map<String, Integer> all = new LinkedHashMap<>();
+        workers.forEach(w -> w.model().held().forEach((function, count) -> all.merge(function, count, Integer::sum)));
+        return new int[] {all.values().stream().mapToInt(Integer::intValue).sum(), (int) all.values().stream().filter(n -> n > 0).count(),
+            workers.stream().mapToInt(w -> w.model().loadsBegun()).sum()};
+    }
+
     /** Ports of the gateways over HTTP. */
     List<Integer> ports() {
         return gateways.stream().map(GatewayProcess::port).toList();
--- a/app/src/main/java/wharfhinge/app/drill/DrillCommand.java
+++ b/app/src/main/java/wharfhinge/app/drill/DrillCommand.java
@@ -28,7 +28,7 @@
         "roster_lost,2,5,0,0,0;restart,3,0.5,0.2,0,0", "roster_silent,2,5,0,0,0;restart,3,0.5,0.2,0,0",
         "store_shut,3,3,0,0,0");
 
-    private static final List<String> CLIENTS = List.of("rolling-restart", "retry-storm", "flood");
+    private static final List<String> CLIENTS = List.of("rolling-restart", "retry-storm", "flood", "storm");
     private static final double CALM_BEARS = 240; // calls a second that the workers of the scenario calm can serve
     private static final double MOST_NOT_SERVED = 0.001;
     private static final double REAL_MEMORY = 0.04; // so that a day's copies fit one machine
@@ -36,7 +36,7 @@
     @Parameters(arity = "0..1", paramLabel = "NAME", defaultValue = "bad-day",
         description = "One of bad-day, calm, loads-on-call, bad-day-chains, chains, workers, forty-workers, "
             + "incident-release, incident-workers-gone, incident-gateways-gone, "
-            + "rolling-restart (gateways replaced one by one under both client libraries), retry-storm, flood; "
+            + "rolling-restart (gateways replaced one by one under both client libraries), retry-storm, flood, storm (--memory, --peak, --gateways, --loads-on-call); "
             + "default ${DEFAULT-VALUE}.")
     private String name;
     @Option(names = "--scenario", paramLabel = "FILE", description = "A scenario of your own in place of a name.")
@@ -67,6 +67,28 @@
     private boolean capture;
     @Option(names = "--workers", description = "So many workers.")
     private Integer workers;
+    /** Memory of a worker in the storm, in copies. */
+    enum Memory {
+        /** Just all functions on the whole fleet. */
+        TIGHT(12),
+        /** All functions on each worker. */
+        AMPLE(90);
+
+        private final int copies;
+
+        Memory(int copies) {
+            this.copies = copies;
+        }
+    }
+
+    @Option(names = "--memory", defaultValue = "TIGHT", description = "With storm: ${COMPLETION-CANDIDATES}; default ${DEFAULT-VALUE}.")
+    private Memory memory;
+    @Option(names = "--peak", defaultValue = "1.5", description = "With storm: times the capacity; default ${DEFAULT-VALUE}.")
+    private double peak;
+    @Option(names = "--gateways", description = "With storm: so many.")
+    private Integer gateways;
+    @Option(names = "--loads-on-call", description = "With storm: workers load what they are called for.")
+    private boolean loadsOnCall;
     @Option(names = "--compare-chains", description = "Plays the scenario 'chains' at 0.5, 0.8, 1 and 1.3 times its load with "
         + "one deadline, with a clock for each step, and without early refusal, and prints a table.")
     private boolean compareChains;
@@ -128,8 +150,14 @@
 
     private int playClients() throws Exception {
         Path folder = out == null ? Files.createTempDirectory("wharfhinge-drill") : Files.createDirectories(out);
-        Scenario day = Scenarios.load(file, name.equals("rolling-restart") ? name : "calm");
+        Scenario day = Scenarios.load(file, name.equals("rolling-restart") || name.equals("storm") ? name : "calm");
         day.load(load);
+        if (name.equals("storm")) {
+            day.memoryMb(memory.copies * day.offered().classes().get(0).memoryMb());
+            day.loadsOnCall(loadsOnCall);
+            day.gateways(gateways == null ? day.gateways() : gateways);
+            return new StormDrill(day, peak).play(folder) ? Program.OK : Program.WANTING;
+        }
         if (name.equals("rolling-restart")) {
             return ClientDrills.rollingRestart(day, folder, seconds == null ? day.seconds() : seconds) < MOST_NOT_SERVED
                 ? Program.OK : Program.WANTING;
--- a/policy/src/main/java/wharfhinge/Choice.java
+++ b/policy/src/main/java/wharfhinge/Choice.java
@@ -537,9 +537,10 @@
 
     /** MB; where it is not told, without bound. */
     private double room(WorkerState w) {
-        int kind = settings.kinds().indexOf(w.told.kind());
+        int kind = settings.kinds() == null ? -1 : settings.kinds().indexOf(w.told.kind());
         List<Double> told = settings.familyInfo().ramMbByKind();
-        return kind < 0 || kind >= told.size() || told.get(kind) <= 0 ? Double.MAX_VALUE : told.get(kind);
+        return kind < 0 || told == null || kind >= told.size() || told.get(kind) <= 0 ? Double.MAX_VALUE
+            : told.get(kind);
     }
 
     /** A worker that loads by itself starts a copy for one that waits; where only orders do, one may. */
--- a/stand-ins/src/main/java/wharfhinge/standin/Scenario.java
+++ b/stand-ins/src/main/java/wharfhinge/standin/Scenario.java
@@ -99,6 +99,11 @@
             return notLoaded;
         }
 
+        /** Calls that a worker runs at full pace at a time. */
+        public int cores() {
+            return cores;
+        }
+
         /** Least time that an idle copy stays. */
         public long keepMs() {
             return keepMs;
@@ -291,6 +296,21 @@
         traffic.perS *= times;
     }
 
+    /** With so much memory for each worker. */
+    public void memoryMb(double each) {
+        workers.memoryMb = each;
+    }
+
+    /** With so many gateways. */
+    public void gateways(int count) {
+        gateways = count;
+    }
+
+    /** With workers that load on call, or answer a miss. */
+    public void loadsOnCall(boolean now) {
+        workers.notLoaded = now ? "load" : "miss";
+    }
+
     /** Plays the day over real workers, with memory, theirs and functions', times {@code memory}. */
     public void real(double memory) {
         workers.real = true;
--- a/stand-ins/src/main/java/wharfhinge/standin/WorkerModel.java
+++ b/stand-ins/src/main/java/wharfhinge/standin/WorkerModel.java
@@ -127,6 +127,8 @@
     private volatile double slower = 1;
     private volatile long handshakeMs;
     private volatile long pausedUntil;
+    private volatile Map<String, Integer> held = Map.of();
+    private volatile int loadsBegun;
 
     WorkerModel(EventLoop loop, String id, Spec spec, HttpCaller store, Trace trace, Runnable tipped) {
         this.loop = loop;
@@ -212,6 +214,16 @@
             "zone", spec.zone(), "cell", spec.cell());
     }
 
+    /** Standing copies by function, as of the last report; any thread. */
+    public Map<String, Integer> held() {
+        return held;
+    }
+
+    /** Loads begun since the start; any thread. */
+    public int loadsBegun() {
+        return loadsBegun;
+    }
+
     /** Names the process. */
     public String boot() {
         return "b" + life;
@@ -245,6 +257,9 @@
         for (List<Copy> of : copies.values()) {
             of.removeIf(c -> !c.loading && c.running == 0 && now - c.idleSince > spec.keepMs() * 1_000_000L);
         }
+        Map<String, Integer> standing = new HashMap<>();
+        copies.forEach((function, of) -> standing.put(function, (int) of.stream().filter(c -> !c.loading).count()));
+        held = standing;
         double busy = 0;
         for (List<Copy> of : copies.values()) {
             for (Copy c : of) {
@@ -487,6 +502,7 @@
             double ms = loadMs.remove(copy);
             int of = life;
             loads++;
+            loadsBegun++;
             trace.note("load", "worker", id, "fn", copy.function);
             store.call(HttpMethod.GET, "/image/" + copy.function + "?ms=" + ms * FETCH_SHARE, Map.of(), new byte[0],
                 new HttpCaller.Reply() {
