--- a/app/src/main/java/wharfhinge/app/drill/GatewaySettings.java
+++ b/app/src/main/java/wharfhinge/app/drill/GatewaySettings.java
@@ -9,6 +9,7 @@
 
 /** Writes the settings file of a scenario's gateway. */
 final class GatewaySettings {
+    private static final long MOST_ADVICE_MS = 2000;
 
     private GatewaySettings() { }
 
@@ -25,7 +26,7 @@
         String text = String.format("""
             <wharfhinge xmlns="urn:wharfhinge:settings:1">
               <gateway name="gw%d" zone="%s" number="%d" group="%d" seed="%d"/>
-              <clients port="%d" stop-within-ms="3000"/>
+              <clients port="%d" stop-within-ms="3000" max-retry-after-ms="%d"/>
               <workers probes="true" reports="%s" second-copies="%s" max-attempts="5">
                 <kind name="std" memory-mb="%s"/>
                 <loading not-loaded="%s" keep-ms="%d">%s</loading>
@@ -41,6 +42,7 @@
               <log format="plain"/>
             </wharfhinge>
             """, number, number % 2 == 0 ? "zone-a" : "zone-b", number, day.gateways(), day.seed() * 100 + number, port,
+            Math.min(MOST_ADVICE_MS, day.offered().classes().stream().mapToLong(LoadClients.CallClass::giveUpMs).max().orElse(MOST_ADVICE_MS)),
             day.workers().reports(), day.secondCopies(), day.workers().memoryMb(), day.workers().notLoaded(),
             day.workers().keepMs(), ration, classes, r.stopSendingMs(), r.coldFrom(), r.coldMs(), r.overloadFactor(),
             r.tipMs(), r.graceMs(), rosterPort, number,
