--- a/app/src/main/java/wharfhinge/app/LabCommand.java
+++ b/app/src/main/java/wharfhinge/app/LabCommand.java
@@ -55,6 +55,8 @@
         private int loadMs;
         @Option(names = "--store", defaultValue = "8", description = "Fetches that the store serves at a time. Default ${DEFAULT-VALUE}.")
         private int store;
+        @Option(names = "--tries", defaultValue = "3", description = "Of a client within its patience. Default ${DEFAULT-VALUE}.")
+        private int tries;
         @Option(names = "--trouble", split = ",", paramLabel = "KIND:AT:FOR", description = "Beside the storm, in seconds since the first "
             + "counted call: TURNOVER, WORKER_RESTARTS, STORE_SLOW, GATEWAYS_RESTART; the storm is from 6 to 16.")
         private List<String> troubles = new ArrayList<>();
@@ -67,7 +69,7 @@
 
         private Storm storm() {
             Storm storm = Storm.tight().room(memory.copies).gateways(gateways).loadsOnCall(loadsOnCall).load(calm, peak)
-                .loading(loadMs, store).seed(seed);
+                .loading(loadMs, store).tries(tries).seed(seed);
             for (String text : troubles) {
                 String[] f = text.split(":");
                 try {
--- a/lab/src/main/java/wharfhinge/lab/Storm.java
+++ b/lab/src/main/java/wharfhinge/lab/Storm.java
@@ -103,6 +103,12 @@
             aimMs, patienceMs, tries, keepMs, calm, peak, beforeS, stormS, afterS, reports, troubles, seed);
     }
 
+    /** With clients that try so often. */
+    public Storm tries(int most) {
+        return new Storm(gateways, workers, cores, queue, room, loadsAtOnce, loadsOnCall, lanes, callMs, loadMs, storeAtOnce, functions, zipf,
+            aimMs, patienceMs, most, keepMs, calm, peak, beforeS, stormS, afterS, reports, troubles, seed);
+    }
+
     /** With one more trouble. */
     public Storm with(Kind kind, double atS, double forS) {
         List<Trouble> more = new ArrayList<>(troubles);
--- a/lab/src/main/java/wharfhinge/lab/StormRun.java
+++ b/lab/src/main/java/wharfhinge/lab/StormRun.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.ToDoubleFunction;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import wharfhinge.Choice;
@@ -52,41 +53,22 @@
     public record Played(Storm storm, List<Span> spans, List<String> faults) {
         /** Share in time of the calls first made from one second to another, since the first counted one. */
         public double inTime(double fromS, double toS) {
-            int calls = 0;
-            int well = 0;
-            for (Span s : spans) {
-                if (s.fromS >= fromS && s.fromS < toS) {
-                    calls += s.calls;
-                    well += s.of(Span.End.IN_TIME);
-                }
-            }
-            return well / (double) Math.max(1, calls);
+            return aCall(fromS, toS, s -> s.of(Span.End.IN_TIME));
         }
 
         /** The same of what could be at most. */
         public double bound(double fromS, double toS) {
-            double calls = 0;
-            double could = 0;
-            for (Span s : spans) {
-                if (s.fromS >= fromS && s.fromS < toS) {
-                    calls += s.calls;
-                    could += s.bound * s.calls;
-                }
-            }
-            return could / Math.max(1, calls);
+            return aCall(fromS, toS, s -> s.bound * s.calls);
         }
 
         /** Loads for each call. */
         public double loadsPerCall(double fromS, double toS) {
-            int calls = 0;
-            int loads = 0;
-            for (Span s : spans) {
-                if (s.fromS >= fromS && s.fromS < toS) {
-                    calls += s.calls;
-                    loads += s.loads;
-                }
-            }
-            return loads / (double) Math.max(1, calls);
+            return aCall(fromS, toS, s -> s.loads);
+        }
+
+        private double aCall(double fromS, double toS, ToDoubleFunction<Span> what) {
+            List<Span> those = spans.stream().filter(s -> s.fromS >= fromS && s.fromS < toS).toList();
+            return those.stream().mapToDouble(what).sum() / Math.max(1, those.stream().mapToInt(s -> s.calls).sum());
         }
 
         /** Before the storm, in it, in the first spans after it and later. */
