A new process rehearses before its port opens; told load counts before few gateways

And before three gateways two workers held the hottest functions at 250 to 290 ms while the others answered in 80: workers tell what all have in flight there, but the decisions heeded it only in groups of more than four.

Changed: Gateway.rehearse, called by serve: calls through a front, a loop and connections of its own on loopback, before a worker of its own, until nothing gets quicker or rehearse-ms (3000) are over; the status tells ready, rehearsed_calls, rehearsed_ms. measure cold. Told load is weighted by what own sends do not show, 1 - 1/group, in groups of any size. Stand-ins tell the company that a call found when it came, as the protocol has it. The lab's workers tell load and size.

--- a/app/src/main/java/wharfhinge/app/Serving.java
+++ b/app/src/main/java/wharfhinge/app/Serving.java
@@ -37,6 +37,7 @@
             Logs.flush();
             stopped.countDown();
         }, "stop"));
+        gateway.rehearse();
         gateway.start();
         stopped.await();
         return Program.OK;
--- a/app/src/main/java/wharfhinge/app/drill/GatewaySettings.java
+++ b/app/src/main/java/wharfhinge/app/drill/GatewaySettings.java
@@ -26,7 +26,7 @@
         String text = String.format("""
             <wharfhinge xmlns="urn:wharfhinge:settings:1">
               <gateway name="gw%d" zone="%s" number="%d" group="%d" seed="%d"/>
-              <clients port="%d" stop-within-ms="3000" max-retry-after-ms="%d"/>
+              <clients port="%d" stop-within-ms="3000" rehearse-ms="0" max-retry-after-ms="%d"/>
               <workers probes="true" reports="%s" second-copies="%s" max-attempts="5">
                 <kind name="std" memory-mb="%s"/>
                 <loading not-loaded="%s" keep-ms="%d">%s</loading>
--- a/app/src/main/java/wharfhinge/app/measure/Bench.java
+++ b/app/src/main/java/wharfhinge/app/measure/Bench.java
@@ -60,9 +60,15 @@
      * @param more elements of its settings
      */
     Started gateway(String name, Path jar, String more, String logLevel, int groupSize) throws IOException, InterruptedException {
+        return gateway(name, jar, more, logLevel, groupSize, "");
+    }
+
+    /** The same; {@code clients} are further settings of the clients' side. */
+    Started gateway(String name, Path jar, String more, String logLevel, int groupSize, String clients) throws IOException,
+        InterruptedException {
         Path own = Files.createDirectories(folder.resolve(name));
         Path log = own.resolve("gateway.log");
-        Process process = start(log, jar, "serve", "--config", settings(own, more, logLevel, groupSize).toString());
+        Process process = start(log, jar, "serve", "--config", settings(own, more, logLevel, groupSize, clients).toString());
         for (int i = 0; i < WAITS; i++) {
             int port = portAfter(log, "takes calls on /127.0.0.1:");
             if (port > 0) {
@@ -101,12 +107,12 @@
             .mapToInt(l -> Integer.parseInt(l.substring(l.lastIndexOf(':') + 1).trim())).findFirst().orElse(0);
     }
 
-    private Path settings(Path own, String more, String logLevel, int groupSize) throws IOException {
+    private Path settings(Path own, String more, String logLevel, int groupSize, String clients) throws IOException {
         Path file = own.resolve("gateway.xml");
         Files.writeString(file, """
             <wharfhinge xmlns="urn:wharfhinge:settings:1">
               <gateway name="measured" zone="z" group="GROUP"/>
-              <clients port="0" max-open="20000" max-connections="20000" stop-within-ms="100"/>
+              <clients port="0" max-open="20000" max-connections="20000" stop-within-ms="100"CLIENTS/>
               <workers probes="false" max-connections="64">
                 <kind name="k" memory-mb="100000"/>
                 <loading not-loaded="load" keep-ms="60000"/>
@@ -119,6 +125,7 @@
               MORE<log level="LEVEL"/>
             </wharfhinge>
             """.replace("PORT", Integer.toString(roster.port())).replace("LEVEL", logLevel).replace("MORE", more)
+            .replace("CLIENTS", clients)
             .replace("GROUP", Integer.toString(groupSize)));
         return file;
     }
--- a/app/src/main/java/wharfhinge/app/measure/MeasureCommand.java
+++ b/app/src/main/java/wharfhinge/app/measure/MeasureCommand.java
@@ -32,7 +32,7 @@
 @Command(name = "measure", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
     description = "Measures on loopback what the gateway adds to a call, beside a call straight to the worker and a bare "
         + "pass-through with random choice. Latency counts from the time a call was due, so that a stall is not left out.",
-    subcommands = {EchoCommand.class, ChainCostCommand.class, WorkerCostCommand.class, DecisionCostCommand.class,
+    subcommands = {EchoCommand.class, ChainCostCommand.class, ColdStartCommand.class, WorkerCostCommand.class, DecisionCostCommand.class,
         FleetRateCommand.class, ReplayCostCommand.class, ClientCostCommand.class})
 public final class MeasureCommand implements Callable<Integer> {
     private static final int WORKERS = 8;
--- a/config/src/main/java/wharfhinge/config/GatewayConfig.java
+++ b/config/src/main/java/wharfhinge/config/GatewayConfig.java
@@ -43,9 +43,18 @@
             c.resumeFile(), c.named()), capture, grpc, door, tls, proof, log);
     }
 
-    /** The clients' side. */
+    /** The same on any free port of loopback, for itself alone. */
+    public GatewayConfig onAnyPort() {
+        Clients c = clients;
+        return new GatewayConfig(name, seed, settings, new Clients("127.0.0.1", 0, c.maxConnections, c.idleNs, c.maxBodyBytes,
+            c.maxHeaderBytes, c.maxOpen, c.handOver, c.stopWithinNs, false, 0), workers, roster, peers, chains, capture, grpc, null, null,
+            null, log);
+    }
+
+    /** The clients' side; {@code rehearseNs} is the most that is spent on warming up before the port opens. */
     public record Clients(String address, int port, int maxConnections, long idleNs, int maxBodyBytes,
-                          int maxHeaderBytes, int maxOpen, int handOver, long stopWithinNs, boolean reusePort) { }
+                          int maxHeaderBytes, int maxOpen, int handOver, long stopWithinNs, boolean reusePort,
+                          long rehearseNs) { }
 
     /**
      * The gateway's certificate (PEM, the chain) and key (PKCS 8), and the authorities that clients' certificates come from.
@@ -172,7 +181,7 @@
         x.peers.peers.forEach(p -> peers.put(p.number, p.address));
         return new GatewayConfig(x.gateway.name, x.gateway.seed, settings(x),
             new Clients(c.address, c.port, c.maxConnections, c.idleMs * MS, c.maxBodyKb * KB, c.maxHeaderKb * KB,
-                c.maxOpen, c.handOver, c.stopWithinMs * MS, x.clients.reusePort),
+                c.maxOpen, c.handOver, c.stopWithinMs * MS, x.clients.reusePort, c.rehearseMs * MS),
             new Workers(w.dialTimeoutMs * MS, w.idleMs * MS, w.probeTimeoutMs * MS, w.streamsPerConnection,
                 w.maxConnections, w.maxAnswerKb * KB),
             new Roster(url.getHost(), url.getPort(), folder.resolve(x.roster.remembered), x.roster.silentAfterMs * MS,
--- a/config/src/main/java/wharfhinge/config/SettingsXml.java
+++ b/config/src/main/java/wharfhinge/config/SettingsXml.java
@@ -91,6 +91,8 @@
         int handOver = 4096;
         @XmlAttribute(name = "stop-within-ms")
         long stopWithinMs = 5000;
+        @XmlAttribute(name = "rehearse-ms")
+        long rehearseMs = 3000;
         @XmlAttribute(name = "retry-after")
         boolean retryAfter = true;
         @XmlAttribute(name = "max-retry-after-ms")
--- a/gateway/src/main/java/wharfhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/wharfhinge/gateway/Gateway.java
@@ -67,6 +67,7 @@
     private final Tls tls;
     private InetSocketAddress address;
     private InetSocketAddress grpcAddress;
+    private Rehearsal.Played rehearsed = new Rehearsal.Played(0, 0, 0);
 
     /** A gateway whose list comes from the roster of its settings. */
     public Gateway(GatewayConfig config) throws InterruptedException {
@@ -122,6 +123,20 @@
         return new MultiThreadIoEventLoopGroup(threads, epoll ? EpollIoHandler.newFactory() : NioIoHandler.newFactory());
     }
 
+    /** Warms up, for at most as long as the settings say; to be called before {@link #start}, or not at all. */
+    public void rehearse() throws InterruptedException {
+        boolean epoll = Epoll.isAvailable();
+        rehearsed = Rehearsal.play(config, config.clients().rehearseNs(), acceptor, group, epoll ? EpollSocketChannel.class
+            : NioSocketChannel.class, epoll ? EpollServerSocketChannel.class : NioServerSocketChannel.class);
+        LOG.info("gateway {} rehearsed {} calls in {} ms, {} us each at last", config.name(), rehearsed.calls(), rehearsed.tookMs(),
+            rehearsed.quickestUs());
+    }
+
+    /** What came of the rehearsal. */
+    Rehearsal.Played rehearsed() {
+        return rehearsed;
+    }
+
     /** Begins: the remembered list, the loop, the roster, then the port. */
     public InetSocketAddress start() throws InterruptedException {
         remembered.read().ifPresent(list -> {
@@ -163,6 +178,9 @@
         Map<String, Long> figures = new LinkedHashMap<>(loop.stats().figures());
         figures.putAll(loop.chainFigures());
         figures.putAll(loop.doorFigures());
+        figures.put("ready", 1L); // nobody could read it before
+        figures.put("rehearsed_calls", rehearsed.calls());
+        figures.put("rehearsed_ms", rehearsed.tookMs());
         figures.put("open_calls", (long) loop.open());
         figures.put("connections", (long) front.connections());
         figures.put("connections_turned_away", front.turnedAway());
--- /dev/null
+++ b/gateway/src/test/java/wharfhinge/gateway/RehearsalTest.java
@@ -0,0 +1,61 @@
+package wharfhinge.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import wharfhinge.gateway.loop.DispatcherFactory;
+
+/** What a gateway does before its port opens. */
+@Timeout(30)
+class RehearsalTest {
+    @TempDir
+    private Path folder;
+
+    private static long threads() {
+        return Thread.getAllStackTraces().keySet().stream().filter(t -> t.getName().startsWith("rehearsal")).count();
+    }
+
+    private Rehearsal.Played play(String clients) throws Exception {
+        try (Rig rig = new Rig(folder, "", clients, DispatcherFactory.CHOICE)) {
+            rig.gateway.rehearse();
+            assertEquals(0, threads());
+            return rig.gateway.rehearsed();
+        }
+    }
+
+    @Test
+    void endsInTimeAndLeavesNothingBehind() throws Exception {
+        Rehearsal.Played played = play("rehearse-ms=\"300\"");
+        assertTrue(played.calls() >= 100 && played.tookMs() < 10_000, played.toString());
+    }
+
+    @Test
+    void noneIsPlayedWhereNoTimeIsGiven() throws Exception {
+        assertEquals(0, play("rehearse-ms=\"0\"").calls());
+    }
+
+    /** A limit of one open call refuses most; connections that are too many are closed: each client ends, and so does it. */
+    @Test
+    void limitsThatLetFewInDontHoldItUp() throws Exception {
+        assertTrue(play("rehearse-ms=\"100\" max-open=\"1\"").tookMs() < 10_000);
+    }
+
+    /** No call, order, probe or connect: the worker hears nothing, and the gateway counts nothing. */
+    @Test
+    void workersHearNothing() throws Exception {
+        try (ScriptedPeer worker = new ScriptedPeer(in -> { });
+            Rig rig = new Rig(folder, "", "rehearse-ms=\"200\"", DispatcherFactory.CHOICE)) {
+            rig.list(worker.id());
+            rig.gateway.rehearse();
+            assertFalse(rig.gateway.figures().get("rehearsed_calls") == 0);
+            assertEquals(0, rig.gateway.figures().get("taken"));
+            assertEquals(1, rig.gateway.figures().get("ready"));
+            assertTrue(worker.gotNothingWithin(50));
+        }
+    }
+}
--- a/lab/src/main/java/wharfhinge/lab/Gateway.java
+++ b/lab/src/main/java/wharfhinge/lab/Gateway.java
@@ -133,7 +133,7 @@
     private final Map<Attempt, Worker> workerOf = new HashMap<>();
 
     private Map<String, Double> report(Worker w) {
-        return Map.of();
+        return Map.of("rif", (double) w.inFlight());
     }
 
     // ---- Actions ----------------------------------------------------------------------------
--- a/lab/src/main/java/wharfhinge/lab/LabSettings.java
+++ b/lab/src/main/java/wharfhinge/lab/LabSettings.java
@@ -21,7 +21,7 @@
             List.of(), new Dispatcher.FamilyInfo(s.keepMs() * Timeline.MS, true, s.loadsOnCall() ? Dispatcher.NotLoaded.LOAD
                 : Dispatcher.NotLoaded.MISS, 10_000 * Timeline.MS,
                 s.ration() == 0 ? 0 : Storm.RATION_S * 1000 * Timeline.MS, Storm.RATION_RATIO, s.ration(), 0, List.of(COPY_MB * s.room()), "", "", true, true),
-            new Dispatcher.Feedback(Dispatcher.Reports.SILENT, List.of()), new Dispatcher.Goal(1, 0, 0, 0),
+            new Dispatcher.Feedback(Dispatcher.Reports.PIGGYBACK, List.of("rif")), new Dispatcher.Goal(1, 0, 0, 0),
             new Dispatcher.Limits(true, false, false, false, true, 5, 1000, 1000 * Timeline.MS, 250 * Timeline.MS, 15_000 * Timeline.MS,
                 100, 0, 0),
             new Dispatcher.Obligations(0, 0.2, WARM_AFTER_NS, 2, 1000 * Timeline.MS, 2000 * Timeline.MS, 16 * Timeline.MS),
--- a/lab/src/main/java/wharfhinge/lab/StormRun.java
+++ b/lab/src/main/java/wharfhinge/lab/StormRun.java
@@ -90,7 +90,7 @@
         for (int i = 0; i < storm.workers(); i++) {
             Worker w = new Worker("w" + i, storm, time, store, this::pushedOut, () -> span().loads++);
             workers.put(w.id, w);
-            told.add(new Dispatcher.Worker(w.id, "z", "k", 0, Availability.UP, 1, 0));
+            told.add(new Dispatcher.Worker(w.id, "z", "k", 0, Availability.UP, storm.cores(), 0));
         }
         for (double at = -Storm.WARM_UP_S; at < storm.seconds() + storm.patienceMs() / 1000.0; at += SPAN_S) {
             Span span = new Span(at, SPAN_S);
@@ -125,7 +125,7 @@
                 case WORKER_RESTARTS -> {
                     Worker w = workers.get("w0");
                     w.restart(time.now() + LabSettings.WARM_AFTER_NS);
-                    told.set(0, new Dispatcher.Worker(w.id, "z", "k", 0, Availability.UP, 1, time.now()));
+                    told.set(0, new Dispatcher.Worker(w.id, "z", "k", 0, Availability.UP, storm.cores(), time.now()));
                     gateways.forEach(g -> g.members(told));
                 }
                 case STORE_SLOW -> {
--- a/lab/src/main/java/wharfhinge/lab/Worker.java
+++ b/lab/src/main/java/wharfhinge/lab/Worker.java
@@ -42,11 +42,13 @@
     static final class Visit {
         private final String function;
         private final Reply reply;
+        private final int company;
         private Note note = Note.FOUND_LOADED;
         private boolean gone;
 
-        Visit(String function, Reply reply) {
+        Visit(String function, int company, Reply reply) {
             this.function = function;
+            this.company = company;
             this.reply = reply;
         }
 
@@ -118,6 +120,11 @@
         return copies.values().stream().mapToInt(List::size).sum();
     }
 
+    /** In work or waiting. */
+    int inFlight() {
+        return running.size() + queue.size();
+    }
+
     private List<Copy> of(String function) {
         return copies.computeIfAbsent(function, f -> new ArrayList<>(1));
     }
@@ -137,7 +144,7 @@
     }
 
     Visit call(String function, Reply reply) {
-        Visit visit = new Visit(function, reply);
+        Visit visit = new Visit(function, company(function), reply);
         boolean none = of(function).isEmpty();
         if (none && !storm.loadsOnCall()) {
             end(visit, Outcome.MISS, Note.NONE);
@@ -159,7 +166,7 @@
     private void end(Visit v, Outcome outcome, Note note) {
         if (!v.gone) {
             v.gone = true;
-            v.reply.ended(outcome, note, Math.min(30, company(v.function)));
+            v.reply.ended(outcome, note, Math.min(30, v.company));
         }
     }
 
--- a/policy/src/main/java/wharfhinge/Choice.java
+++ b/policy/src/main/java/wharfhinge/Choice.java
@@ -645,9 +645,9 @@
 
     /** What it told of all front ends' requests in flight, as far as own sends do not show it; it fades. */
     private double load(WorkerState w) {
-        if (w.reportedAt == 0 || few == 1) { return meanReported; }
+        if (w.reportedAt == 0 || settings.groupSize() <= 1) { return meanReported; }
         double fresh = Math.exp((w.reportedAt - now) / (double) REPORT_MEMORY);
-        return meanReported + (1 - few) * fresh * (w.reported - meanReported);
+        return meanReported + (1 - 1.0 / settings.groupSize()) * fresh * (w.reported - meanReported);
     }
 
     private void learnReport(WorkerState w, Map<String, Double> report) {
--- a/policy/src/test/java/wharfhinge/ChoiceTest.java
+++ b/policy/src/test/java/wharfhinge/ChoiceTest.java
@@ -726,6 +726,20 @@
         }
     }
 
+    /** Two of three calls there are peers'; one that is alone sees all it sends and needs no telling. */
+    @Test
+    void toldLoadCountsBeforeFewFrontEndsTooButNotBeforeOne() {
+        for (int group : new int[] {1, 3}) {
+            Recorder t = new Recorder(Recorder.among(group, true, true));
+            t.fleet("b", "c", "d", "e");
+            String first = t.query("f");
+            t.served(first);
+            t.choice.probed(t.now, t.sentTo(first), SERVED, Recorder.MS, Map.of("rif", 20.0));
+            String next = t.query("f");
+            assertEquals(group == 1, t.sentTo(first).equals(t.sentTo(next)));
+        }
+    }
+
     /** A wait for a probe may still serve the request; it is bounded, and a late probe counts as saturated. */
     @Test
     void aLateProbeDoesNotHoldARequest() {
--- a/stand-ins/src/main/java/wharfhinge/standin/WorkerModel.java
+++ b/stand-ins/src/main/java/wharfhinge/standin/WorkerModel.java
@@ -57,6 +57,7 @@
         private final long workUs;
         private final Reply reply;
         private CopyNote note = CopyNote.FOUND;
+        private int company; // that it found
         private boolean over;
 
         private Call(String function, FullHttpRequest request, String gateway, Reply reply) {
@@ -358,6 +359,7 @@
     }
 
     private void place(Call call) {
+        call.company = company(call.function);
         Copy copy = free(call.function);
         if (copy != null) {
             run(call, copy);
@@ -418,10 +420,9 @@
 
     private void end(Call call, AnswerCode code, CopyNote note) {
         if (!call.over) {
-            int company = company(call.function);
             call.over = true;
             trace.note("reply", "worker", id, "call", call.id, "attempt", call.attempt, "code", code.word());
-            call.reply.answer(code, note, company, code == AnswerCode.SERVED ? call.id.getBytes() : new byte[0]);
+            call.reply.answer(code, note, call.company, code == AnswerCode.SERVED ? call.id.getBytes() : new byte[0]);
         }
     }
 
