--- a/app/src/main/java/wharfhinge/app/drill/DrillCommand.java
+++ b/app/src/main/java/wharfhinge/app/drill/DrillCommand.java
@@ -2,9 +2,11 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import java.util.stream.Collectors;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
@@ -55,6 +57,10 @@
     @Option(names = "--each", description = "Plays every kind of trouble by itself, on short days, and prints a table.")
     private boolean each;
 
+    @Option(names = "--mutants", paramLabel = "RUNS", description = "Plays the scenario so many times with each mutant that breaks one of the "
+        + "five rules, and prints in how many the judge found it; exits with 1 unless in all.")
+    private Integer mutants;
+
     @Option(names = "--load", defaultValue = "1", description = "Offers so many times the scenario's calls.")
     private double load;
     @Option(names = "--chain-share", description = "The part of what is offered that is chains.")
@@ -106,6 +112,9 @@
         if (each) {
             return playEach();
         }
+        if (mutants != null) {
+            return playMutants();
+        }
         if (CLIENTS.contains(name)) {
             return playClients();
         }
@@ -148,6 +157,26 @@
         return verdict.kept() == 5 && (memory == null || memory.faults().isEmpty()) ? Program.OK : Program.WANTING;
     }
 
+    private int playMutants() throws Exception {
+        System.out.println("| mutant | rule | found in runs | times broken in each |");
+        System.out.println("| --- | --- | --- | --- |");
+        boolean all = true;
+        for (Mutant one : Mutant.OF_EACH_RULE) {
+            List<Integer> broken = new ArrayList<>();
+            for (int run = 0; run < mutants; run++) {
+                Scenario day = Scenarios.load(file, name);
+                try (Day played = new Day(day, one, Files.createTempDirectory("wharfhinge-drill"))) {
+                    broken.add(played.play().broken().getOrDefault(one.rule(), List.of()).size());
+                }
+            }
+            long found = broken.stream().filter(n -> n > 0).count();
+            all &= found == mutants;
+            System.out.println("| " + one + " | " + one.rule() + " | " + found + " of " + mutants + " | "
+                + broken.stream().map(String::valueOf).collect(Collectors.joining(", ")) + " |");
+        }
+        return all ? Program.OK : Program.WANTING;
+    }
+
     private int playClients() throws Exception {
         Path folder = out == null ? Files.createTempDirectory("wharfhinge-drill") : Files.createDirectories(out);
         Scenario day = Scenarios.load(file, name.equals("rolling-restart") || name.equals("storm") ? name : "calm");
--- a/app/src/main/java/wharfhinge/app/drill/Mutant.java
+++ b/app/src/main/java/wharfhinge/app/drill/Mutant.java
@@ -105,6 +105,8 @@
         }
     };
 
+    /** One for each of the five rules. */
+    static final List<Mutant> OF_EACH_RULE = List.of(FORGETS_ANSWERS, REPEATS_UNSAFE, DEAF_TO_DRAINS, COLD_AS_WARM, UNRATIONED);
     private static final int FORGETS = 3;
 
     /** The decisions it runs with. */
