--- a/app/src/main/java/wharfhinge/app/LabCommand.java
+++ b/app/src/main/java/wharfhinge/app/LabCommand.java
@@ -67,6 +67,9 @@
         private int large;
         @Option(names = "--one-tenant", description = "What is offered beyond calm is all for one function in ten.")
         private boolean oneTenant;
+        @Option(names = "--chains", defaultValue = "0", description = "This part of what clients ask for are chains of two steps. "
+            + "Default ${DEFAULT-VALUE}.")
+        private double chains;
         @Option(names = "--trouble", split = ",", paramLabel = "KIND:AT:FOR", description = "Beside the storm, in seconds since the first "
             + "counted call: TURNOVER, WORKER_RESTARTS, STORE_SLOW, GATEWAYS_RESTART; the storm is from 6 to 16.")
         private List<String> troubles = new ArrayList<>();
@@ -79,7 +82,7 @@
 
         private Storm storm() {
             Storm storm = Storm.tight().room(room == null ? memory.copies : room).gateways(gateways).loadsOnCall(loadsOnCall).load(calm, peak)
-                .loading(loadMs, store).tries(tries).ration(ration).large(large).seed(seed);
+                .loading(loadMs, store).tries(tries).ration(ration).large(large).chains(chains).seed(seed);
             storm = oneTenant ? storm.ofOneTenant() : storm;
             for (String text : troubles) {
                 String[] f = text.split(":");
--- a/app/src/main/java/wharfhinge/app/drill/ClientFleet.java
+++ b/app/src/main/java/wharfhinge/app/drill/ClientFleet.java
@@ -90,9 +90,7 @@
     }
 
     void start() throws IOException, InterruptedException {
-        for (GatewayProcess gateway : gateways) {
-            gateway.start();
-        }
+        GatewayProcess.startAll(gateways);
         Thread.sleep(500);
     }
 
@@ -215,9 +213,7 @@
 
     @Override
     public void close() throws InterruptedException {
-        for (GatewayProcess gateway : gateways) {
-            gateway.stop();
-        }
+        GatewayProcess.stopAll(gateways);
         workers.forEach(WorkerStandIn::close);
         roster.close();
         store.close();
--- a/app/src/main/java/wharfhinge/app/drill/Day.java
+++ b/app/src/main/java/wharfhinge/app/drill/Day.java
@@ -80,9 +80,7 @@
 
     /** Plays it to its end and judges it. */
     Judge.Verdict play() throws IOException, InterruptedException {
-        for (GatewayProcess gateway : gateways) {
-            gateway.start();
-        }
+        GatewayProcess.startAll(gateways);
         Thread.sleep(500);
         roster.lag(scenario.roster().lagMs());
         Map<String, Integer> ports = new LinkedHashMap<>();
@@ -280,9 +278,7 @@
         if (clients != null) {
             clients.close();
         }
-        for (GatewayProcess gateway : gateways) {
-            gateway.stop();
-        }
+        GatewayProcess.stopAll(gateways);
         for (Member worker : workers) {
             worker.close();
         }
--- a/gateway/src/main/java/wharfhinge/gateway/Rehearsal.java
+++ b/gateway/src/main/java/wharfhinge/gateway/Rehearsal.java
@@ -1,5 +1,6 @@
 package wharfhinge.gateway;
 
+import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -7,7 +8,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
--- a/lab/src/main/java/wharfhinge/lab/Gateway.java
+++ b/lab/src/main/java/wharfhinge/lab/Gateway.java
@@ -57,6 +57,7 @@
     private final List<String> faults;
     private final Map<String, Call> calls = new HashMap<>();
     private final Dispatcher dispatcher;
+    private final Chains chains;
     private final ArrayDeque<Long> orders = new ArrayDeque<>();
     private final ArrayDeque<Long> asked = new ArrayDeque<>();
     private long number;
@@ -68,6 +69,7 @@
         this.workers = workers;
         this.faults = faults;
         this.dispatcher = decisions.of(time.now(), seed, LabSettings.of(storm, index), this);
+        this.chains = new Chains(time, this);
     }
 
     void members(List<Dispatcher.Worker> all) {
@@ -83,13 +85,44 @@
         over = true;
         calls.values().stream().filter(c -> !c.answered).forEach(c -> c.to.accept(new Answer(Answer.Kind.FAILED, 0, false, 0)));
         calls.clear();
+        chains.kill();
     }
 
-    void call(String function, long patienceNs, Consumer<Answer> to) {
+    /** Two functions, one with what the other answered, under one deadline. */
+    void chain(List<String> functions, long patienceNs, Consumer<Answer> to) {
+        chains.begin(functions, patienceNs, storm.loadMs(), to);
+    }
+
+    boolean believedWarm(String function) {
+        return dispatcher.believedWarm(time.now(), function);
+    }
+
+    void expect(String function, long patienceNs) {
+        dispatcher.expected(time.now(), request("e" + number++, function, patienceNs));
+    }
+
+    /** Whoever asked for the call gives it up; what is out is cancelled. */
+    void leave(String id) {
+        Call c = calls.get(id);
+        if (c != null && !c.answered) {
+            c.answered = true;
+            dispatcher.clientLeft(time.now(), id);
+            for (int i = 0; i < c.attempts.size(); i++) {
+                cancel(id, i);
+            }
+        }
+    }
+
+    private Request request(String id, String function, long patienceNs) {
+        return new Request(id, null, patienceNs, LabSettings.COPY_MB * storm.places(function), function, storm.callMs() * Timeline.MS,
+            storm.lanes(), storm.loadMs(), LabSettings.CLASS, false, false);
+    }
+
+    /** Tells the call's name. */
+    String call(String function, long patienceNs, Consumer<Answer> to) {
         String id = Long.toString(number++);
         asked.add(time.now());
-        Request request = new Request(id, null, patienceNs, LabSettings.COPY_MB * storm.places(function), function, storm.callMs() * Timeline.MS, storm.lanes(), storm.loadMs(),
-            LabSettings.CLASS, false, false);
+        Request request = request(id, function, patienceNs);
         Call call = new Call(request, time.now() + patienceNs, to);
         calls.put(id, call);
         time.after(patienceNs + LabSettings.TICK_NS, () -> {
@@ -98,6 +131,7 @@
             }
         });
         dispatcher.query(time.now(), request);
+        return id;
     }
 
     private void answer(Call c, Answer.Kind kind, long comeBackNs, boolean loaded, long tookNs) {
--- a/lab/src/main/java/wharfhinge/lab/Storm.java
+++ b/lab/src/main/java/wharfhinge/lab/Storm.java
@@ -57,6 +57,7 @@
     private int ration;
     private int large;
     private boolean oneTenant;
+    private double chains;
     private List<Trouble> troubles = List.of();
     private long seed = 7;
 
@@ -152,6 +153,11 @@
         return but(s -> s.oneTenant = true);
     }
 
+    /** With this part of what clients ask for chains of two steps, whose aim and patience are twice those of a call. */
+    public Storm chains(double part) {
+        return but(s -> s.chains = part);
+    }
+
     /** With one more trouble. */
     public Storm with(Kind kind, double atS, double forS) {
         List<Trouble> more = new ArrayList<>(troubles);
@@ -301,6 +307,15 @@
         return oneTenant;
     }
 
+    double chains() {
+        return chains;
+    }
+
+    /** Calls of workers for one thing that a client asks for. */
+    double callsEach() {
+        return 1 + chains;
+    }
+
     List<Trouble> troubles() {
         return troubles;
     }
--- a/lab/src/main/java/wharfhinge/lab/StormRun.java
+++ b/lab/src/main/java/wharfhinge/lab/StormRun.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.ToDoubleFunction;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -145,7 +146,7 @@
     // ---- Clients ----------------------------------------------------------------------------
 
     private double rate(double second) {
-        return storm.capacityPerS() * (stormy(second) ? storm.peak() : storm.calm());
+        return storm.capacityPerS() / storm.callsEach() * (stormy(second) ? storm.peak() : storm.calm());
     }
 
     private boolean stormy(double second) {
@@ -163,39 +164,56 @@
         });
     }
 
-    private void first() {
+    private String drawn() {
         double drawn = random.nextDouble() * popularity[popularity.length - 1];
         int rank = 0;
         while (popularity[rank] < drawn) {
             rank++;
         }
-        boolean tenants = storm.oneTenant() && stormy((time.now() - begin) / 1000.0 / Timeline.MS) && random.nextDouble() > storm.calm() / storm.peak();
-        String function = "f" + (tenants ? storm.tenants(random.nextDouble()) : (rank + turned) % storm.functions());
+        boolean tenants = storm.oneTenant() && stormy((time.now() - begin) / 1000.0 / Timeline.MS)
+            && random.nextDouble() > storm.calm() / storm.peak();
+        return "f" + (tenants ? storm.tenants(random.nextDouble()) : (rank + turned) % storm.functions());
+    }
+
+    private void first() {
+        boolean chain = storm.chains() > 0 && random.nextDouble() < storm.chains();
+        List<String> functions = chain ? List.of(drawn(), drawn()) : List.of(drawn());
         Span span = span();
         span.calls++;
-        span.asked.merge(function, 1, Integer::sum);
-        attempt(function, span, time.now(), 1, false);
+        functions.forEach(f -> span.asked.merge(f, 1, Integer::sum));
+        attempt(new Asked(functions, span, time.now()), 1, false);
     }
 
-    private void attempt(String function, Span span, long began, int number, boolean ran) {
-        long left = began + storm.patienceMs() * Timeline.MS - time.now();
-        span.tries++;
-        gateways.get(random.nextInt(gateways.size())).call(function, left, answer -> {
-            long took = time.now() - began;
+    /** What a client asks for: one function, or one after the other. */
+    private record Asked(List<String> functions, Span span, long began) { }
+
+    private void attempt(Asked a, int number, boolean ran) {
+        int steps = a.functions.size();
+        long patience = steps * storm.patienceMs() * Timeline.MS;
+        long left = a.began + patience - time.now();
+        a.span.tries++;
+        Gateway gateway = gateways.get(random.nextInt(gateways.size()));
+        Consumer<Gateway.Answer> to = answer -> {
+            long took = time.now() - a.began;
             if (answer.kind() == Gateway.Answer.Kind.SERVED) {
-                Span.End end = took <= storm.aimMs() * Timeline.MS ? Span.End.IN_TIME : number > 1 ? Span.End.LATE_REPEAT
+                Span.End end = took <= steps * storm.aimMs() * Timeline.MS ? Span.End.IN_TIME : number > 1 ? Span.End.LATE_REPEAT
                     : answer.loaded() ? Span.End.LATE_LOAD : Span.End.LATE_QUEUE;
-                span.ends.merge(end, 1, Integer::sum);
+                a.span.ends.merge(end, 1, Integer::sum);
                 return;
             }
             boolean mayHaveRun = ran || answer.kind() == Gateway.Answer.Kind.FAILED;
             long wait = answer.comeBackNs() + (long) (random.nextDouble() * 20 * Timeline.MS);
-            if (number == storm.tries() || took + wait >= storm.patienceMs() * Timeline.MS) {
-                span.ends.merge(mayHaveRun ? Span.End.FAILED : Span.End.REFUSED, 1, Integer::sum);
+            if (number == storm.tries() || took + wait >= patience) {
+                a.span.ends.merge(mayHaveRun ? Span.End.FAILED : Span.End.REFUSED, 1, Integer::sum);
             } else {
-                time.after(wait, () -> attempt(function, span, began, number + 1, mayHaveRun));
+                time.after(wait, () -> attempt(a, number + 1, mayHaveRun));
             }
-        });
+        };
+        if (steps == 1) {
+            gateway.call(a.functions.get(0), left, to);
+        } else {
+            gateway.chain(a.functions, left, to);
+        }
     }
 
     // ---- Figures ----------------------------------------------------------------------------
@@ -227,7 +245,7 @@
             held += places < 0 ? 0 : s.asked.get(f);
         }
         double loads = storm.storeAtOnce() * 1000.0 / storm.loadMs() * SPAN_S;
-        double could = Math.min(Math.min(s.calls, held + loads), storm.capacityPerS() * SPAN_S);
+        double could = Math.min(s.calls, Math.min(held + loads, storm.capacityPerS() * SPAN_S) / storm.callsEach());
         return s.calls == 0 ? 1 : could / s.calls;
     }
 }
--- a/lab/src/test/java/wharfhinge/lab/StormTest.java
+++ b/lab/src/test/java/wharfhinge/lab/StormTest.java
@@ -78,6 +78,12 @@
         well(play(Storm.tight().ration(4)), 0.9, 0.98);
     }
 
+    /** Half of what is asked for are chains of two steps; a chain whose second step is lost has spent work for nothing. */
+    @Test
+    void aStormOfChains() {
+        well(play(Storm.tight().chains(0.5)), 0.9, 0.98);
+    }
+
     @Test
     void oneTenantMakesTheStorm() {
         well(play(Storm.tight().ofOneTenant()), 0.9, 0.98);
