A crowded worker's function gets a further copy; the door's idea of full is a setting

The access logs show single workers with the hottest functions at 200 to 330 ms at the median while others take 75: each of three gateways sees a part of that queue, and no lane of its own full.

Changed: while no order is out or waits, a call for a warm worker that tells more in flight than its size, and than most, orders a further copy beside it, where there is room.

--- a/config/src/main/java/wharfhinge/config/GatewayConfig.java
+++ b/config/src/main/java/wharfhinge/config/GatewayConfig.java
@@ -14,6 +14,7 @@
 import wharfhinge.Dispatcher.Settings;
 import wharfhinge.decisions.chain.ChainSettings;
 import wharfhinge.decisions.door.DoorDecisions;
+import wharfhinge.decisions.door.DoorSettings;
 import wharfhinge.decisions.door.TenantLimit;
 
 /**
@@ -29,7 +30,7 @@
  */
 public record GatewayConfig(String name, long seed, Settings settings, Clients clients, Workers workers,
                             Roster roster, Map<Integer, String> peers, ChainConfig chains, Capture capture, Grpc grpc,
-                            Map<String, TenantLimit> door, Tls tls, Proof proof,
+                            DoorSettings door, Tls tls, Proof proof,
                             Log log) {
     private static final long MS = 1_000_000L;
     private static final int KB = 1024;
@@ -202,14 +203,14 @@
         return name.isEmpty() ? null : folder.resolve(name);
     }
 
-    private static Map<String, TenantLimit> door(SettingsXml.Door door) {
+    private static DoorSettings door(SettingsXml.Door door) {
         if (door == null) {
             return null;
         }
         Map<String, TenantLimit> limits = new LinkedHashMap<>();
         door.tenants.forEach(t -> limits.put(t.name, limit(t)));
         limits.put(DoorDecisions.OTHERS, limit(door.others));
-        return limits;
+        return new DoorSettings(limits, door.fullAt);
     }
 
     private static TenantLimit limit(SettingsXml.Limits l) {
--- a/config/src/main/java/wharfhinge/config/SettingsXml.java
+++ b/config/src/main/java/wharfhinge/config/SettingsXml.java
@@ -337,6 +337,8 @@
 
     @XmlAccessorType(XmlAccessType.FIELD)
     static final class Door {
+        @XmlAttribute(name = "full-at")
+        double fullAt = 0.7;
         @XmlElement(name = "others")
         Limits others = new Limits();
         @XmlElement(name = "tenant")
--- a/decisions/src/main/java/wharfhinge/decisions/door/DoorDecisions.java
+++ b/decisions/src/main/java/wharfhinge/decisions/door/DoorDecisions.java
@@ -44,8 +44,7 @@
     private static final double LIMIT_LEAST = 8;
     private static final double LIMIT_MOST = 100_000;
     private static final double CUT = 0.9;
-    private static final double SLOW = 0.7; // of the aim: the next is late
-    private static final double QUICK = 0.45; // of the aim: there is room
+    private static final double QUICK = 0.64; // of what tells that it is full: there is room
     private static final double SLACK = 0.9; // of the limit: beyond, room is kept for those within their shares
     private static final double CHANCE = 3; // deviations
     private static final long CUT_PAUSE = 100_000_000L; // one crowd is felt by many calls, and cut for once
@@ -81,14 +80,16 @@
     }
 
     private final Map<String, Tenant> tenants = new LinkedHashMap<>();
+    private final double fullAt;
     private int open;
     private double limit = LIMIT_START;
     private boolean crowdedOnce;
     private long cutAt = Long.MIN_VALUE / 2;
 
-    /** A door; {@code limits} must hold {@link #OTHERS}. */
-    public DoorDecisions(Map<String, TenantLimit> limits) {
-        limits.forEach((name, l) -> tenants.put(name, new Tenant(name, l)));
+    /** A door; its tenants must hold {@link #OTHERS}. */
+    public DoorDecisions(DoorSettings settings) {
+        fullAt = settings.fullAt();
+        settings.tenants().forEach((name, l) -> tenants.put(name, new Tenant(name, l)));
         if (!tenants.containsKey(OTHERS)) {
             throw new IllegalArgumentException("no entry for tenants that are not named");
         }
@@ -163,13 +164,13 @@
         t.open--;
         boolean near = open >= limit / 2; // else the answer tells nothing of the limit
         open--;
-        if (how == Ending.REFUSED || how == Ending.ANSWERED && tookNs > SLOW * aimNs) {
+        if (how == Ending.REFUSED || how == Ending.ANSWERED && tookNs > fullAt * aimNs) {
             if (now - cutAt >= CUT_PAUSE) {
                 limit = Math.max(LIMIT_LEAST, Math.min(limit, open + 1) * CUT);
                 cutAt = now;
             }
             crowdedOnce = true;
-        } else if (how == Ending.ANSWERED && tookNs < QUICK * aimNs && near) {
+        } else if (how == Ending.ANSWERED && tookNs < QUICK * fullAt * aimNs && near) {
             limit = Math.min(LIMIT_MOST, limit + (crowdedOnce ? 1 / limit : 1));
         }
     }
--- a/decisions/src/test/java/wharfhinge/decisions/door/DoorDecisionsTest.java
+++ b/decisions/src/test/java/wharfhinge/decisions/door/DoorDecisionsTest.java
@@ -25,7 +25,7 @@
             limits.put((String) namesAndLimits[i], (TenantLimit) namesAndLimits[i + 1]);
         }
         limits.putIfAbsent(DoorDecisions.OTHERS, new TenantLimit(1, 0, 0, 0));
-        return new DoorDecisions(limits);
+        return new DoorDecisions(new DoorSettings(limits, DoorSettings.USUAL_FULL_AT));
     }
 
     @Test
@@ -64,7 +64,7 @@
         door.arrives(0, "x");
         door.arrives(0, null);
         assertEquals(Answer.OPEN, door.arrives(0, "y").answer());
-        assertThrows(IllegalArgumentException.class, () -> new DoorDecisions(Map.of("a", new TenantLimit(1, 0, 0, 0))));
+        assertThrows(IllegalArgumentException.class, () -> new DoorDecisions(new DoorSettings(Map.of("a", new TenantLimit(1, 0, 0, 0)), 0.7)));
         assertThrows(IllegalArgumentException.class, () -> new TenantLimit(0, 0, 0, 0));
     }
 
--- a/gateway/src/main/java/wharfhinge/gateway/loop/Door.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/Door.java
@@ -5,7 +5,7 @@
 import wharfhinge.decisions.door.DoorDecisions;
 import wharfhinge.decisions.door.DoorDecisions.Ending;
 import wharfhinge.decisions.door.DoorDecisions.Verdict;
-import wharfhinge.decisions.door.TenantLimit;
+import wharfhinge.decisions.door.DoorSettings;
 
 /**
  * The door's decisions for many I/O threads: asked before a call is handed over, so that one tenant's flood does not fill the
@@ -16,8 +16,8 @@
 
     private final DoorDecisions decisions; // guarded by this; null where all are let in
 
-    Door(Map<String, TenantLimit> limits) {
-        decisions = limits == null ? null : new DoorDecisions(limits);
+    Door(DoorSettings settings) {
+        decisions = settings == null ? null : new DoorDecisions(settings);
     }
 
     Verdict arrives(long nanos, String tenant) {
--- a/policy/src/main/java/wharfhinge/Choice.java
+++ b/policy/src/main/java/wharfhinge/Choice.java
@@ -460,7 +460,10 @@
         List<WorkerState> like = homes == 0 ? some : withHomes(r, homes);
         WorkerState warm = fewest(like, function, w -> (w.homeMark == rankings || standing(w, function))
             && belowValve(w, 1) && freeLane(w, r.request));
-        if (warm != null) { return warm; }
+        // Departure: while no order is out or waits, a call for a worker that tells more in flight than its
+        // size, and than most, orders a further copy: hot functions crowd it else. At worst a load is wasted.
+        boolean idle = onlyOrdersLoad() && loadsOut + pendingOrders.size() == 0;
+        if (warm != null && !(idle && slow(warm) && load(warm) > 1)) { return warm; }
         WorkerState ahead = onlyOrdersLoad() ? null
             : fewest(some, function, w -> loading(w, function) && belowValve(w, 1));
         if (ahead != null) { return ahead; } // ordered for it: another home would load a second copy
@@ -990,12 +993,9 @@
         r.tried.add(a.worker);
         if (lacks && standing(a.worker, function)) { dropEntry(a.worker.warm.get(function)); }
         double cost = lacks ? 0 : 1;
-        if (c.outcome() == Outcome.MOOT || retryTokens < cost || !mayStillRun(r)) {
-            decline(r);
-            return;
-        }
-        retryTokens -= cost;
-        route(r);
+        boolean may = c.outcome() != Outcome.MOOT && retryTokens >= cost && mayStillRun(r);
+        retryTokens -= may ? cost : 0;
+        if (may) { route(r); } else { decline(r); }
     }
 
     /** No answer within patience: the worker may hang. */
--- a/policy/src/test/java/wharfhinge/ChoiceTest.java
+++ b/policy/src/test/java/wharfhinge/ChoiceTest.java
@@ -740,6 +740,25 @@
         }
     }
 
+    /** The call itself goes where the function stands; only the next ones find the copy. */
+    @Test
+    void aCrowdedWorkersFunctionGetsAFurtherCopyWhileNoOrderIsOut() {
+        for (double told : new double[] {2, 3}) { // the mean is 2
+            Recorder t = new Recorder(Recorder.settings(IDEMPOTENT, NotLoaded.MISS, false));
+            t.fleet("b", "c", "d", "e");
+            String first = t.query("f");
+            String home = t.sentTo(first);
+            t.served(first);
+            t.choice.probed(t.now, home, SERVED, Recorder.MS, Map.of("rif", told));
+            t.lines.clear();
+            assertEquals(home, t.sentTo(t.query("f")));
+            assertEquals(told > 2, t.lines.stream().anyMatch(l -> l.startsWith("hold ") && !l.startsWith("hold " + home)));
+            t.lines.clear();
+            t.query("f");
+            assertFalse(t.lines.stream().anyMatch(l -> l.startsWith("hold ")), "one is out already");
+        }
+    }
+
     /** A wait for a probe may still serve the request; it is bounded, and a late probe counts as saturated. */
     @Test
     void aLateProbeDoesNotHoldARequest() {
