--- a/gateway/src/main/java/wharfhinge/gateway/Rehearsal.java
+++ b/gateway/src/main/java/wharfhinge/gateway/Rehearsal.java
@@ -121,6 +121,7 @@
                 thread.interrupt(); // it serves nobody
             }
             front.close();
+            thread.join(TimeUnit.SECONDS.toMillis(WITHIN_S)); // it says that it is over before its last step
         } finally {
             stage.forEach(Channel::close);
         }
