A dispatcher on the platform: clients in RESP, runners in JSON lines, control feed

A new module `platform` (front, upstream, feed, peers) puts the platform's protocol before and behind the decision loop as it is: it implements Responder, WorkerSide, FleetSource and PeerLink and decides nothing. `app platform` runs it, taking HUP and TERM before anything else. The JSON form of the settings moves out of the adapter's session into `settings-json`, which both use.

--- a/app/src/main/java/wharfhinge/app/Logs.java
+++ b/app/src/main/java/wharfhinge/app/Logs.java
@@ -45,6 +45,11 @@
         context.getLogger("io.netty").setLevel(Level.WARN);
     }
 
+    /** Of one logger only warnings from here on. */
+    static void quiet(String logger) {
+        ((LoggerContext) LoggerFactory.getILoggerFactory()).getLogger(logger).setLevel(Level.WARN);
+    }
+
     /** Writes what still waits. */
     static void flush() {
         ((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
--- a/app/src/main/java/wharfhinge/app/Main.java
+++ b/app/src/main/java/wharfhinge/app/Main.java
@@ -10,7 +10,7 @@
 @Command(name = "wharfhinge", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
     description = "A gateway for calls on workers that load functions on demand.",
     synopsisSubcommandLabel = "COMMAND",
-    subcommands = {ServeCommand.class, CheckCommand.class, WorkerCommand.class, StoreCommand.class, PackageCommand.class,
+    subcommands = {ServeCommand.class, PlatformCommand.class, CheckCommand.class, WorkerCommand.class, StoreCommand.class, PackageCommand.class,
         ReplayCommand.class, StandInCommand.class, DrillCommand.class, DrillGatewayCommand.class, MeasureCommand.class, LabCommand.class})
 public final class Main implements Runnable {
     @CommandLine.Spec
@@ -22,7 +22,10 @@
     }
 
     /** Runs a command and exits with its code. */
-    public static void main(String[] args) {
+    public static void main(String[] args) throws InterruptedException {
+        if (args.length == 1 && args[0].equals("platform")) {
+            System.exit(PlatformCommand.serve()); // takes signals first: reading the command line takes a while on part of a core
+        }
         System.exit(commandLine().execute(args));
     }
 
--- a/bench-adapter/src/main/java/wharfhinge/adapter/Session.java
+++ b/bench-adapter/src/main/java/wharfhinge/adapter/Session.java
@@ -1,9 +1,5 @@
 package wharfhinge.adapter;
 
-import com.google.gson.FieldNamingPolicy;
-import com.google.gson.Gson;
-import com.google.gson.GsonBuilder;
-import com.google.gson.JsonDeserializer;
 import com.google.gson.JsonParseException;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -13,10 +9,10 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import wharfhinge.Choice;
 import wharfhinge.Dispatcher;
+import wharfhinge.settings.SettingsJson;
 
 /** One stream of batches: decodes events, hands each to its instance, writes a reply a batch. */
 final class Session {
@@ -31,16 +27,6 @@
     private final StringBuilder reply = new StringBuilder();
     private final ByteArrayOutputStream buffer = new ByteArrayOutputStream(1 << 10);
     private final Map<Integer, Instance> instances = new HashMap<>();
-    private final Gson gson = new GsonBuilder()
-        .setFieldNamingPolicy(FieldNamingPolicy.LOWER_CASE_WITH_UNDERSCORES)
-        .registerTypeAdapter(Dispatcher.Effect.class, word(Dispatcher.Effect.class))
-        .registerTypeAdapter(Dispatcher.Group.class, word(Dispatcher.Group.class))
-        .registerTypeAdapter(Dispatcher.Discovery.class, word(Dispatcher.Discovery.class))
-        .registerTypeAdapter(Dispatcher.NotLoaded.class, word(Dispatcher.NotLoaded.class))
-        .registerTypeAdapter(Dispatcher.Reports.class, word(Dispatcher.Reports.class))
-        .registerTypeAdapter(Dispatcher.Weights.class, word(Dispatcher.Weights.class))
-        .registerTypeAdapter(Dispatcher.WorthBy.class, word(Dispatcher.WorthBy.class))
-        .create();
     private long lineNumber;
     private long now;
 
@@ -55,16 +41,6 @@
         this.out = out;
     }
 
-    private static <E extends Enum<E>> JsonDeserializer<E> word(Class<E> type) {
-        return (json, of, context) -> {
-            try {
-                return Enum.valueOf(type, json.getAsString().toUpperCase(Locale.ROOT));
-            } catch (IllegalArgumentException e) {
-                throw new JsonParseException("unknown word " + json.getAsString());
-            }
-        };
-    }
-
     /** Serves batches until the input ends. */
     void run() throws IOException, MalformedInputException {
         for (String line = readLine(); line != null; line = readLine()) {
@@ -177,7 +153,7 @@
         String env = f.rest("env");
         Dispatcher.Settings settings;
         try {
-            settings = gson.fromJson(env, Dispatcher.Settings.class);
+            settings = SettingsJson.parse(env);
         } catch (JsonParseException e) {
             throw f.bad("settings: " + e.getMessage());
         }
--- a/gateway/src/main/java/wharfhinge/gateway/Slf4jAnswerLog.java
+++ b/gateway/src/main/java/wharfhinge/gateway/Slf4jAnswerLog.java
@@ -6,7 +6,7 @@
 import wharfhinge.gateway.loop.AnswerLog;
 
 /** Final answers, remarks and restarts as log lines with fields. */
-final class Slf4jAnswerLog implements AnswerLog {
+public final class Slf4jAnswerLog implements AnswerLog {
     private static final Logger ANSWERS = LoggerFactory.getLogger("wharfhinge.answers");
     private static final Logger REMARKS = LoggerFactory.getLogger("wharfhinge.remarks");
     private static final Logger LOOP = LoggerFactory.getLogger("wharfhinge.loop");
@@ -18,7 +18,8 @@
     private int inSecond;
     private int droppedInSecond;
 
-    Slf4jAnswerLog(int remarksPerS) {
+    /** At most so many remarks a second. */
+    public Slf4jAnswerLog(int remarksPerS) {
         this.remarksPerS = remarksPerS;
     }
 
