--- a/app/src/main/java/wharfhinge/app/PlatformCommand.java
+++ b/app/src/main/java/wharfhinge/app/PlatformCommand.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
 import wharfhinge.platform.PlatformProcess;
 
 /** Serves on the platform, as its environment says. */
@@ -12,9 +13,19 @@
 final class PlatformCommand implements Callable<Integer> {
     private static final String CONFIG = "PROXY_CONFIG";
 
+    @Option(names = "--rehearse", paramLabel = "FILE", description = "Only starts with that configuration, rehearses and stops: "
+        + "the build makes the archive of classes of such a run.")
+    private Path rehearse;
+
     @Override
     public Integer call() throws InterruptedException {
-        return serve();
+        if (rehearse == null) {
+            return serve();
+        }
+        Logs.set(false, "info");
+        int code = new PlatformProcess().rehearse(rehearse);
+        Logs.flush();
+        return code;
     }
 
     /** Signals are taken before anything else; what is read of the command line comes later, if at all. */
