A broken connection tells nothing of copies or the store

Checked: a probe that counted why calls were declined found neither shedding (saturated share 0.03 to 0.09) nor full valves nor retries without tokens, but `paced` for nine in ten: a call that would load while own loads out are at their limit. Beside it 3 to 8 resets of connections in each half second, and lists of warm functions that shrank from 10 to 2 a worker.

At fault, in Choice.settle: every reset or failed connect dropped the copy from the warm list, so that the next call counted as a load; and a reset load counted as one that the store held up, which cut the limit on loads from 8 to 2. Now both outcomes leave copies and limit as they are. A worker that died is told by the list; until then it costs a load more.

Both new tests fail with the former file.

--- a/policy/src/main/java/wharfhinge/Choice.java
+++ b/policy/src/main/java/wharfhinge/Choice.java
@@ -733,9 +733,7 @@
         lookOver();
         marks++;
         left = ready.size();
-        if (odd.isEmpty() && r.attempts.isEmpty() && r.tried.isEmpty()) {
-            return left > 0; // the usual case, at no cost
-        }
+        if (odd.isEmpty() && r.attempts.isEmpty() && r.tried.isEmpty()) { return left > 0; } // at no cost
         (r.exposed.isEmpty() && !r.done ? odd : ready).stream() // of a first send the rest may all get it
             .filter(w -> !mayResend(r, w) || !withinColdBudget(w)).forEach(this::leaveOut);
         long ejected = odd.stream().filter(w -> w.ejected && mayGet(w)).count();
@@ -955,7 +953,11 @@
         w.inFlight--;
         r.live--;
         boolean wasServed = c.outcome() == Outcome.SERVED;
-        if (a.loads) {
+        // Departure: a broken connection tells nothing of copies or the store: what is believed stays. Guards
+        // against networks that reset; hurts where a worker starts anew before the list says so: a load more.
+        boolean broke = c.outcome() == Outcome.RESET || c.outcome() == Outcome.CONNECT_FAILED;
+        if (a.loads && broke) { loadsOut--; }
+        if (a.loads && !broke) {
             double began = c.note() == Note.FOUND_LOADED ? 0 : 1;
             loadChance += SMOOTH_LOADS * (began - loadChance);
             loaded(wasServed && c.tookNs() <= a.patience);
@@ -965,7 +967,7 @@
         if (e != null) {
             e.inFlight = Math.max(0, e.inFlight - 1);
             boolean gone = !onlyOrdersLoad() && !wasServed // no copy is known: the next send counts as a load
-                && c.outcome() != Outcome.ERROR && c.outcome() != Outcome.FULL;
+                && !broke && c.outcome() != Outcome.ERROR && c.outcome() != Outcome.FULL;
             if (c.note() == Note.LOAD_FAILED || gone) {
                 dropEntry(e);
             } else if (wasServed) {
@@ -1001,9 +1003,8 @@
     /** No answer within patience: the worker may hang. */
     private void overdue(RequestState r, int index) {
         Attempt a = r.attempts.get(index);
-        if (now - a.sentAt - a.patience > STALL || r.done && r.live == 0 || !r.exposed.contains(a)) {
-            return;
-        }
+        boolean over = r.done && r.live == 0 || !r.exposed.contains(a);
+        if (over || now - a.sentAt - a.patience > STALL) { return; }
         boolean silent = a.worker.heardAt <= a.sentAt;
         if (++a.worker.overdue >= OVERDUE) { eject(a.worker, silent ? "silent" : "slow"); }
         trialEnded(a, true);
@@ -1066,9 +1067,8 @@
         return holding(function).stream().anyMatch(w -> w.up && !w.ejected && standing(w, function));
     }
 
-    // Departure: a load ahead of its request, told by those who know what comes next. Acts where orders are
-    // allowed, none stands or loads and no order waits; guards against a load inside a short deadline. It
-    // hurts where the request then does not come: a fetch and memory for nothing.
+    // Departure: a load ahead of its request. Acts where orders are allowed, none stands, loads or waits;
+    // guards against a load inside a deadline; hurts where the request does not come: a fetch for nothing.
     @Override public void expected(long at, Request request) {
         now = at;
         RequestClass type = classes.get(request.requestClass());
--- a/policy/src/test/java/wharfhinge/ChoiceTest.java
+++ b/policy/src/test/java/wharfhinge/ChoiceTest.java
@@ -640,6 +640,39 @@
         }
     }
 
+    /** A network that resets says nothing of the copy behind it; the retry goes elsewhere all the same. */
+    @Test
+    void aBrokenConnectionDoesNotUnloadACopy() {
+        for (Dispatcher.Outcome how : List.of(RESET, CONNECT_FAILED)) {
+            Recorder t = loading();
+            t.fleet("b", "c", "d", "e");
+            String first = t.query("f");
+            String home = t.sentTo(first);
+            t.served(first);
+            String broken = t.query("f");
+            t.end(broken, 0, how, NONE, 1);
+            assertNotEquals(home, t.sentTo(broken));
+            assertTrue(t.choice.beliefs(t.now, "f").stream().anyMatch(b -> b.worker().equals(home) && b.standing()), how.toString());
+        }
+    }
+
+    /** Nor of the store: loads that broke neither fill the limit on loads out nor cut it. */
+    @Test
+    void brokenConnectionsDoNotPassForACrowdedStore() {
+        Recorder t = loading();
+        t.fleet("b", "c", "d", "e", "g", "h", "i", "j", "k", "l");
+        for (int i = 0; i < 12; i++) {
+            String q = t.query("f" + i);
+            t.end(q, 0, RESET, NONE, 1);
+            t.served(q);
+            t.served(t.query("f" + i));
+            t.pass(400);
+        }
+        for (int i = 0; i < 7; i++) {
+            assertTrue(t.sentTo(t.query("g" + i)) != null, "turned away at " + i);
+        }
+    }
+
     /** After a stall of our own every timer is late: that tells nothing of the workers. */
     @Test
     void aStallOfOurOwnChargesNobody() {
