Errors on functions that nobody ever served are their callers', not workers'

Their errors were for functions that no runner knows, which bad clients make up.

At fault: Choice.judge took every error for ill health. Now an error tells nothing where nobody ever served the function and a second worker failed it too; the first still counts, so that a worker which alone fails new functions is found out.

Tried and dropped: not counting the first error either (a worker that fails what is new was never ejected).

--- a/policy/src/main/java/wharfhinge/Choice.java
+++ b/policy/src/main/java/wharfhinge/Choice.java
@@ -161,6 +161,7 @@
         private final double memoryMb;
         private WorkerState place;
         private int at; // of its homes
+        private Set<WorkerState> erred = new HashSet<>(2); // on it, until one served it; then null
 
         Known(Request r) {
             super(SHARE_WINDOW);
@@ -266,9 +267,7 @@
     @Override public void query(long at, Request request) {
         now = at;
         RequestClass type = classes.get(request.requestClass());
-        if (type == null) {
-            throw new IllegalArgumentException("unknown class " + request.requestClass());
-        }
+        if (type == null) { throw new IllegalArgumentException("unknown class " + request.requestClass()); }
         RequestState r = new RequestState(request, type, now, countCall(request));
         requests.put(request.id(), r);
         retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
@@ -775,7 +774,14 @@
             w.valve = Math.min(w.valve, w.inFlight + 1);
             cutValve(w);
         }
-        alive |= c.outcome() == Outcome.TIMEOUT; // tells nothing that its patience did not tell before
+        // A time-out tells nothing new. Departure: nor does an error on what nobody served and another failed
+        // too, it is the caller's. Guards against callers that name what is not there; hurts where all fail
+        // what is new, until one serves it.
+        Known known = calls.getOrDefault(a.request.request.function(), new Known(a.request.request));
+        known.erred = c.outcome() == Outcome.SERVED ? null : known.erred;
+        boolean unserved = c.outcome() == Outcome.ERROR && known.erred != null;
+        if (unserved) { known.erred.add(w); }
+        alive |= c.outcome() == Outcome.TIMEOUT || unserved && known.erred.size() > 1;
         if (alive || c.outcome() == Outcome.CANCELLED || c.outcome() == Outcome.MOOT) {
             trialEnded(a, c.outcome() != Outcome.MISS); // a miss is an answer; a full one may hang
             return;
@@ -813,9 +819,8 @@
         return w.told.startedAt() > 0 && now - w.told.startedAt() < settings.obligations().warmAfterNs();
     }
 
-    // Rule 4: a cold worker gets tokens at the told multiple of its present share of what a warm worker
-    // serves for this dispatcher. Answers, not arrivals: summed over all they never exceed capacity, whatever
-    // repeats.
+    // Rule 4: a cold worker gets tokens at the told multiple of its present share of a warm worker's answers
+    // to this dispatcher. Not of arrivals: answers, summed over all, never exceed capacity.
     private boolean withinColdBudget(WorkerState w) {
         if (!cold(w)) { return true; }
         Obligations rules = settings.obligations();
@@ -884,9 +889,7 @@
         leaveOut(w);
         for (WorkerState next : left == 0 ? List.of(w) : List.of(w, rank(r))) {
             if (next.reportedAt == 0 || now - next.reportedAt > LOOK_FRESH) {
-                if (looking.stream().noneMatch(other -> other.looks.contains(next))) {
-                    actions.probe(next.id);
-                }
+                if (looking.stream().noneMatch(o -> o.looks.contains(next))) { actions.probe(next.id); }
                 r.looks.add(next);
                 looking.add(r);
             }
@@ -1169,14 +1172,10 @@
         return saturated.at(now) / (answers.at(now) + PRESSURE_PRIOR);
     }
 
-    private long advice(RequestState r) {
-        long most = settings.limits().retryAfter() ? settings.limits().maxRetryAfterNs() : 0;
-        return Math.min((long) (ADVICE * r.aim), most);
-    }
-
     private void decline(RequestState r) {
         if (mayRefuse(r)) {
-            actions.refuse(r.request.id(), advice(r));
+            long most = settings.limits().retryAfter() ? settings.limits().maxRetryAfterNs() : 0;
+            actions.refuse(r.request.id(), Math.min((long) (ADVICE * r.aim), most));
         } else if (r.live > 0 && now < r.arrived + r.request.remainingNs() - 3 * settings.tickNs()) {
             return; // the attempt still out may serve it; its end or the deadline decides
         } else {
--- a/policy/src/test/java/wharfhinge/ChoiceTest.java
+++ b/policy/src/test/java/wharfhinge/ChoiceTest.java
@@ -640,6 +640,22 @@
         }
     }
 
+    /** What no worker ever served and two failed is their callers' fault; what they serve well tells how they are. */
+    @Test
+    void callersThatNameWhatIsNotThereEjectNobody() {
+        Recorder t = loading();
+        t.fleet("b", "c", "d", "e");
+        for (int i = 0; i < 60; i++) {
+            t.served(t.query("known" + i % 8));
+            String q = t.query("made-up");
+            for (int k = 0; k < 3 && t.attempts(q) > k; k++) {
+                t.end(q, k, ERROR, NONE, 1);
+            }
+            t.pass(60);
+        }
+        assertFalse(t.lines.stream().anyMatch(l -> l.startsWith("remark ejected")));
+    }
+
     /** A network that resets says nothing of the copy behind it; the retry goes elsewhere all the same. */
     @Test
     void aBrokenConnectionDoesNotUnloadACopy() {
