--- a/gateway/src/main/java/wharfhinge/gateway/loop/AnswerLog.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/AnswerLog.java
@@ -6,6 +6,11 @@
 public interface AnswerLog {
     /** Forgets all. */
     AnswerLog NONE = new AnswerLog() {
+        @Override
+        public boolean wantsAnswers() {
+            return false;
+        }
+
         @Override
         public void answered(Line line) { }
 
@@ -25,6 +30,11 @@
     record Line(String call, String function, String requestClass, String tenant, String answer, long tookNs,
                 List<String> trail) { }
 
+    /** Whether {@link #answered} is of use: a line of a call has a price. */
+    default boolean wantsAnswers() {
+        return true;
+    }
+
     /** A call ended. */
     void answered(Line line);
 
--- a/gateway/src/main/java/wharfhinge/gateway/loop/DecisionLoop.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/DecisionLoop.java
@@ -473,10 +473,12 @@
             door.ended(nanoTime.getAsLong(), c.call.head().tenant(), how, now - c.takenAt, aims.get(c.call.requestClass()));
         }
         ReferenceCountUtil.release(c.call.body());
-        List<String> trail = c.trail();
-        log.answered(new AnswerLog.Line(c.outerId(), c.call.head().function(), c.call.requestClass(),
-            c.call.head().tenant(), answer, now - clock.at(c.call.receivedAt()),
-            why == null || !trail.isEmpty() ? trail : List.of(why)));
+        if (log.wantsAnswers()) {
+            List<String> trail = c.trail();
+            log.answered(new AnswerLog.Line(c.outerId(), c.call.head().function(), c.call.requestClass(),
+                c.call.head().tenant(), answer, now - clock.at(c.call.receivedAt()),
+                why == null || !trail.isEmpty() ? trail : List.of(why)));
+        }
         stopIfEmpty();
     }
 
--- a/policy/src/main/java/wharfhinge/Choice.java
+++ b/policy/src/main/java/wharfhinge/Choice.java
@@ -777,10 +777,10 @@
         // A time-out tells nothing new. Departure: nor does an error on what nobody served and another failed
         // too, it is the caller's. Guards against callers that name what is not there; hurts where all fail
         // what is new, until one serves it.
-        Known known = calls.getOrDefault(a.request.request.function(), new Known(a.request.request));
-        known.erred = c.outcome() == Outcome.SERVED ? null : known.erred;
-        boolean unserved = c.outcome() == Outcome.ERROR && known.erred != null;
+        Known known = calls.get(a.request.request.function());
+        boolean unserved = c.outcome() == Outcome.ERROR && known != null && known.erred != null;
         if (unserved) { known.erred.add(w); }
+        if (known != null && c.outcome() == Outcome.SERVED) { known.erred = null; }
         alive |= c.outcome() == Outcome.TIMEOUT || unserved && known.erred.size() > 1;
         if (alive || c.outcome() == Outcome.CANCELLED || c.outcome() == Outcome.MOOT) {
             trialEnded(a, c.outcome() != Outcome.MISS); // a miss is an answer; a full one may hang
