--- /dev/null
+++ b/app/src/test/java/wharfhinge/app/drill/LongDrillTest.java
@@ -0,0 +1,36 @@
+package wharfhinge.app.drill;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import wharfhinge.standin.Scenario;
+import wharfhinge.standin.judge.Judge;
+
+/** Days that take half a minute each; a class of their own, so that they run beside the short ones. */
+@Timeout(120)
+class LongDrillTest {
+    @TempDir
+    private Path folder;
+
+    @Test
+    void aDayOverRealWorkersKeepsAllRulesAndTheBooksAreHonest() throws Exception {
+        Scenario day = Scenarios.load(null, "workers");
+        try (Day played = new Day(day, null, folder)) {
+            Judge.Verdict verdict = played.play();
+            assertEquals(5, verdict.kept(), Judge.report(verdict).toString());
+            assertEquals(List.of(), played.memory().faults());
+            assertTrue(Integer.parseInt(verdict.figures().get("calls")) > 1000, verdict.figures().toString());
+        }
+    }
+
+    @Test
+    void gatewaysReplacedOneByOneFailNoCallOfEitherLibrary() throws Exception {
+        double wanting = ClientDrills.rollingRestart(Scenarios.load(null, "calm"), folder, 8);
+        assertTrue(wanting < 0.02, "failed or late, on a machine that others may load: " + wanting);
+    }
+}
