--- a/gateway/src/main/java/wharfhinge/gateway/loop/DecisionLoop.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/DecisionLoop.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 import wharfhinge.Dispatcher;
@@ -237,6 +238,11 @@
         tell("inbox", () -> dispatcher.inbox(now, peer, payload));
     }
 
+    /** Asks what is believed of all workers for a function; told on the loop's thread. */
+    public void believed(String function, Consumer<List<Dispatcher.Belief>> to) {
+        tell("believed", () -> to.accept(dispatcher.beliefs(now, function)));
+    }
+
     /**
      * Takes no more calls; once all are answered, or the time is over and what is left has been ended, the loop stops.
      *
