What is believed to stand nowhere is asked for at its homes before a worker loads it

Ruled out: the core (event ages), ejections (none), late refusals (none by the queue).

At fault: a dispatcher that starts anew, or whose list changed, took the first home as the place where a copy stands; orders of no copies, which only ask, were not used. Now its first homes are asked and the call goes where a copy stands. And at the load limit a call waits for a free lane in place of making its worker load a further copy.

--- a/policy/src/main/java/wharfhinge/Choice.java
+++ b/policy/src/main/java/wharfhinge/Choice.java
@@ -20,7 +20,7 @@
     private static final double VALVE_HIGH = 0.7, VALVE_LOW = 0.45; // of the aim: next is late, there is room
 
     private static final long SHARE_WINDOW = 15_000 * MS; // memory of each function's share of own calls
-    private static final int HOMES_KEPT = 16; // beside twice those needed: so many may not get a call
+    private static final int HOMES_KEPT = 16, ASK_MOST = 5; // beside twice those needed; asked for a copy
     private static final double SHARE_PRIOR = 10; // calls without a share, so that few calls spread nothing
     private static final double SPREAD = 5; // homes for each worker that its share fills; 4, 8 alike, 2 worse
     private static final long REPORT_MEMORY = 3000 * MS; // a reported load fades to the mean; 1 s is worse
@@ -40,8 +40,7 @@
     private static final double COLD_MARGIN = 0.6; // of the told multiple: chance and uneven peers
     private static final long RATE_WINDOW = 5000 * MS; // the memory of the rate of answers
 
-    // Attempts.
-    private static final double PATIENCE_AIM = 0.5; // of the aim: leaves the other half for a second try
+    private static final double PATIENCE_AIM = 0.5, LANE_WAIT = 0.25; // of the aim: leaves half for another
     private static final double PATIENCE_WORK = 4, PATIENCE_LOAD = 2; // times usual answer, told load time
     private static final double RETRY_SHARE = 0.25, RETRY_BURST = 20; // tokens for a request; most held
     private static final Comparator<WorkerState> BY_PLACE = Comparator.comparingLong(w -> w.place);
@@ -53,7 +52,6 @@
     private static final double LOADS_START = 8, LOADS_MIN = 2, LOADS_CUT = 0.7, SMOOTH_LOADS = 0.05;
     private static final double CROWDED = 3, ORDER_PATIENCE = 4; // times the told load time: line, given up
 
-    // Admission.
     private static final double REFUSE_OVER = 1.25; // times the valve on the least busy worker
     private static final long PRESSURE_WINDOW = 4000 * MS; // memory of what share of answers told saturation
     private static final double ADVICE = 0.1; // of the aim
@@ -75,12 +73,13 @@
     private final List<WorkerState> some = new ArrayList<>(), near = new ArrayList<>(); // of one ranking
     private final Map<String, WorkerState[]> firstHomes = new HashMap<>(); // in their order
     private final Map<String, RequestState> requests = new HashMap<>();
+    private final Map<String, Request> asked = new HashMap<>(); // by worker and function, until answered
     private final LinkedHashSet<RequestState> held = new LinkedHashSet<>(), looking = new LinkedHashSet<>();
     private final Map<String, Known> calls = new LinkedHashMap<>();
     private final ArrayDeque<Entry> pendingOrders = new ArrayDeque<>();
     private final ArrayDeque<Long> orderTimes = new ArrayDeque<>(), arrivalTimes = new ArrayDeque<>();
     private final long keepNs;
-    private final boolean mayLook;
+    private final boolean mayLook, mayAsk;
     private final double few, unseen; // few: of a figure for a few front ends, the part for one of so many
     private long now;
     private final Decayed served = new Decayed(RATE_WINDOW), answers = new Decayed(PRESSURE_WINDOW);
@@ -105,6 +104,7 @@
         this.unseen = 1 - 1.0 / Math.max(1, settings.groupSize()); // of all sends, what own ones do not show
         this.mayLook = few < 0.5 && settings.limits().probes() && settings.feedback() != null
             && settings.feedback().names().contains(REPORT_IN_FLIGHT);
+        this.mayAsk = few >= 0.5 && settings.familyInfo().loadControl() && !onlyOrdersLoad();
         this.now = now;
         for (RequestClass c : settings.classes()) {
             classes.put(c.name(), c);
@@ -114,15 +114,12 @@
         actions.timer(LAPSE_TOKEN, LAPSE);
     }
 
-    /** A count that fades over a window. */
-    private static class Decayed {
+    private static class Decayed { // a count that fades over a window
         private final long window;
         private double count;
         private long at;
 
-        Decayed(long window) {
-            this.window = window;
-        }
+        Decayed(long window) { this.window = window; }
 
         double at(long now) {
             count *= Math.exp((at - now) / (double) window);
@@ -130,9 +127,7 @@
             return count;
         }
 
-        void add(double more, long now) {
-            count = at(now) + more;
-        }
+        void add(double more, long now) { count = at(now) + more; }
     }
 
     /** The usual time of a warm answer of a class, for each unit of told cost where costs are told. */
@@ -141,17 +136,13 @@
         private double perUnit;
         private long samples;
 
-        Usual(long aim) {
-            untold = aim / 4.0;
-        }
+        Usual(long aim) { untold = aim / 4.0; }
 
         void learn(double sample) {
             perUnit += Math.max(1.0 / ++samples, SMOOTH_USUAL) * (sample - perUnit);
         }
 
-        double of(Request request) {
-            return perUnit > 0 ? perUnit * Math.max(1, request.costNs()) : untold;
-        }
+        double of(Request request) { return perUnit > 0 ? perUnit * Math.max(1, request.costNs()) : untold; }
     }
 
     /** A function called of late, with its place: the first of its homes whose memory holds it. */
@@ -161,6 +152,7 @@
         private final double memoryMb;
         private WorkerState place;
         private int at; // of its homes
+        private long noneAt = Long.MIN_VALUE / 2; // when a home last said that no copy stands there
         private Set<WorkerState> erred = new HashSet<>(2); // on it, until one served it; then null
 
         Known(Request r) {
@@ -300,9 +292,7 @@
             lookEnds(r);
         } else if (r != null && !token.startsWith(END_TOKEN)) {
             overdue(r, Integer.parseInt(token.substring(0, colon)));
-        } else if (r != null && !r.done && !r.streaming) {
-            decline(r);
-        }
+        } else if (r != null && !r.done && !r.streaming) { decline(r); }
     }
 
     @Override public void completed(long at, Completion c) {
@@ -314,9 +304,7 @@
         settle(a, c);
         if (c.settled() || r.done) {
             finish(r);
-        } else if (r.live == 0 && !r.streaming) {
-            again(r, a, c);
-        }
+        } else if (r.live == 0 && !r.streaming) { again(r, a, c); }
     }
 
     private void sweep(boolean full) {
@@ -336,8 +324,7 @@
 
     // ---- 1. Warm lists ----------------------------------------------------------------------
 
-    /** A function believed warm, or loading, on one worker. */
-    private static final class Entry {
+    private static final class Entry { // a function believed warm, or loading, on one worker
         private final WorkerState worker;
         private final String function;
         private final LinkedHashSet<RequestState> waiting = new LinkedHashSet<>();
@@ -407,9 +394,7 @@
                 if (stuck && !pendingOrders.contains(e)) {
                     if (w.heardAt <= e.orderedAt) { eject(w, "silent"); }
                     dropEntry(e);
-                } else if (e.waiting.isEmpty() && !believedWarm(w, e.function)) {
-                    forget(e);
-                }
+                } else if (e.waiting.isEmpty() && !believedWarm(w, e.function)) { forget(e); }
             }
         }
         workers.values().removeIf(w -> !w.up && w.inFlight == 0 && w.warm.isEmpty());
@@ -535,8 +520,7 @@
         }
     }
 
-    /** MB; where it is not told, without bound. */
-    private double room(WorkerState w) {
+    private double room(WorkerState w) { // MB; where it is not told, without bound
         int kind = settings.kinds() == null ? -1 : settings.kinds().indexOf(w.told.kind());
         List<Double> told = settings.familyInfo().ramMbByKind();
         return kind < 0 || told == null || kind >= told.size() || told.get(kind) <= 0 ? Double.MAX_VALUE
@@ -573,12 +557,9 @@
         return ((mix(w.hash ^ hash) >>> 11) + 0.5) / (1L << 53);
     }
 
-    private static double size(WorkerState w) {
-        return w.told.weight() > 0 ? w.told.weight() : 1;
-    }
+    private static double size(WorkerState w) { return w.told.weight() > 0 ? w.told.weight() : 1; }
 
-    /** The first home that qualifies, or null. */
-    private WorkerState home(String function, long hash, Predicate<WorkerState> fits) {
+    private WorkerState home(String function, long hash, Predicate<WorkerState> fits) { // the first, or null
         for (WorkerState w : firstHomes.getOrDefault(function, new WorkerState[0])) {
             if (fits.test(w)) { return w; }
         }
@@ -624,8 +605,7 @@
     }
 
     // Departure: a function with a share of all calls needs that share of the workers: so many of its homes
-    // count as believed warm. Guards against meeting on one full worker; a share taken too high spends
-    // memory.
+    // count as believed warm. Guards against meeting on one full worker; one too high spends memory.
     private int homes(RequestState r) {
         int count = (int) (Math.min(1, SPREAD * unseen * r.share) * left);
         return onlyOrdersLoad() || count < 2 ? 0 : count;
@@ -690,8 +670,7 @@
     }
 
     // Departure: a front end that sends to a worker seldom must feel a cut, so it at least doubles the own
-    // interval there. Guards against many front ends that each return too soon, whatever fills the worker; a
-    // single bad answer idles a good worker for an interval or two. It fades out in small groups.
+    // interval there. Guards against many that return too soon; one bad answer idles a good worker.
     private void cutValve(WorkerState w) {
         double own = Math.max(few, w.latencyNs / Math.max(w.latencyNs, w.gapNs)); // mean own in flight there
         w.valve = w.valve > 1 ? w.valve * VALVE_CUT
@@ -718,9 +697,7 @@
         }
     }
 
-    private boolean mayGet(WorkerState w) {
-        return w.up && w.mark != marks;
-    }
+    private boolean mayGet(WorkerState w) { return w.up && w.mark != marks; }
 
     private void leaveOut(WorkerState w) {
         left -= mayGet(w) ? 1 : 0;
@@ -775,8 +752,7 @@
             cutValve(w);
         }
         // A time-out tells nothing new. Departure: nor does an error on what nobody served and another failed
-        // too, it is the caller's. Guards against callers that name what is not there; hurts where all fail
-        // what is new, until one serves it.
+        // too: it is the caller's. It hurts where all fail what is new, until one serves it.
         Known known = calls.get(a.request.request.function());
         boolean unserved = c.outcome() == Outcome.ERROR && known != null && known.erred != null;
         if (unserved) { known.erred.add(w); }
@@ -799,9 +775,7 @@
             trialEnded(a, !timely);
         } else if (w.ejected && timely && w.failures <= FAILING) {
             restore(w);
-        } else if (bad && w.failures > FAILING) {
-            eject(w, "failing");
-        }
+        } else if (bad && w.failures > FAILING) { eject(w, "failing"); }
     }
 
     /** Of one that is ejected: sent after its pause, and so its trial. */
@@ -810,9 +784,7 @@
         if (w.ejected && a.sentAt >= w.trialAt && bad) {
             w.pause = Math.min(EJECT_LAST, 2 * w.pause);
             w.trialAt = now + w.pause;
-        } else if (w.ejected && a.sentAt >= w.trialAt) {
-            restore(w);
-        }
+        } else if (w.ejected && a.sentAt >= w.trialAt) { restore(w); }
     }
 
     private boolean cold(WorkerState w) {
@@ -870,14 +842,49 @@
             return;
         }
         Entry e = w == null ? null : w.warm.get(r.request.function());
-        if (e != null && e.ordered && e.loading && onlyOrdersLoad()) {
+        if (!r.looked && w != null && isUnknown(r.request.function())) {
+            ask(r);
+        } else if (e != null && e.ordered && e.loading && onlyOrdersLoad()) {
             await(r, e);
         } else if (w == null || paced || refuses()
             || standing(w, r.request.function()) && !belowValve(w, REFUSE_OVER)) {
             decline(r);
-        } else if (!looks(r, w)) {
-            send(r, w);
+        } else if (!onlyOrdersLoad() && standing(w, r.request.function()) && !freeLane(w, r.request)
+            && now - r.arrived < LANE_WAIT * r.aim) {
+            held.add(r); // no other may load now, and behind a taken lane this one would
+            setSweep();
+        } else if (!looks(r, w)) { send(r, w); }
+    }
+
+    // Departure: what is believed to stand nowhere is asked for at its first homes (an order of none) before
+    // a first send. Acts in small groups whose workers load on call. Guards one that starts anew, or whose
+    // list changed, against loads beside copies that stand; costs messages, LOOK_WAIT where one is silent.
+    private boolean isUnknown(String function) {
+        Known k = calls.get(function);
+        return mayAsk && k != null && now - k.noneAt > LOAD_UNTOLD
+            && some.stream().noneMatch(w -> standing(w, function));
+    }
+
+    private void ask(RequestState r) {
+        r.looked = looking.add(r);
+        for (WorkerState w : firstHomes(r.request.function(), r.hash, ASK_MOST)) {
+            if (mayGet(w) && r.looks.size() < ASK_MOST && r.looks.add(w)
+                && asked.putIfAbsent(w.id + ' ' + r.request.function(), r.request) == null) {
+                actions.hold(w.id, r.request.function(), 0);
+            }
         }
+        actions.timer(LOOK_TOKEN + r.request.id(), LOOK_WAIT);
+    }
+
+    private void told(WorkerState w, Request asker, boolean stands) {
+        if (!stands && calls.containsKey(asker.function())) { calls.get(asker.function()).noneAt = now; }
+        if (stands && w.up && !believedWarm(w, asker.function())) {
+            Entry e = record(w, asker);
+            e.loading = false;
+            e.lastSend = now - keepNs + e.loadNs; // may go soon: believed for what a load would take
+        }
+        List.copyOf(looking).stream().filter(r -> r.request.function().equals(asker.function())
+            && r.looks.remove(w) && (stands || r.looks.isEmpty())).forEach(this::lookEnds);
     }
 
     // Departure: before a first send the next two workers are probed, unless their load was told just now,
@@ -909,10 +916,10 @@
         }
     }
 
-    /** Workers whose probes are late are taken for saturated; the request goes on without them. */
+    /** Workers whose probes are late (not so what was asked) are taken for saturated; the request goes on. */
     private void lookEnds(RequestState r) {
         if (r != null && looking.remove(r)) {
-            for (WorkerState w : r.looks) {
+            for (WorkerState w : mayLook ? r.looks : Set.<WorkerState>of()) {
                 w.reported = Math.max(w.reported, REPORT_FULL * meanReported);
                 w.reportedAt = now;
             }
@@ -1013,9 +1020,7 @@
         trialEnded(a, true);
         if (r.done || r.streaming || retryTokens < 1 || r.attempts.size() >= settings.limits().maxAttempts()
             || r.type.effect() == Effect.AT_MOST_ONCE || index != r.attempts.size() - 1
-            || !silent && !a.worker.ejected) {
-            return;
-        }
+            || !silent && !a.worker.ejected) { return; }
         r.tried.add(a.worker);
         if (settings.limits().secondCopies() && eligible(r) && !mayGet(a.worker) && !refuses()) {
             retryTokens--;
@@ -1061,9 +1066,7 @@
     // ---- 5. Loads ---------------------------------------------------------------------------
 
     /** Of own sends that may load only those count that do, as seen: peers keep most functions warm. */
-    private boolean crowdsStore() {
-        return loadsOut * loadChance >= loadLimit;
-    }
+    private boolean crowdsStore() { return loadsOut * loadChance >= loadLimit; }
 
     @Override public boolean believedWarm(long at, String function) {
         now = at;
@@ -1123,6 +1126,11 @@
     public void resident(long at, String worker, String function, int count, Outcome outcome, long tookNs) {
         now = at;
         WorkerState w = workers.get(worker);
+        Request asker = asked.remove(worker + ' ' + function);
+        if (asker != null) {
+            if (w != null) { told(w, asker, count > 0); }
+            return;
+        }
         Entry e = w == null ? null : w.warm.get(function);
         boolean stands = outcome == Outcome.SERVED || count > 0;
         loaded(stands && (e == null || tookNs <= CROWDED * e.loadNs));
@@ -1133,9 +1141,7 @@
                 e.loading = false;
                 e.lastSend = now;
                 release(e, false);
-            } else {
-                dropEntry(e);
-            }
+            } else { dropEntry(e); }
         }
         givePendingOrders();
     }
@@ -1154,8 +1160,7 @@
         return ready.stream().noneMatch(w -> mayGet(w) && belowValve(w, REFUSE_OVER));
     }
 
-    /** A late load is no queue at a worker. */
-    private void pressure(Attempt a, Completion c) {
+    private void pressure(Attempt a, Completion c) { // a late load is no queue at a worker
         boolean full = c.outcome() == Outcome.TIMEOUT || c.outcome() == Outcome.FULL;
         if (!a.worker.ejected && (full || c.outcome() == Outcome.SERVED && !a.loads)) {
             answers.add(1, now);
@@ -1168,9 +1173,7 @@
         return random.nextDouble() < PRESSURE_SLOPE * (saturatedShare() - PRESSURE_FREE);
     }
 
-    private double saturatedShare() {
-        return saturated.at(now) / (answers.at(now) + PRESSURE_PRIOR);
-    }
+    private double saturatedShare() { return saturated.at(now) / (answers.at(now) + PRESSURE_PRIOR); }
 
     private void decline(RequestState r) {
         if (mayRefuse(r)) {
--- a/policy/src/test/java/wharfhinge/ChoiceTest.java
+++ b/policy/src/test/java/wharfhinge/ChoiceTest.java
@@ -122,6 +122,7 @@
         t.fleet();
         String q = t.query("f");
         t.fleet("b");
+        t.answerAsks();
         assertEquals("b", t.sentTo(q));
     }
 
@@ -714,6 +715,7 @@
         }
         t.choice.query(t.now, new Dispatcher.Request("short", null, 200 * Recorder.MS, 300, "g", 0, 4, 500, "c",
             false, false));
+        t.answerAsks();
         assertNull(t.sentTo("short"));
         t.pass(101);
         t.due("sweep");
@@ -1005,4 +1007,95 @@
         assertTrue(lines.stream().filter(l -> !l.isBlank()).count() <= 1060);
         assertTrue(lines.stream().allMatch(l -> l.length() <= 110));
     }
+
+    // ---- Asking before a load; waiting for a lane ---------------------------------------------
+
+    /** One that starts anew knows nothing: the call goes where a peer's copy stands, which need not be its home. */
+    @Test
+    void whatIsBelievedNowhereIsAskedForAndTheCallGoesWhereACopyStands() {
+        for (String holder : List.of("b", "c", "d", "e")) {
+            Recorder t = loading();
+            t.fleet("b", "c", "d", "e");
+            t.stands.add(holder + " f1");
+            assertEquals(holder, t.sentTo(t.query("f1")));
+        }
+    }
+
+    @Test
+    void theFirstThatHasACopyIsNotHeldUpByOneThatIsSilent() {
+        Recorder t = loading();
+        t.answersAsks = false;
+        t.fleet("b", "c", "d", "e");
+        String q = t.query("f1");
+        assertNull(t.sentTo(q));
+        t.choice.resident(t.now, "c", "f1", 0, SERVED, Recorder.MS);
+        assertNull(t.sentTo(q));
+        t.choice.resident(t.now, "d", "f1", 1, SERVED, Recorder.MS);
+        assertEquals("d", t.sentTo(q));
+        t.choice.resident(t.now, "b", "f1", 0, TIMEOUT, 40); // late ones tell no load's end
+        t.choice.resident(t.now, "e", "f1", 1, SERVED, 40);
+        assertEquals(1, t.attempts(q));
+    }
+
+    @Test
+    void whereNobodyAnswersTheCallGoesOnToItsHome() {
+        Recorder asks = loading();
+        asks.answersAsks = false;
+        asks.fleet("b", "c", "d", "e");
+        String q = asks.query("f1");
+        asks.due("look:" + q);
+        Recorder none = loading();
+        none.fleet("b", "c", "d", "e");
+        assertEquals(none.sentTo(none.query("f1")), asks.sentTo(q));
+    }
+
+    /** Callers that come again with what was refused would have the homes asked again each time. */
+    @Test
+    void whatNobodyHasIsNotAskedForAgainAtOnce() {
+        Recorder t = loading();
+        t.answersAsks = false;
+        t.fleet("b", "c", "d", "e");
+        String q = t.query("f1");
+        t.answerAsks();
+        t.end(q, 0, ERROR, Dispatcher.Note.LOAD_FAILED, 30);
+        t.lines.clear();
+        t.query("f1");
+        assertFalse(t.lines.stream().anyMatch(l -> l.startsWith("hold ")));
+        t.pass(1100);
+        t.lines.clear();
+        t.query("f2");
+        assertTrue(t.lines.stream().anyMatch(l -> l.startsWith("hold ")));
+    }
+
+    @Test
+    void inLargeGroupsHomesMeetByThemselvesAndNobodyAsks() {
+        Recorder t = new Recorder(Recorder.among(100, false, true));
+        t.answersAsks = false;
+        t.fleet("b", "c", "d", "e");
+        assertTrue(t.sentTo(t.query("f1")) != null);
+        assertFalse(t.lines.stream().anyMatch(l -> l.startsWith("hold ")));
+    }
+
+    /** At the load limit: behind a taken lane the worker would load what the limit holds back. */
+    @Test
+    void whileNoMoreMayLoadACallWaitsForALaneAndNotForLong() {
+        Recorder t = loading();
+        t.lanes = 1;
+        t.fleet("b", "c", "d", "e");
+        String first = t.query("f1");
+        t.served(first);
+        String taken = t.query("f1");
+        for (int i = 0; i < 12; i++) {
+            t.query("g" + i); // nobody has them: as many loads are out as may be
+        }
+        String waits = t.query("f1");
+        assertNull(t.sentTo(waits));
+        t.served(taken);
+        t.due("sweep");
+        assertEquals(t.sentTo(taken), t.sentTo(waits));
+        String late = t.query("f1");
+        t.pass(160); // over a quarter of the aim
+        t.due("sweep");
+        assertEquals(t.sentTo(taken), t.sentTo(late));
+    }
 }
--- a/policy/src/test/java/wharfhinge/RandomEventsTest.java
+++ b/policy/src/test/java/wharfhinge/RandomEventsTest.java
@@ -52,6 +52,7 @@
         List.of(out, orders, orderTimes, arrivals).forEach(List::clear);
         List.of(open, exposed, sent, up, timers).forEach(Map::clear);
         t = new Recorder(Recorder.settings(e, Dispatcher.Group.ZONE, notLoaded, second, 3000 * MS), seed);
+        t.answersAsks = false;
         check();
         IDS.forEach(id -> up.put(id, true));
         t.fleet(IDS.toArray(new String[0]));
@@ -156,6 +157,9 @@
     private void order(String worker) {
         assertTrue(up.get(worker), "order to a draining worker");
         orders.add(t.lines.get(read));
+        if (t.lines.get(read).endsWith(" 0")) {
+            return; // only asks
+        }
         orderTimes.add(t.now);
         long since = t.now - 3000 * MS;
         long mine = orderTimes.stream().filter(at -> at >= since).count();
--- a/policy/src/test/java/wharfhinge/Recorder.java
+++ b/policy/src/test/java/wharfhinge/Recorder.java
@@ -1,8 +1,10 @@
 package wharfhinge;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import wharfhinge.Dispatcher.NotLoaded;
 
 /** A dispatcher under test with short ways to tell it events; every action is kept as one line. */
@@ -14,6 +16,8 @@
     int lanes = 4;
     double memoryMb = 300;
     long advised = -1;
+    final Set<String> stands = new HashSet<>(); // "worker function", told where it is asked
+    boolean answersAsks = true;
     private int sequence;
 
     Recorder(Dispatcher.Settings settings) {
@@ -86,9 +90,23 @@
         String id = "q" + sequence++;
         choice.query(now, new Dispatcher.Request(id, null, 2500 * MS, memoryMb, function, 0, lanes, 500, "c", false,
             false));
+        if (answersAsks) {
+            answerAsks();
+        }
         return id;
     }
 
+    /** Answers all that only asks, in the order of asking. */
+    void answerAsks() {
+        for (String line : List.copyOf(lines)) {
+            String[] part = line.split(" ");
+            if (part[0].equals("hold") && part[3].equals("0")) {
+                lines.remove(line);
+                choice.resident(now, part[1], part[2], stands.contains(part[1] + " " + part[2]) ? 1 : 0, Dispatcher.Outcome.SERVED, MS);
+            }
+        }
+    }
+
     /** The worker of the request's latest attempt, or null if it was never sent. */
     String sentTo(String request) {
         String worker = null;
