A call waits for a lane only while as many loads are out as may be

Seen: the test of ten thousand calls before one runner took 63 s in place of 3. Each hot call waited a quarter of its aim, since a lone copy's lanes were taken and no other worker was left to load; the condition in route() did not look at the limit it speaks of. Now it does; below the limit the call goes at once, as before. Its test fails without the condition.

--- a/policy/src/main/java/wharfhinge/Choice.java
+++ b/policy/src/main/java/wharfhinge/Choice.java
@@ -849,8 +849,8 @@
         } else if (w == null || paced || refuses()
             || standing(w, r.request.function()) && !belowValve(w, REFUSE_OVER)) {
             decline(r);
-        } else if (!onlyOrdersLoad() && standing(w, r.request.function()) && !freeLane(w, r.request)
-            && now - r.arrived < LANE_WAIT * r.aim) {
+        } else if (crowdsStore() && !onlyOrdersLoad() && standing(w, r.request.function())
+            && !freeLane(w, r.request) && now - r.arrived < LANE_WAIT * r.aim) {
             held.add(r); // no other may load now, and behind a taken lane this one would
             setSweep();
         } else if (!looks(r, w)) { send(r, w); }
--- a/policy/src/test/java/wharfhinge/ChoiceTest.java
+++ b/policy/src/test/java/wharfhinge/ChoiceTest.java
@@ -1076,6 +1076,18 @@
         assertFalse(t.lines.stream().anyMatch(l -> l.startsWith("hold ")));
     }
 
+    /** A lone worker may load as many copies as it likes: waiting for lanes would only hold calls up. */
+    @Test
+    void belowTheLoadLimitNoCallWaitsForALane() {
+        Recorder t = loading();
+        t.lanes = 1;
+        t.fleet("b");
+        t.served(t.query("f1"));
+        for (int i = 0; i < 5; i++) {
+            assertEquals("b", t.sentTo(t.query("f1")));
+        }
+    }
+
     /** At the load limit: behind a taken lane the worker would load what the limit holds back. */
     @Test
     void whileNoMoreMayLoadACallWaitsForALaneAndNotForLong() {
