Where memory is short, a copy out of its function's place is not used

At fault: told() believed every copy that an answer named, so that copies out of their places were kept in use and pushed out those that had theirs. Now such a copy counts only where the worker has room beside what belongs there, as copies loaded on call do.

The lab's test of it is green again, and a test of its own fails without the condition.

--- a/policy/src/main/java/wharfhinge/Choice.java
+++ b/policy/src/main/java/wharfhinge/Choice.java
@@ -878,7 +878,9 @@
 
     private void told(WorkerState w, Request asker, boolean stands) {
         if (!stands && calls.containsKey(asker.function())) { calls.get(asker.function()).noneAt = now; }
-        if (stands && w.up && !believedWarm(w, asker.function())) {
+        // where memory is short, a copy out of its place is left to go: it pushes out others
+        if (stands && w.up && !believedWarm(w, asker.function())
+            && (roomy(w, asker.memoryMb()) || belongs(w, asker.function()))) {
             Entry e = record(w, asker);
             e.loading = false;
             e.lastSend = now - keepNs + e.loadNs; // may go soon: believed for what a load would take
@@ -1127,10 +1129,8 @@
         now = at;
         WorkerState w = workers.get(worker);
         Request asker = asked.remove(worker + ' ' + function);
-        if (asker != null) {
-            if (w != null) { told(w, asker, count > 0); }
-            return;
-        }
+        if (asker != null && w != null) { told(w, asker, count > 0); }
+        if (asker != null) { return; }
         Entry e = w == null ? null : w.warm.get(function);
         boolean stands = outcome == Outcome.SERVED || count > 0;
         loaded(stands && (e == null || tookNs <= CROWDED * e.loadNs));
--- a/policy/src/test/java/wharfhinge/ChoiceTest.java
+++ b/policy/src/test/java/wharfhinge/ChoiceTest.java
@@ -1021,6 +1021,27 @@
         }
     }
 
+    /** Where memory is short a copy out of its function's place is not kept in use: it pushes out others, whose calls load for ever. */
+    @Test
+    void aCopyOutOfItsPlaceIsNotUsedWhereMemoryIsShort() {
+        String place = fourthOnFullWorkers(null);
+        for (String holder : List.of("b", "c", "d", "e")) {
+            assertEquals(place, fourthOnFullWorkers(holder));
+        }
+    }
+
+    /** Where the fourth function goes, each of which fills a worker, if a copy of it stands on that one. */
+    private static String fourthOnFullWorkers(String holder) {
+        Recorder t = loading();
+        t.memoryMb = 600; // of 1,000 on each
+        t.fleet("b", "c", "d", "e");
+        for (int i = 0; i < 3; i++) {
+            t.query("g" + i);
+        }
+        t.stands.add(holder + " f1");
+        return t.sentTo(t.query("f1"));
+    }
+
     @Test
     void theFirstThatHasACopyIsNotHeldUpByOneThatIsSilent() {
         Recorder t = loading();
