--- a/policy/src/test/java/wharfhinge/ChoiceTest.java
+++ b/policy/src/test/java/wharfhinge/ChoiceTest.java
@@ -1042,11 +1042,15 @@
         return t.sentTo(t.query("f1"));
     }
 
-    @Test
-    void theFirstThatHasACopyIsNotHeldUpByOneThatIsSilent() {
-        Recorder t = loading();
+    private static Recorder silentHomes(Recorder t) {
         t.answersAsks = false;
         t.fleet("b", "c", "d", "e");
+        return t;
+    }
+
+    @Test
+    void theFirstThatHasACopyIsNotHeldUpByOneThatIsSilent() {
+        Recorder t = silentHomes(loading());
         String q = t.query("f1");
         assertNull(t.sentTo(q));
         t.choice.resident(t.now, "c", "f1", 0, SERVED, Recorder.MS);
@@ -1060,9 +1064,7 @@
 
     @Test
     void whereNobodyAnswersTheCallGoesOnToItsHome() {
-        Recorder asks = loading();
-        asks.answersAsks = false;
-        asks.fleet("b", "c", "d", "e");
+        Recorder asks = silentHomes(loading());
         String q = asks.query("f1");
         asks.due("look:" + q);
         Recorder none = loading();
@@ -1090,9 +1092,7 @@
 
     @Test
     void inLargeGroupsHomesMeetByThemselvesAndNobodyAsks() {
-        Recorder t = new Recorder(Recorder.among(100, false, true));
-        t.answersAsks = false;
-        t.fleet("b", "c", "d", "e");
+        Recorder t = silentHomes(new Recorder(Recorder.among(100, false, true)));
         assertTrue(t.sentTo(t.query("f1")) != null);
         assertFalse(t.lines.stream().anyMatch(l -> l.startsWith("hold ")));
     }
