--- /dev/null
+++ b/decisions/src/main/java/wharfhinge/decisions/watch/package-info.java
@@ -0,0 +1,2 @@
+/** When a list watch is asked for again. */
+package wharfhinge.decisions.watch;
--- a/gateway/src/main/java/wharfhinge/gateway/loop/ClientCall.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/ClientCall.java
@@ -1,6 +1,7 @@
 package wharfhinge.gateway.loop;
 
 import io.netty.buffer.ByteBuf;
+import java.util.concurrent.atomic.AtomicBoolean;
 import wharfhinge.protocol.CallHead;
 
 /**
@@ -10,6 +11,14 @@
  * @param deadlineNs how long the client waits, counted from {@code receivedAt}
  * @param receivedAt {@link System#nanoTime} when its last byte came
  * @param body       kept for a repeat; the loop owns it once the call is taken
+ * @param clientGone set once its client was seen to leave, before the loop comes round to it: nothing more is sent for it
  */
 public record ClientCall(CallHead head, String requestClass, long deadlineNs, long receivedAt, ByteBuf body,
-                         CharSequence contentType, Responder responder) { }
+                         CharSequence contentType, Responder responder, AtomicBoolean clientGone) {
+
+    /** A call whose client is there. */
+    public ClientCall(CallHead head, String requestClass, long deadlineNs, long receivedAt, ByteBuf body, CharSequence contentType,
+                      Responder responder) {
+        this(head, requestClass, deadlineNs, receivedAt, body, contentType, responder, new AtomicBoolean());
+    }
+}
--- a/gateway/src/main/java/wharfhinge/gateway/loop/DecisionLoop.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/DecisionLoop.java
@@ -204,8 +204,9 @@
         return Taken.TAKEN;
     }
 
-    /** The client of a call that was taken went away. */
+    /** The client of a call that was taken went away; from here on no attempt of it is begun, however far the loop is behind. */
     public void clientLeft(ClientCall call) {
+        call.clientGone().set(true);
         tell("clientLeft", () -> left(call, false));
     }
 
@@ -223,6 +224,8 @@
         for (LiveAttempt a : List.copyOf(c.attempts)) {
             if (!a.ended && (cancelAll || a.stream != null)) {
                 end(a, Outcome.CANCELLED);
+            } else if (!a.ended) {
+                a.sent.withdraw(); // what still waits for a connection is for nobody now
             }
         }
         forget(c);
@@ -581,7 +584,7 @@
             long left = c.deadline - now;
             if (c.answered || left <= 0 || timeoutNs < 0 || a.index >= config.settings().limits().maxAttempts()) {
                 stats.add(Count.MOOT);
-                a.sent = () -> { };
+                a.sent = WorkerSide.Sent.NONE;
                 tellThisLife("moot", () -> end(a, Outcome.MOOT));
                 return;
             }
@@ -590,7 +593,8 @@
             var head = c.call.head();
             boolean streams = streamed.contains(c.call.requestClass());
             a.sent = workers.attempt(new WorkerSide.Order(worker, c.outerId(), a.index, functions.get(head.function()),
-                c.call.requestClass(), head.tenant(), wait, head.costUs(), c.call.body(), c.call.contentType(), streams),
+                c.call.requestClass(), head.tenant(), wait, head.costUs(), c.call.body(), c.call.contentType(), streams,
+                c.call.clientGone()::get),
                 new WorkerSide.AttemptListener() {
                     @Override
                     public void ended(Result result) {
--- a/gateway/src/main/java/wharfhinge/gateway/loop/WorkerSide.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/WorkerSide.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import wharfhinge.Dispatcher.Note;
 import wharfhinge.Dispatcher.Outcome;
@@ -20,10 +21,12 @@
     /**
      * One attempt to be sent; {@code body} is not released by the receiver, which takes a reference of its own.
      *
-     * @param waitNs how long the gateway will wait, for the worker's information
+     * @param waitNs     how long the gateway will wait, for the worker's information
+     * @param clientGone whether the client was seen to have left, by now; asked on I/O threads before a byte is written
      */
     record Order(String worker, String call, int attempt, Function function, String requestClass, String tenant,
-                 long waitNs, long costUs, ByteBuf body, CharSequence contentType, boolean stream) { }
+                 long waitNs, long costUs, ByteBuf body, CharSequence contentType, boolean stream,
+                 BooleanSupplier clientGone) { }
 
     /**
      * How an exchange with a worker ended.
@@ -39,6 +42,20 @@
     interface Sent {
         /** Stops it: what is not on the wire never goes there, what is gets a stream reset. No result follows. */
         void cancel();
+
+        /**
+         * Takes it back if none of it was written yet: it ends as {@link Outcome#CANCELLED}, told as any end. What is on the wire goes on.
+         */
+        void withdraw();
+
+        /** Of an attempt that was never begun. */
+        Sent NONE = new Sent() {
+            @Override
+            public void cancel() { }
+
+            @Override
+            public void withdraw() { }
+        };
     }
 
     /** Told how an attempt goes, on an I/O thread. */
--- a/gateway/src/main/java/wharfhinge/gateway/upstream/Ending.java
+++ b/gateway/src/main/java/wharfhinge/gateway/upstream/Ending.java
@@ -18,6 +18,8 @@
     NOT_CONNECTED(Outcome.CONNECT_FAILED, true),
     /** The headers could not be written: the connection was gone before they were on it. */
     NOT_WRITTEN(Outcome.CONNECT_FAILED, true),
+    /** Its client left before anything was sent; nobody is told a word that rests on it. */
+    WITHDRAWN(Outcome.CANCELLED, false),
     /** A stream reset with REFUSED_STREAM: the worker has not looked at it. */
     STREAM_REFUSED(Outcome.FULL, true),
     /** GOAWAY with a last stream below this one's: the worker will not look at it. */
--- a/gateway/src/main/java/wharfhinge/gateway/upstream/Exchange.java
+++ b/gateway/src/main/java/wharfhinge/gateway/upstream/Exchange.java
@@ -7,6 +7,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import wharfhinge.gateway.loop.WorkerSide;
@@ -23,6 +24,7 @@
     private final long began;
     private final Consumer<WorkerSide.Result> ended;
     private final Consumer<WorkerStream> streamBegan;
+    private final BooleanSupplier clientGone;
     private ByteBuf body;
     private boolean done;
     private int status;
@@ -35,7 +37,7 @@
 
     /** Takes over {@code body}, which may be null; {@code streamBegan} may be null where nothing streams. */
     Exchange(Http2Headers request, ByteBuf body, LongSupplier nanoTime, Consumer<WorkerSide.Result> ended,
-             Consumer<WorkerStream> streamBegan) {
+             Consumer<WorkerStream> streamBegan, BooleanSupplier clientGone) {
         this.request = request;
         this.body = body;
         this.nanoTime = nanoTime;
@@ -43,6 +45,12 @@
         this.ended = ended;
         this.streams = streamBegan != null;
         this.streamBegan = streamBegan;
+        this.clientGone = clientGone;
+    }
+
+    /** Whether there is nobody left to send it for. */
+    boolean unwanted() {
+        return clientGone.getAsBoolean();
     }
 
     boolean done() {
--- a/gateway/src/main/java/wharfhinge/gateway/upstream/HttpWorkers.java
+++ b/gateway/src/main/java/wharfhinge/gateway/upstream/HttpWorkers.java
@@ -73,29 +73,39 @@
         }
         ByteBuf body = order.body() == null ? null : order.body().retainedDuplicate();
         Exchange exchange = new Exchange(headers, body, nanoTime, listener::ended,
-            order.stream() ? listener::began : null);
+            order.stream() ? listener::began : null, order.clientGone());
         WorkerPool pool = start(order.worker(), exchange);
-        return () -> pool.loop().execute(() -> pool.cancel(exchange));
+        return new Sent() {
+            @Override
+            public void cancel() {
+                pool.loop().execute(() -> pool.cancel(exchange));
+            }
+
+            @Override
+            public void withdraw() {
+                pool.loop().execute(() -> pool.withdraw(exchange));
+            }
+        };
     }
 
     @Override
     public void probe(String worker, Consumer<Result> ended) {
         Http2Headers headers = head(worker, "GET", WorkerProtocol.PROBE_PATH);
-        timed(worker, new Exchange(headers, null, nanoTime, ended, null), config.workers().probeTimeoutNs());
+        timed(worker, new Exchange(headers, null, nanoTime, ended, null, () -> false), config.workers().probeTimeoutNs());
     }
 
     @Override
     public void hold(String worker, Function function, int count, long waitNs, Consumer<Result> ended) {
         Http2Headers headers = function(worker, "PUT", WorkerProtocol.COPIES_PATH + function.name()
             + WorkerProtocol.COUNT_PARAMETER + count, function).setLong(WorkerProtocol.DEADLINE_MS, waitNs / MS);
-        timed(worker, new Exchange(headers, null, nanoTime, ended, null), waitNs);
+        timed(worker, new Exchange(headers, null, nanoTime, ended, null, () -> false), waitNs);
     }
 
     @Override
     public void unload(String worker, String function) {
         Http2Headers headers = head(worker, "DELETE", WorkerProtocol.COPIES_PATH + function);
         timed(worker, new Exchange(headers, null, nanoTime,
-            result -> io.netty.util.ReferenceCountUtil.release(result.body()), null), config.workers().probeTimeoutNs());
+            result -> io.netty.util.ReferenceCountUtil.release(result.body()), null, () -> false), config.workers().probeTimeoutNs());
     }
 
     @Override
--- a/gateway/src/main/java/wharfhinge/gateway/upstream/WorkerPool.java
+++ b/gateway/src/main/java/wharfhinge/gateway/upstream/WorkerPool.java
@@ -55,6 +55,10 @@
             exchange.end(Ending.NOT_CONNECTED);
             return;
         }
+        if (exchange.unwanted()) {
+            exchange.end(Ending.WITHDRAWN);
+            return;
+        }
         waiting.add(exchange);
         serve();
     }
@@ -69,6 +73,14 @@
         }
     }
 
+    /** Ends it unless it has gone out. */
+    void withdraw(Exchange exchange) {
+        if (exchange.connection == null && !exchange.done()) {
+            waiting.remove(exchange);
+            exchange.end(Ending.WITHDRAWN);
+        }
+    }
+
     private void serve() {
         while (!waiting.isEmpty()) {
             WorkerConnection best = null;
@@ -78,7 +90,12 @@
             if (best == null) {
                 break;
             }
-            best.open(waiting.poll());
+            Exchange next = waiting.poll();
+            if (next.unwanted()) {
+                next.end(Ending.WITHDRAWN);
+            } else {
+                best.open(next);
+            }
         }
         while (waiting.size() > dialing * settings.streamsPerConnection()
             && connections.size() < settings.maxConnections()) {
--- a/gateway/src/test/java/wharfhinge/gateway/Rig.java
+++ b/gateway/src/test/java/wharfhinge/gateway/Rig.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import wharfhinge.Dispatcher.ListMode;
 import wharfhinge.config.GatewayConfig;
 import wharfhinge.config.InvalidFileException;
@@ -61,7 +62,16 @@
     }
 
     Rig(Path folder, String workers, String clients, String more, DispatcherFactory decisions) throws Exception {
-        gateway = new Gateway(config(folder, workers, clients, more, 1), decisions, (group, type) ->
+        this(config(folder, workers, clients, more, 1), decisions);
+    }
+
+    /** Before settings changed as a test needs them. */
+    Rig(Path folder, String workers, UnaryOperator<String> change, DispatcherFactory decisions) throws Exception {
+        this(load(folder, change.apply(text(workers, "", "", 1))), decisions);
+    }
+
+    private Rig(GatewayConfig config, DispatcherFactory decisions) throws Exception {
+        gateway = new Gateway(config, decisions, (group, type) ->
             FleetSource.pushedBy(updates -> fleet = updates));
         gateway.start();
     }
@@ -73,9 +83,17 @@
 
     private static GatewayConfig config(Path folder, String workers, String clients, String more, int roster)
         throws IOException, InvalidFileException {
+        return load(folder, text(workers, clients, more, roster));
+    }
+
+    private static String text(String workers, String clients, String more, int roster) {
+        return SETTINGS.replace("WORKERS", workers).replace("CLIENTS", clients).replace("<!--MORE-->", more)
+            .replace("ROSTER", Integer.toString(roster));
+    }
+
+    private static GatewayConfig load(Path folder, String text) throws IOException, InvalidFileException {
         Path file = folder.resolve("gw.xml");
-        Files.writeString(file, SETTINGS.replace("WORKERS", workers).replace("CLIENTS", clients).replace("<!--MORE-->", more)
-            .replace("ROSTER", Integer.toString(roster)));
+        Files.writeString(file, text);
         return GatewayConfig.load(file);
     }
 
--- a/gateway/src/test/java/wharfhinge/gateway/upstream/EndingTest.java
+++ b/gateway/src/test/java/wharfhinge/gateway/upstream/EndingTest.java
@@ -17,7 +17,8 @@
 
     @ParameterizedTest
     @CsvSource({"NOT_CONNECTED,CONNECT_FAILED", "NOT_WRITTEN,CONNECT_FAILED", "STREAM_REFUSED,FULL", "GONE_AWAY,FULL",
-        "STREAM_RESET,RESET", "CONNECTION_LOST,RESET", "TOO_LARGE,ERROR", "TIMED_OUT,TIMEOUT"})
+        "STREAM_RESET,RESET", "CONNECTION_LOST,RESET", "TOO_LARGE,ERROR", "TIMED_OUT,TIMEOUT",
+        "WITHDRAWN,CANCELLED"})
     void eachEndingHasOneOutcome(Ending ending, Outcome outcome) {
         assertEquals(outcome, ending.outcome(0, null));
         assertEquals(NEVER_RAN.contains(outcome), ending.provesUnrun(), "an outcome that proves must be proven");
@@ -32,6 +33,6 @@
 
     @Test
     void everyEndingIsInTheTable() {
-        assertEquals(9, Ending.values().length);
+        assertEquals(10, Ending.values().length);
     }
 }
