--- a/gateway/src/main/java/wharfhinge/gateway/loop/DecisionLoop.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/DecisionLoop.java
@@ -594,7 +594,7 @@
             boolean streams = streamed.contains(c.call.requestClass());
             a.sent = workers.attempt(new WorkerSide.Order(worker, c.outerId(), a.index, functions.get(head.function()),
                 c.call.requestClass(), head.tenant(), wait, head.costUs(), c.call.body(), c.call.contentType(), streams,
-                c.call.clientGone()::get),
+                head.idempotencyKey(), c.call.clientGone()::get),
                 new WorkerSide.AttemptListener() {
                     @Override
                     public void ended(Result result) {
--- a/gateway/src/main/java/wharfhinge/gateway/loop/WorkerSide.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/WorkerSide.java
@@ -22,11 +22,12 @@
      * One attempt to be sent; {@code body} is not released by the receiver, which takes a reference of its own.
      *
      * @param waitNs     how long the gateway will wait, for the worker's information
+     * @param idempotencyKey the client's, passed on unchanged; null where there is none
      * @param clientGone whether the client was seen to have left, by now; asked on I/O threads before a byte is written
      */
     record Order(String worker, String call, int attempt, Function function, String requestClass, String tenant,
                  long waitNs, long costUs, ByteBuf body, CharSequence contentType, boolean stream,
-                 BooleanSupplier clientGone) { }
+                 String idempotencyKey, BooleanSupplier clientGone) { }
 
     /**
      * How an exchange with a worker ended.
--- a/protocol/src/main/java/wharfhinge/protocol/CallHead.java
+++ b/protocol/src/main/java/wharfhinge/protocol/CallHead.java
@@ -8,15 +8,22 @@
  *
  * @param deadlineMs what the client waits; 0 where it does not say
  * @param costUs     expected work, microseconds
+ * @param idempotencyKey by which workers know a call that was sent before; the same with each retry of its client, null where there is none
  */
 public record CallHead(String function, String id, String requestClass, String tenant, long deadlineMs, long costUs,
-                       double memoryMb, int lanes, double loadMs, boolean repeat, boolean write) {
+                       double memoryMb, int lanes, double loadMs, boolean repeat, boolean write, String idempotencyKey) {
     private static final Pattern FUNCTION = Pattern.compile("[A-Za-z0-9._-]{1,128}");
     private static final Pattern WORD = Pattern.compile("[A-Za-z0-9._-]{1,64}");
     private static final String WORD_ALLOWED = "1 to 64 letters, digits, '.', '_', '-'";
     private static final long MOST_MS = 86_400_000L;
     private static final int MOST_LANES = 4096;
 
+    /** A call without an idempotency key. */
+    public CallHead(String function, String id, String requestClass, String tenant, long deadlineMs, long costUs, double memoryMb, int lanes,
+                    double loadMs, boolean repeat, boolean write) {
+        this(function, id, requestClass, tenant, deadlineMs, costUs, memoryMb, lanes, loadMs, repeat, write, null);
+    }
+
     /**
      * Reads the head of a call.
      *
@@ -44,7 +51,7 @@
 
     /** The same of another tenant, or of none (null). */
     public CallHead of(String other) {
-        return new CallHead(function, id, requestClass, other, deadlineMs, costUs, memoryMb, lanes, loadMs, repeat, write);
+        return new CallHead(function, id, requestClass, other, deadlineMs, costUs, memoryMb, lanes, loadMs, repeat, write, idempotencyKey);
     }
 
     private static String word(CharSequence name, Function<CharSequence, String> headers) throws ProtocolException {
