Unused tokens for a cold worker lapse: what many front ends did not send does not add up

Need: the operators hold the ramp of cold workers against the sum of all processes, with 2 x root of N + 2 for chance, also with thin traffic. Seen by a new event sequence in ChoiceTest: a hundred front ends of one call a second each had no use for a cold worker for 6 s, then all had: 77 sends in one second, of a budget of 47 (62 with chance) on a fleet busy to 0.65. Each front end had saved one whole token meanwhile (Choice.withinColdBudget: Math.max(1, ...) as the most kept), so a hundred of them fell on one window.

Change: where a front end's share of a window is below one call, a token lapses a window after it came. The sum kept is then no more than what comes in a window; the one for a fleet that is cold as a whole stays until used.

--- a/policy/src/main/java/wharfhinge/Choice.java
+++ b/policy/src/main/java/wharfhinge/Choice.java
@@ -218,10 +218,7 @@
 
     @Override public void members(long at, ListMode mode, long revision, List<Worker> entries) {
         now = at;
-        if (mode == ListMode.REFUSED) {
-            actions.listen(true);
-            return;
-        }
+        if (mode == ListMode.REFUSED) { actions.listen(true); return; }
         entries.forEach(this::update);
         if (mode != ListMode.CHANGES) {
             Set<String> named = entries.stream().map(Worker::id).collect(Collectors.toSet());
@@ -799,10 +796,13 @@
         double age = Math.max(0, now - w.told.startedAt()) / (double) rules.warmAfterNs();
         double share = rules.coldFrom() + (1 - rules.coldFrom()) * age;
         double perNs = COLD_MARGIN * rules.overloadFactor() * share * served.at(now) / RATE_WINDOW / up;
-        // a fleet that is cold as a whole must start: one for the group
-        perNs = Math.max(perNs, 1.0 / rules.warmAfterNs() / Math.max(1, settings.groupSize()));
-        double most = Math.max(1, perNs * rules.tipAfterNs() / 2);
-        w.coldTokens = Math.min(most, w.coldTokens + perNs * (now - w.coldAt));
+        // a fleet that is cold as a whole must start: one for the group, kept. Others lapse after the span:
+        double least = 1.0 / rules.warmAfterNs() / Math.max(1, settings.groupSize());
+        double per = Math.max(perNs, least), span = per * rules.tipAfterNs();
+        // what many did not send must not fall on one window; hurts where calls for the worker are rarer
+        boolean lapses = perNs > least && span < 1;
+        double most = lapses ? 1 + span : Math.max(1, span / 2), had = w.coldTokens + per * (now - w.coldAt);
+        w.coldTokens = lapses && had > most ? had - Math.floor(had - span) : Math.min(most, had);
         w.coldAt = now;
         return w.coldTokens >= 1;
     }
--- a/policy/src/test/java/wharfhinge/ChoiceTest.java
+++ b/policy/src/test/java/wharfhinge/ChoiceTest.java
@@ -745,6 +745,41 @@
         assertTrue(sent >= 10 && sent <= 64, "sent " + sent);
     }
 
+    /**
+     * Nobody needs the cold worker for seconds, then all do in one window: what each could have sent it meanwhile may not add up beyond
+     * the budget N of that window and what chance adds, 2 x root of N + 2.
+     */
+    @Test
+    void whatManyFrontEndsDidNotSendAColdWorkerDoesNotAddUp() {
+        for (int[] group : new int[][] {{20, 120}, {30, 250}, {100, 1000}}) { // front ends, pause between the calls of one, ms
+            for (int idleMs = 2000; idleMs <= 8000; idleMs += 2000) {
+                int sent = 0;
+                for (int seed = 0; seed < group[0]; seed++) {
+                    Recorder t = new Recorder(Recorder.among(group[0], false, true), seed);
+                    t.fleet("b", "c", "d", "e");
+                    for (int i = 0; i < 8000 / group[1]; i++) {
+                        t.served(t.query("f"));
+                        t.pass(group[1]);
+                    }
+                    t.change("x", UP, t.now);
+                    for (int i = 0; i < idleMs / group[1]; i++) { // what stands elsewhere goes there
+                        t.served(t.query("f"));
+                        t.pass(group[1]);
+                    }
+                    for (int i = 0; i < 20; i++) { // what stands nowhere, of which x is the home of some
+                        String q = t.query("g" + i);
+                        sent += "x".equals(t.sentTo(q)) ? 1 : 0;
+                        t.served(q);
+                        t.pass(50);
+                    }
+                }
+                double capacity = group[0] * 1000.0 / group[1] / 5 / 0.65; // a second, of each worker: before, they were busy to 0.65
+                double n = 2 * (0.2 + 0.8 * Math.min(1, (idleMs + 1000) / 10_000.0)) * capacity;
+                assertTrue(sent <= n + 2 * Math.sqrt(n) + 2, group[0] + " front ends after " + idleMs + " ms: " + sent + " of " + n);
+            }
+        }
+    }
+
     /** Many front ends meet on a busy worker, which own sends do not show: two are looked at before a send. */
     @Test
     void amongManyFrontEndsTheLessBusyOfTwoIsTaken() {
--- a/policy/src/test/java/wharfhinge/RandomEventsTest.java
+++ b/policy/src/test/java/wharfhinge/RandomEventsTest.java
@@ -57,8 +57,8 @@
         IDS.forEach(id -> up.put(id, true));
         t.fleet(IDS.toArray(new String[0]));
         Random random = new Random(seed);
-        for (int step = 0; step < 3000; step++) {
-            t.pass(4);
+        for (int step = 0; step < 4000; step++) {
+            t.pass(random.nextInt(4) == 0 ? 0 : 4); // several events in one instant, in any order
             event(random);
             fireTimers();
             for (Map.Entry<String, Long> r : open.entrySet()) {
@@ -101,6 +101,10 @@
             up.put(id, comes);
             t.change(id, comes ? Dispatcher.Availability.UP : Dispatcher.Availability.DRAINING,
                 random.nextBoolean() ? t.now : 0);
+        } else if (kind == 9 && !open.isEmpty()) { // held, waiting for a load, out, or between two attempts
+            String id = List.copyOf(open.keySet()).get(random.nextInt(open.size()));
+            open.remove(id);
+            t.choice.clientLeft(t.now, id);
         }
         check();
     }
