A cold worker told to be smaller gets a smaller budget

Cause: the budget of a worker in slow start was the told multiple of an average worker's answers (Choice.withinColdBudget divided by the number of workers up).

Change: its part is the smaller of one of all workers and its told size of all sizes. Where no sizes are told, or it is larger than most, nothing changes.

Test: ChoiceTest.theColdBudgetBindsTheSumOfAll plays 1, 3, 30 and 560 dispatchers with N of 3, 29, 30 and 200, like and uneven shares of the calls, wanted at once or by all together after some seconds, against N + 2 x root of N + 2 (under 30: 3 x root of N + 3).

--- a/policy/src/main/java/wharfhinge/Choice.java
+++ b/policy/src/main/java/wharfhinge/Choice.java
@@ -85,7 +85,7 @@
     private final Decayed served = new Decayed(RATE_WINDOW), answers = new Decayed(PRESSURE_WINDOW);
     private final Decayed saturated = new Decayed(PRESSURE_WINDOW), allCalls = new Decayed(SHARE_WINDOW);
     private double meanLateness = 0.5, meanReported = 2, loadChance = 1;
-    private double trialTokens = 1, retryTokens = RETRY_BURST, loadLimit = LOADS_START;
+    private double trialTokens = 1, retryTokens = RETRY_BURST, loadLimit = LOADS_START, sizes; // of up
     private int loadsOut, up, left; // workers: up, which may get the request at hand
     private long places, marks, rankings, readyUntil;
     private boolean sweepSet, stale;
@@ -225,6 +225,7 @@
             workers.values().stream().filter(w -> !named.contains(w.id)).forEach(this::leave);
         }
         up = (int) workers.values().stream().filter(w -> w.up).count();
+        sizes = workers.values().stream().filter(w -> w.up).mapToDouble(Choice::size).sum();
         retryHeld();
     }
 
@@ -463,8 +464,7 @@
         } else if (crowdsStore()) {
             warm = fewest(some, function, w -> believedWarm(w, function) && belowValve(w, 1));
         }
-        warm = warm != null ? warm : home;
-        warm = warm != null ? warm : fewest(some, function, w -> standing(w, function));
+        warm = warm != null ? warm : home != null ? home : fewest(some, function, w -> standing(w, function));
         warm = warm != null || place == null || !mayGet(place) ? warm : place;
         warm = warm != null ? warm : home(function, r.hash, lacks);
         return warm != null ? warm : fewest(ready, function, w -> true);
@@ -487,9 +487,7 @@
             : holding(function).stream().noneMatch(other -> other != w && standing(other, function));
     }
 
-    private WorkerState placeOf(String function) {
-        return calls.containsKey(function) ? calls.get(function).place : null;
-    }
+    private WorkerState placeOf(String f) { return calls.containsKey(f) ? calls.get(f).place : null; }
 
     private boolean unplace(Known k) {
         if (k.place != null && k.place.homed.remove(k)) { k.place.homedMb -= k.memoryMb; }
@@ -795,7 +793,8 @@
         Obligations rules = settings.obligations();
         double age = Math.max(0, now - w.told.startedAt()) / (double) rules.warmAfterNs();
         double share = rules.coldFrom() + (1 - rules.coldFrom()) * age;
-        double perNs = COLD_MARGIN * rules.overloadFactor() * share * served.at(now) / RATE_WINDOW / up;
+        double perNs = COLD_MARGIN * rules.overloadFactor() * share * served.at(now) / RATE_WINDOW
+            * Math.min(1.0 / up, size(w) / sizes); // one that is told to be smaller than most bears less
         // a fleet that is cold as a whole must start: one for the group, kept. Others lapse after the span:
         double least = 1.0 / rules.warmAfterNs() / Math.max(1, settings.groupSize());
         double per = Math.max(perNs, least), span = per * rules.tipAfterNs();
--- a/policy/src/test/java/wharfhinge/ChoiceTest.java
+++ b/policy/src/test/java/wharfhinge/ChoiceTest.java
@@ -32,6 +32,8 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import wharfhinge.Dispatcher.NotLoaded;
 
 class ChoiceTest {
@@ -780,6 +782,21 @@
         }
     }
 
+    /**
+     * A cold worker's budget is of the whole group: whatever the number of dispatchers and however unevenly calls reach them, each window
+     * gets at most the N calls that the settings allow it then, and what chance adds. Every call wants the cold worker, and the fleet
+     * serves at its capacity; {@code idle}: nobody wants it for seconds, then all do at once.
+     */
+    @ParameterizedTest
+    @CsvSource({"1,3,false", "1,29,false", "1,30,false", "1,200,false", "3,3,false", "3,29,false", "3,30,false", "3,200,false", "30,3,false",
+        "30,29,false", "30,30,false", "30,200,false", "560,3,false", "560,29,false", "560,30,false", "560,200,false", "1,3,true", "1,29,true",
+        "1,30,true", "1,200,true", "3,3,true", "3,29,true", "3,30,true", "3,200,true", "30,3,true", "30,29,true", "30,30,true", "30,200,true",
+        "560,3,true", "560,29,true", "560,30,true", "560,200,true"})
+    void theColdBudgetBindsTheSumOfAll(int dispatchers, int allowed, boolean idle) {
+        ColdBudget.assertKept(dispatchers, allowed, idle, 1, idle ? 0 : 1.5, 1);
+        ColdBudget.assertKept(dispatchers, allowed, idle, 3, idle ? 1.5 : 0, 2);
+    }
+
     /** Many front ends meet on a busy worker, which own sends do not show: two are looked at before a send. */
     @Test
     void amongManyFrontEndsTheLessBusyOfTwoIsTaken() {
--- a/policy/src/test/java/wharfhinge/Recorder.java
+++ b/policy/src/test/java/wharfhinge/Recorder.java
@@ -15,6 +15,7 @@
     long now = 100_000 * MS;
     int lanes = 4;
     double memoryMb = 300;
+    double weight = 1; // told of the workers listed from now on
     long advised = -1;
     final Set<String> stands = new HashSet<>(); // "worker function", told where it is asked
     boolean answersAsks = true;
@@ -70,8 +71,8 @@
                 0, List.of(megabytes), "", "", false, true), s.feedback(), s.goal(), s.limits(), s.obligations(), s.prices(), s.callers());
     }
 
-    static Dispatcher.Worker worker(String id, Dispatcher.Availability availability, long startedAt) {
-        return new Dispatcher.Worker(id, id.charAt(0) < 'n' ? "a" : "b", "k", 1, availability, 1, startedAt);
+    private Dispatcher.Worker worker(String id, Dispatcher.Availability availability, long startedAt) {
+        return new Dispatcher.Worker(id, id.charAt(0) < 'n' ? "a" : "b", "k", 1, availability, weight, startedAt);
     }
 
     void fleet(String... ids) {
