--- a/gateway/src/main/java/wharfhinge/gateway/loop/DecisionLoop.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/DecisionLoop.java
@@ -593,7 +593,7 @@
             var head = c.call.head();
             boolean streams = streamed.contains(c.call.requestClass());
             a.sent = workers.attempt(new WorkerSide.Order(worker, c.outerId(), a.index, functions.get(head.function()),
-                c.call.requestClass(), head.tenant(), wait, head.costUs(), c.call.body(), c.call.contentType(), streams,
+                c.call.requestClass(), head.tenant(), clock.nanos(now + wait), head.costUs(), c.call.body(), c.call.contentType(), streams,
                 head.idempotencyKey(), c.call.clientGone()::get),
                 new WorkerSide.AttemptListener() {
                     @Override
--- a/gateway/src/main/java/wharfhinge/gateway/loop/WorkerSide.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/WorkerSide.java
@@ -21,12 +21,13 @@
     /**
      * One attempt to be sent; {@code body} is not released by the receiver, which takes a reference of its own.
      *
-     * @param waitNs     how long the gateway will wait, for the worker's information
+     * @param giveUpAt   {@link System#nanoTime} at which the gateway stops waiting; what is left of it is told to the worker as the
+     *                   attempt is written, not as it is ordered
      * @param idempotencyKey the client's, passed on unchanged; null where there is none
      * @param clientGone whether the client was seen to have left, by now; asked on I/O threads before a byte is written
      */
     record Order(String worker, String call, int attempt, Function function, String requestClass, String tenant,
-                 long waitNs, long costUs, ByteBuf body, CharSequence contentType, boolean stream,
+                 long giveUpAt, long costUs, ByteBuf body, CharSequence contentType, boolean stream,
                  String idempotencyKey, BooleanSupplier clientGone) { }
 
     /**
--- a/gateway/src/main/java/wharfhinge/gateway/upstream/Ending.java
+++ b/gateway/src/main/java/wharfhinge/gateway/upstream/Ending.java
@@ -20,6 +20,8 @@
     NOT_WRITTEN(Outcome.CONNECT_FAILED, true),
     /** Its client left before anything was sent; nobody is told a word that rests on it. */
     WITHDRAWN(Outcome.CANCELLED, false),
+    /** The time to wait for it was over before anything was sent. */
+    TOO_LATE(Outcome.MOOT, true),
     /** A stream reset with REFUSED_STREAM: the worker has not looked at it. */
     STREAM_REFUSED(Outcome.FULL, true),
     /** GOAWAY with a last stream below this one's: the worker will not look at it. */
--- a/gateway/src/main/java/wharfhinge/gateway/upstream/Exchange.java
+++ b/gateway/src/main/java/wharfhinge/gateway/upstream/Exchange.java
@@ -7,6 +7,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -27,6 +28,8 @@
     private final BooleanSupplier clientGone;
     private ByteBuf body;
     private boolean done;
+    private long giveUpAt;
+    private boolean bounded; // giveUpAt counts
     private int status;
     private Http2Headers head;
     private CompositeByteBuf answer;
@@ -53,6 +56,22 @@
         return clientGone.getAsBoolean();
     }
 
+    /** The gateway stops waiting at that reading of its clock; the worker is told what is left of it. */
+    void giveUpAt(long nanos) {
+        giveUpAt = nanos;
+        bounded = true;
+    }
+
+    /** Writes the time that is left into the request, which is about to go out; false where none is left. */
+    boolean stampDeadline() {
+        if (!bounded) {
+            return true;
+        }
+        long leftNs = giveUpAt - nanoTime.getAsLong();
+        request.setLong(WorkerProtocol.DEADLINE_MS, Math.max(1, TimeUnit.NANOSECONDS.toMillis(leftNs)));
+        return leftNs > 0;
+    }
+
     boolean done() {
         return done;
     }
--- a/gateway/src/main/java/wharfhinge/gateway/upstream/HttpWorkers.java
+++ b/gateway/src/main/java/wharfhinge/gateway/upstream/HttpWorkers.java
@@ -60,8 +60,7 @@
             order.function())
             .set(WorkerProtocol.CALL, order.call())
             .setInt(WorkerProtocol.ATTEMPT, order.attempt())
-            .set(WorkerProtocol.CLASS, order.requestClass())
-            .setLong(WorkerProtocol.DEADLINE_MS, Math.max(1, order.waitNs() / MS));
+            .set(WorkerProtocol.CLASS, order.requestClass());
         if (order.tenant() != null) {
             headers.set(WorkerProtocol.TENANT, order.tenant());
         }
@@ -74,6 +73,7 @@
         ByteBuf body = order.body() == null ? null : order.body().retainedDuplicate();
         Exchange exchange = new Exchange(headers, body, nanoTime, listener::ended,
             order.stream() ? listener::began : null, order.clientGone());
+        exchange.giveUpAt(order.giveUpAt());
         WorkerPool pool = start(order.worker(), exchange);
         return new Sent() {
             @Override
--- a/gateway/src/main/java/wharfhinge/gateway/upstream/WorkerPool.java
+++ b/gateway/src/main/java/wharfhinge/gateway/upstream/WorkerPool.java
@@ -93,6 +93,8 @@
             Exchange next = waiting.poll();
             if (next.unwanted()) {
                 next.end(Ending.WITHDRAWN);
+            } else if (!next.stampDeadline()) {
+                next.end(Ending.TOO_LATE);
             } else {
                 best.open(next);
             }
--- a/gateway/src/test/java/wharfhinge/gateway/upstream/EndingTest.java
+++ b/gateway/src/test/java/wharfhinge/gateway/upstream/EndingTest.java
@@ -18,7 +18,7 @@
     @ParameterizedTest
     @CsvSource({"NOT_CONNECTED,CONNECT_FAILED", "NOT_WRITTEN,CONNECT_FAILED", "STREAM_REFUSED,FULL", "GONE_AWAY,FULL",
         "STREAM_RESET,RESET", "CONNECTION_LOST,RESET", "TOO_LARGE,ERROR", "TIMED_OUT,TIMEOUT",
-        "WITHDRAWN,CANCELLED"})
+        "WITHDRAWN,CANCELLED", "TOO_LATE,MOOT"})
     void eachEndingHasOneOutcome(Ending ending, Outcome outcome) {
         assertEquals(outcome, ending.outcome(0, null));
         assertEquals(NEVER_RAN.contains(outcome), ending.provesUnrun(), "an outcome that proves must be proven");
@@ -33,6 +33,6 @@
 
     @Test
     void everyEndingIsInTheTable() {
-        assertEquals(10, Ending.values().length);
+        assertEquals(11, Ending.values().length);
     }
 }
