--- a/app/src/main/java/wharfhinge/app/CheckCommand.java
+++ b/app/src/main/java/wharfhinge/app/CheckCommand.java
@@ -9,8 +9,11 @@
 import wharfhinge.config.InvalidFileException;
 
 /** Checks settings files. */
-@Command(name = "check", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
-    description = "Checks settings files and prints all that is wrong with them; exits with 1 if anything is.")
+@Command(
+        name = "check",
+        mixinStandardHelpOptions = true,
+        versionProvider = Program.Version.class,
+        description = "Checks settings files and prints all that is wrong with them; exits with 1 if anything is.")
 final class CheckCommand implements Callable<Integer> {
     @Parameters(arity = "1..*", paramLabel = "FILE", description = "Settings files.")
     private List<Path> files;
--- a/app/src/main/java/wharfhinge/app/Logs.java
+++ b/app/src/main/java/wharfhinge/app/Logs.java
@@ -16,7 +16,7 @@
 final class Logs {
     private static final int WAITING = 8192;
 
-    private Logs() { }
+    private Logs() {}
 
     /** From here on logs go where the settings say; what the writer can't keep up with is left out, never waited for. */
     static void set(GatewayConfig.Log settings) {
--- a/app/src/main/java/wharfhinge/app/PackageCommand.java
+++ b/app/src/main/java/wharfhinge/app/PackageCommand.java
@@ -23,10 +23,18 @@
 import wharfhinge.worker.pack.PackageReader;
 
 /** Function packages. */
-@Command(name = "package", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
-    description = "Builds, shows and checks function packages.", synopsisSubcommandLabel = "WHAT",
-    subcommands = {PackageCommand.Build.class, PackageCommand.Inspect.class, PackageCommand.Verify.class,
-        PackageCommand.Key.class})
+@Command(
+        name = "package",
+        mixinStandardHelpOptions = true,
+        versionProvider = Program.Version.class,
+        description = "Builds, shows and checks function packages.",
+        synopsisSubcommandLabel = "WHAT",
+        subcommands = {
+            PackageCommand.Build.class,
+            PackageCommand.Inspect.class,
+            PackageCommand.Verify.class,
+            PackageCommand.Key.class
+        })
 final class PackageCommand implements Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
@@ -36,46 +44,82 @@
         throw new CommandLine.ParameterException(spec.commandLine(), "build, inspect, verify or key is needed");
     }
 
-    private static PackageReader.Contents read(Path file, List<PublicKey> keys) throws IOException, InvalidPackageException {
+    private static PackageReader.Contents read(Path file, List<PublicKey> keys)
+            throws IOException, InvalidPackageException {
         try (InputStream in = new BufferedInputStream(Files.newInputStream(file))) {
             return PackageReader.read(in, keys);
         }
     }
 
     /** Builds one. */
-    @Command(name = "build", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
-        description = "Builds a package from a folder of classes; the same input gives the same bytes.")
+    @Command(
+            name = "build",
+            mixinStandardHelpOptions = true,
+            versionProvider = Program.Version.class,
+            description = "Builds a package from a folder of classes; the same input gives the same bytes.")
     static final class Build implements Callable<Integer> {
-        @Option(names = "--classes", required = true, paramLabel = "FOLDER", description = "Compiled classes and resources.")
+        @Option(
+                names = "--classes",
+                required = true,
+                paramLabel = "FOLDER",
+                description = "Compiled classes and resources.")
         private Path classes;
-        @Option(names = "--entry", required = true, description = "The class that implements wharfhinge.worker.api.Function.")
+
+        @Option(
+                names = "--entry",
+                required = true,
+                description = "The class that implements wharfhinge.worker.api.Function.")
         private String entry;
+
         @Option(names = "--name", required = true, description = "The package's name.")
         private String name;
+
         @Option(names = "--pkg-version", defaultValue = "1", description = "Its version; default ${DEFAULT-VALUE}.")
         private String version;
+
         @Option(names = "--memory-mb", required = true, description = "Memory of one copy.")
         private int memoryMb;
-        @Option(names = "--lanes", defaultValue = "1", description = "Calls that a copy runs at a time; default ${DEFAULT-VALUE}.")
+
+        @Option(
+                names = "--lanes",
+                defaultValue = "1",
+                description = "Calls that a copy runs at a time; default ${DEFAULT-VALUE}.")
         private int lanes;
-        @Option(names = "--effect", defaultValue = "idempotent", description = "idempotent, keyed or at-most-once; "
-            + "default ${DEFAULT-VALUE}.")
+
+        @Option(
+                names = "--effect",
+                defaultValue = "idempotent",
+                description = "idempotent, keyed or at-most-once; " + "default ${DEFAULT-VALUE}.")
         private String effect;
+
         @Option(names = "--call-ms", defaultValue = "10000", description = "A call's limit; default ${DEFAULT-VALUE}.")
         private int callMs;
-        @Option(names = "--start-ms", defaultValue = "10000", description = "A start's limit; default ${DEFAULT-VALUE}.")
+
+        @Option(
+                names = "--start-ms",
+                defaultValue = "10000",
+                description = "A start's limit; default ${DEFAULT-VALUE}.")
         private int startMs;
+
         @Option(names = "--sign", paramLabel = "KEY", description = "Signs with this private key.")
         private Path key;
-        @Option(names = "--out", required = true, paramLabel = "FILE", description = "Where to; NAME.pkg in a store's folder.")
+
+        @Option(
+                names = "--out",
+                required = true,
+                paramLabel = "FILE",
+                description = "Where to; NAME.pkg in a store's folder.")
         private Path out;
 
         @Override
         public Integer call() throws IOException {
             Path part = out.resolveSibling(out.getFileName() + ".building");
             try (OutputStream to = Files.newOutputStream(part)) {
-                PackageBuilder.write(new Manifest(name, version, entry, memoryMb, lanes, effect, callMs, startMs, Map.of()),
-                    PackageBuilder.classes(classes), key == null ? null : Keys.privateKey(key), to);
+                PackageBuilder.write(
+                        new Manifest(name, version, entry, memoryMb, lanes, effect, callMs, startMs, Map.of()),
+                        PackageBuilder.classes(classes),
+                        key == null ? null : Keys.privateKey(key),
+                        to);
                 Files.move(part, out, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
             } catch (InvalidPackageException e) {
                 System.err.println(e.getMessage());
@@ -89,8 +133,11 @@
     }
 
     /** Shows one. */
-    @Command(name = "inspect", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
-        description = "Shows a package's manifest; whole or refused as a worker without keys would.")
+    @Command(
+            name = "inspect",
+            mixinStandardHelpOptions = true,
+            versionProvider = Program.Version.class,
+            description = "Shows a package's manifest; whole or refused as a worker without keys would.")
     static final class Inspect implements Callable<Integer> {
         @Parameters(paramLabel = "FILE", description = "The package.")
         private Path file;
@@ -100,7 +147,8 @@
             try {
                 PackageReader.Contents contents = read(file, List.of());
                 System.out.print(new String(contents.manifest().format(), java.nio.charset.StandardCharsets.UTF_8));
-                System.out.println(contents.signed() ? "# signed, not checked here: package verify --key" : "# not signed");
+                System.out.println(
+                        contents.signed() ? "# signed, not checked here: package verify --key" : "# not signed");
                 return Program.OK;
             } catch (InvalidPackageException e) {
                 System.err.println(file + ": " + e.getMessage());
@@ -110,11 +158,18 @@
     }
 
     /** Checks one. */
-    @Command(name = "verify", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
-        description = "Checks packages as a worker with these keys would; exits with 1 unless all are taken.")
+    @Command(
+            name = "verify",
+            mixinStandardHelpOptions = true,
+            versionProvider = Program.Version.class,
+            description = "Checks packages as a worker with these keys would; exits with 1 unless all are taken.")
     static final class Verify implements Callable<Integer> {
-        @Option(names = "--key", paramLabel = "FILE", description = "A trusted public key; without any, signatures are not asked for.")
+        @Option(
+                names = "--key",
+                paramLabel = "FILE",
+                description = "A trusted public key; without any, signatures are not asked for.")
         private List<Path> keyFiles = new ArrayList<>();
+
         @Parameters(arity = "1..*", paramLabel = "FILE", description = "Packages.")
         private List<Path> files;
 
@@ -139,8 +194,11 @@
     }
 
     /** Makes keys. */
-    @Command(name = "key", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
-        description = "Makes a publisher's Ed25519 key: FILE (private) and FILE.pub.")
+    @Command(
+            name = "key",
+            mixinStandardHelpOptions = true,
+            versionProvider = Program.Version.class,
+            description = "Makes a publisher's Ed25519 key: FILE (private) and FILE.pub.")
     static final class Key implements Callable<Integer> {
         @Parameters(paramLabel = "FILE", description = "Where to; must not exist.")
         private Path file;
--- a/app/src/main/java/wharfhinge/app/PlatformCommand.java
+++ b/app/src/main/java/wharfhinge/app/PlatformCommand.java
@@ -7,14 +7,20 @@
 import wharfhinge.platform.PlatformProcess;
 
 /** Serves on the platform, as its environment says. */
-@Command(name = "platform", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
-    description = "Runs a dispatcher on the platform: its configuration is the JSON file that PROXY_CONFIG names. "
-        + "HUP reads the control feed's address anew, TERM answers what came and ends.")
+@Command(
+        name = "platform",
+        mixinStandardHelpOptions = true,
+        versionProvider = Program.Version.class,
+        description = "Runs a dispatcher on the platform: its configuration is the JSON file that PROXY_CONFIG names. "
+                + "HUP reads the control feed's address anew, TERM answers what came and ends.")
 final class PlatformCommand implements Callable<Integer> {
     private static final String CONFIG = "PROXY_CONFIG";
 
-    @Option(names = "--rehearse", paramLabel = "FILE", description = "Only starts with that configuration, rehearses and stops: "
-        + "the build makes the archive of classes of such a run.")
+    @Option(
+            names = "--rehearse",
+            paramLabel = "FILE",
+            description = "Only starts with that configuration, rehearses and stops: "
+                    + "the build makes the archive of classes of such a run.")
     private Path rehearse;
 
     @Override
--- a/app/src/main/java/wharfhinge/app/Program.java
+++ b/app/src/main/java/wharfhinge/app/Program.java
@@ -13,7 +13,7 @@
     /** The class to start a process of this program with. */
     public static final String MAIN = "wharfhinge.app.Main";
 
-    private Program() { }
+    private Program() {}
 
     /** The version that the build wrote into the jar. */
     public static final class Version implements IVersionProvider {
--- a/app/src/main/java/wharfhinge/app/ReplayCommand.java
+++ b/app/src/main/java/wharfhinge/app/ReplayCommand.java
@@ -36,44 +36,91 @@
 import wharfhinge.config.InvalidFileException;
 
 /** Replays what a gateway captured. */
-@Command(name = "replay", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
-    description = "Tells a capture's events to fresh decisions and compares what they decide with what was decided; exits with 1 at "
-        + "the first difference, or where the capture has a gap.")
+@Command(
+        name = "replay",
+        mixinStandardHelpOptions = true,
+        versionProvider = Program.Version.class,
+        description =
+                "Tells a capture's events to fresh decisions and compares what they decide with what was decided; exits with 1 at "
+                        + "the first difference, or where the capture has a gap.")
 final class ReplayCommand implements Callable<Integer> {
     private static final int SHOWN = 10;
 
-    @Parameters(arity = "1..*", paramLabel = "CAPTURE", description = "A segment, a folder with one gateway's segments, or a fixture "
-        + "(.jsonl). Several are merged by --merge alone.")
+    @Parameters(
+            arity = "1..*",
+            paramLabel = "CAPTURE",
+            description = "A segment, a folder with one gateway's segments, or a fixture "
+                    + "(.jsonl). Several are merged by --merge alone.")
     private List<Path> files;
+
     @Option(names = "--until", paramLabel = "S", description = "Stops so many seconds after the capture's first frame.")
     private Double until;
-    @Option(names = "--call", paramLabel = "ID", description = "Tells why this call went where it went; the client's id or the "
-        + "gateway's own.")
+
+    @Option(
+            names = "--call",
+            paramLabel = "ID",
+            description = "Tells why this call went where it went; the client's id or the " + "gateway's own.")
     private String call;
-    @Option(names = "--what-if", paramLabel = "SETTINGS", description = "The same events under other settings: what would differ.")
+
+    @Option(
+            names = "--what-if",
+            paramLabel = "SETTINGS",
+            description = "The same events under other settings: what would differ.")
     private Path whatIf;
-    @Option(names = "--log", paramLabel = "FILE", description = "Writes each event with what the replay decided on it, a line each.")
+
+    @Option(
+            names = "--log",
+            paramLabel = "FILE",
+            description = "Writes each event with what the replay decided on it, a line each.")
     private Path log;
-    @Option(names = "--reduce", paramLabel = "SYMPTOM", description = "Cuts the capture down to the least that still shows this, such as "
-        + "'attempt worker=127.0.0.1:7001 >= 3 and refuse >= 1', and writes it to --out.")
+
+    @Option(
+            names = "--reduce",
+            paramLabel = "SYMPTOM",
+            description = "Cuts the capture down to the least that still shows this, such as "
+                    + "'attempt worker=127.0.0.1:7001 >= 3 and refuse >= 1', and writes it to --out.")
     private String symptom;
+
     @Option(names = "--out", paramLabel = "FILE", description = "Where a reduced capture goes, as a fixture.")
     private Path out;
-    @Option(names = "--most-replays", defaultValue = "2000", description = "Replays that reducing may take. Default ${DEFAULT-VALUE}.")
+
+    @Option(
+            names = "--most-replays",
+            defaultValue = "2000",
+            description = "Replays that reducing may take. Default ${DEFAULT-VALUE}.")
     private int mostReplays;
-    @Option(names = "--merge", description = "Prints the frames of all captures on one time line, by their wall clocks.")
+
+    @Option(
+            names = "--merge",
+            description = "Prints the frames of all captures on one time line, by their wall clocks.")
     private boolean merge;
-    @Option(names = "--skew", paramLabel = "GATEWAY=MS", description = "With --merge: this gateway's wall clock is so much ahead.")
+
+    @Option(
+            names = "--skew",
+            paramLabel = "GATEWAY=MS",
+            description = "With --merge: this gateway's wall clock is so much ahead.")
     private Map<String, Double> skews = new HashMap<>();
-    @Option(names = "--align", description = "With --merge: takes the skew of each gateway's clock to the first's as it is estimated from "
-        + "the changes of the list that both were told, where --skew does not tell it.")
+
+    @Option(
+            names = "--align",
+            description = "With --merge: takes the skew of each gateway's clock to the first's as it is estimated from "
+                    + "the changes of the list that both were told, where --skew does not tell it.")
     private boolean align;
-    @Option(names = "--find", paramLabel = "ID", description = "Names the segments and times that tell of this call, without replaying; "
-        + "about one in a hundred blocks is named in vain.")
+
+    @Option(
+            names = "--find",
+            paramLabel = "ID",
+            description = "Names the segments and times that tell of this call, without replaying; "
+                    + "about one in a hundred blocks is named in vain.")
     private String find;
-    @Option(names = "--symptom", paramLabel = "CLASS", description = "In place of the expression of --reduce: a class with a constructor "
-        + "without arguments that is a Predicate<List<Frame>>, found in --classes.")
+
+    @Option(
+            names = "--symptom",
+            paramLabel = "CLASS",
+            description = "In place of the expression of --reduce: a class with a constructor "
+                    + "without arguments that is a Predicate<List<Frame>>, found in --classes.")
     private String symptomClass;
+
     @Option(names = "--classes", paramLabel = "PATH", split = ":", description = "Jars and folders of --symptom.")
     private List<Path> classes = new ArrayList<>();
 
@@ -142,15 +189,20 @@
                 System.out.println("call " + call + " is not in this capture");
             }
         }
-        System.out.printf("%d frames compared in %d lives, %d after a gap left out, %d lost%n", result.compared(), result.lives(),
-            result.skipped(), result.gaps());
+        System.out.printf(
+                "%d frames compared in %d lives, %d after a gap left out, %d lost%n",
+                result.compared(), result.lives(), result.skipped(), result.gaps());
         if (result.difference() != null) {
             result.difference().lines().forEach(System.out::println);
             return Program.WANTING;
         }
-        System.out.println(whole && result.gaps() == 0 ? "all decisions are the same"
-            : "all decisions that can be compared are the same; the capture is not whole");
-        return whole && result.gaps() == 0 && (call == null || !account.lines().isEmpty()) ? Program.OK : Program.WANTING;
+        System.out.println(
+                whole && result.gaps() == 0
+                        ? "all decisions are the same"
+                        : "all decisions that can be compared are the same; the capture is not whole");
+        return whole && result.gaps() == 0 && (call == null || !account.lines().isEmpty())
+                ? Program.OK
+                : Program.WANTING;
     }
 
     private static void write(BufferedWriter to, Frame frame) {
@@ -170,27 +222,35 @@
         long[] first = {-1};
         long[] differ = {0};
         List<String> shown = new ArrayList<>();
-        Replayer.Result result = new Replayer(Choice::new, captured -> other.settings()).counterfactual(frames, end,
-            new Replayer.Watcher() {
-                @Override
-                public void before(long index, Frame frame, Dispatcher dispatcher) { }
+        Replayer.Result result = new Replayer(Choice::new, captured -> other.settings())
+                .counterfactual(frames, end, new Replayer.Watcher() {
+                    @Override
+                    public void before(long index, Frame frame, Dispatcher dispatcher) {}
 
-                @Override
-                public void after(long index, Frame frame, List<Act> replayed) {
-                    if (!replayed.equals(frame.acts())) {
-                        first[0] = first[0] < 0 ? index : first[0];
-                        differ[0]++;
-                        if (shown.size() < 2 * SHOWN) {
-                            shown.add("frame " + index + " captured " + frame.acts().stream().map(Act::line).toList());
-                            shown.add("frame " + index + " would be " + replayed.stream().map(Act::line).toList());
+                    @Override
+                    public void after(long index, Frame frame, List<Act> replayed) {
+                        if (!replayed.equals(frame.acts())) {
+                            first[0] = first[0] < 0 ? index : first[0];
+                            differ[0]++;
+                            if (shown.size() < 2 * SHOWN) {
+                                shown.add("frame " + index + " captured "
+                                        + frame.acts().stream().map(Act::line).toList());
+                                shown.add("frame " + index + " would be "
+                                        + replayed.stream().map(Act::line).toList());
+                            }
                         }
                     }
-                }
-            });
+                });
         System.out.println("counterfactual: the same events under the settings of " + whatIf);
         shown.forEach(System.out::println);
-        System.out.printf("%d of %d frames would be decided otherwise%s%n", differ[0], result.compared(), first[0] < 0 ? ""
-            : "; valid to frame " + first[0] + ": what follows are events that the captured decisions led to, not these");
+        System.out.printf(
+                "%d of %d frames would be decided otherwise%s%n",
+                differ[0],
+                result.compared(),
+                first[0] < 0
+                        ? ""
+                        : "; valid to frame " + first[0]
+                                + ": what follows are events that the captured decisions led to, not these");
         return Program.OK;
     }
 
@@ -204,7 +264,8 @@
             Reducer reducer = new Reducer(wanted, mostReplays);
             List<Frame> few = reducer.reduce(frames);
             Files.write(out, Reducer.fixture("shows: " + (symptom == null ? symptomClass : symptom), few));
-            System.out.printf("%d frames of %d after %d replays, in %s%n", few.size(), frames.size(), reducer.replays(), out);
+            System.out.printf(
+                    "%d frames of %d after %d replays, in %s%n", few.size(), frames.size(), reducer.replays(), out);
             return Program.OK;
         } catch (IllegalArgumentException e) {
             System.err.println(e.getMessage());
@@ -219,14 +280,21 @@
             urls.add(path.toUri().toURL());
         }
         try {
-            Object made = Class.forName(symptomClass, true, new URLClassLoader(urls.toArray(new URL[0]), getClass().getClassLoader()))
-                .getDeclaredConstructor().newInstance();
+            Object made = Class.forName(
+                            symptomClass,
+                            true,
+                            new URLClassLoader(
+                                    urls.toArray(new URL[0]), getClass().getClassLoader()))
+                    .getDeclaredConstructor()
+                    .newInstance();
             if (made instanceof Predicate) {
                 return (Predicate<List<Frame>>) made;
             }
-            throw new IllegalArgumentException("--symptom: found " + symptomClass + ", allowed: a Predicate<List<Frame>>");
+            throw new IllegalArgumentException(
+                    "--symptom: found " + symptomClass + ", allowed: a Predicate<List<Frame>>");
         } catch (ReflectiveOperationException | LinkageError e) {
-            throw new IllegalArgumentException("--symptom: found " + symptomClass + ", which can't be made from " + classes + ": " + e, e);
+            throw new IllegalArgumentException(
+                    "--symptom: found " + symptomClass + ", which can't be made from " + classes + ": " + e, e);
         }
     }
 
@@ -235,8 +303,11 @@
         if (call == null || at.toString().endsWith(".jsonl")) {
             return Long.MAX_VALUE;
         }
-        return CaptureReader.index(at).stream().filter(b -> b.names().mayHold(call)).mapToLong(CaptureReader.BlockHead::lastNs)
-            .max().orElse(Long.MAX_VALUE);
+        return CaptureReader.index(at).stream()
+                .filter(b -> b.names().mayHold(call))
+                .mapToLong(CaptureReader.BlockHead::lastNs)
+                .max()
+                .orElse(Long.MAX_VALUE);
     }
 
     private Integer found() throws IOException {
@@ -245,8 +316,13 @@
             for (CaptureReader.BlockHead b : CaptureReader.index(file)) {
                 if (b.names().mayHold(find)) {
                     blocks++;
-                    System.out.printf("%s at byte %d: %s, %.1f s, %d frames%n", b.segment(), b.offset(), Instant.ofEpochMilli(b.wallMs()),
-                        (b.lastNs() - b.firstNs()) / 1e9, b.frames());
+                    System.out.printf(
+                            "%s at byte %d: %s, %.1f s, %d frames%n",
+                            b.segment(),
+                            b.offset(),
+                            Instant.ofEpochMilli(b.wallMs()),
+                            (b.lastNs() - b.firstNs()) / 1e9,
+                            b.frames());
                 }
             }
         }
@@ -254,16 +330,24 @@
         return blocks == 0 ? Program.WANTING : Program.OK;
     }
 
-    private record Placed(long wallUs, String gateway, Frame frame) { }
+    private record Placed(long wallUs, String gateway, Frame frame) {}
 
     private long aheadUs(Capture first, Capture capture) {
         Optional<Skew> skew = Skew.between(first, capture);
-        System.out.println("# " + capture.gateway() + skew.map(s -> String.format(Locale.ROOT,
-            ": clock %.1f ms ahead of %s's, estimated from %d changes of the list, half of them within %.1f ms", s.aheadUs() / 1000.0,
-            first.gateway(), s.samples(), s.spreadUs() / 1000.0)).orElse(": shares no change of the list with " + first.gateway()
-            + ", its clock's skew can't be estimated"));
+        System.out.println("# " + capture.gateway()
+                + skew.map(s -> String.format(
+                                Locale.ROOT,
+                                ": clock %.1f ms ahead of %s's, estimated from %d changes of the list, half of them within %.1f ms",
+                                s.aheadUs() / 1000.0,
+                                first.gateway(),
+                                s.samples(),
+                                s.spreadUs() / 1000.0))
+                        .orElse(": shares no change of the list with " + first.gateway()
+                                + ", its clock's skew can't be estimated"));
         Double told = skews.get(capture.gateway());
-        return told != null ? (long) (told * 1000) : align ? skew.map(Skew::aheadUs).orElse(0L) : 0;
+        return told != null
+                ? (long) (told * 1000)
+                : align ? skew.map(Skew::aheadUs).orElse(0L) : 0;
     }
 
     private Integer merged() throws IOException {
--- a/app/src/main/java/wharfhinge/app/ServeCommand.java
+++ b/app/src/main/java/wharfhinge/app/ServeCommand.java
@@ -8,15 +8,17 @@
 import wharfhinge.gateway.loop.DispatcherFactory;
 
 /** Runs a gateway until it is told to stop. */
-@Command(name = "serve", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
-    description = "Runs a gateway until it gets a TERM or INT signal, then answers what is open and ends.")
+@Command(
+        name = "serve",
+        mixinStandardHelpOptions = true,
+        versionProvider = Program.Version.class,
+        description = "Runs a gateway until it gets a TERM or INT signal, then answers what is open and ends.")
 final class ServeCommand implements Callable<Integer> {
     @Option(names = "--config", required = true, paramLabel = "FILE", description = "The settings, an XML file.")
     private Path config;
 
     @Override
     public Integer call() throws InterruptedException {
-        return Serving.serve(config, DispatcherFactory.CHOICE, UnaryOperator.identity(),
-            UnaryOperator.identity());
+        return Serving.serve(config, DispatcherFactory.CHOICE, UnaryOperator.identity(), UnaryOperator.identity());
     }
 }
--- a/app/src/main/java/wharfhinge/app/Serving.java
+++ b/app/src/main/java/wharfhinge/app/Serving.java
@@ -13,11 +13,15 @@
 /** The life of a gateway process. */
 public final class Serving {
 
-    private Serving() { }
+    private Serving() {}
 
     /** Serves with the given decisions; returns once the gateway has stopped. */
-    public static int serve(Path file, DispatcherFactory decisions, UnaryOperator<GatewayConfig> changed,
-                            UnaryOperator<FleetSource> heard) throws InterruptedException {
+    public static int serve(
+            Path file,
+            DispatcherFactory decisions,
+            UnaryOperator<GatewayConfig> changed,
+            UnaryOperator<FleetSource> heard)
+            throws InterruptedException {
         GatewayConfig config;
         try {
             config = changed.apply(GatewayConfig.load(file));
@@ -26,17 +30,21 @@
             return Program.WANTING;
         }
         Logs.set(config.log());
-        Gateway gateway = new Gateway(config, decisions, (group, type) -> heard.apply(new HttpRoster(config, group, type)));
+        Gateway gateway =
+                new Gateway(config, decisions, (group, type) -> heard.apply(new HttpRoster(config, group, type)));
         CountDownLatch stopped = new CountDownLatch(1);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            try {
-                gateway.stop();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-            Logs.flush();
-            stopped.countDown();
-        }, "stop"));
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> {
+                            try {
+                                gateway.stop();
+                            } catch (InterruptedException e) {
+                                Thread.currentThread().interrupt();
+                            }
+                            Logs.flush();
+                            stopped.countDown();
+                        },
+                        "stop"));
         gateway.rehearse();
         gateway.start();
         stopped.await();
--- a/app/src/main/java/wharfhinge/app/StandInCommand.java
+++ b/app/src/main/java/wharfhinge/app/StandInCommand.java
@@ -20,10 +20,18 @@
 import wharfhinge.standin.WorkerStandIn;
 
 /** Runs stand-ins to try a gateway against by hand. */
-@Command(name = "stand-in", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
-    description = "Runs scripted peers on loopback until stopped.", synopsisSubcommandLabel = "KIND",
-    subcommands = {StandInCommand.Fleet.class, StandInCommand.Worker.class, StandInCommand.Roster.class,
-        StandInCommand.Store.class})
+@Command(
+        name = "stand-in",
+        mixinStandardHelpOptions = true,
+        versionProvider = Program.Version.class,
+        description = "Runs scripted peers on loopback until stopped.",
+        synopsisSubcommandLabel = "KIND",
+        subcommands = {
+            StandInCommand.Fleet.class,
+            StandInCommand.Worker.class,
+            StandInCommand.Roster.class,
+            StandInCommand.Store.class
+        })
 final class StandInCommand implements Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
@@ -38,12 +46,13 @@
         return Program.OK;
     }
 
-    private static List<WorkerStandIn> workers(Scenario scenario, EventLoopGroup group, int first, int count, int store,
-                                               Trace trace) {
+    private static List<WorkerStandIn> workers(
+            Scenario scenario, EventLoopGroup group, int first, int count, int store, Trace trace) {
         List<WorkerStandIn> workers = new ArrayList<>();
         HttpCaller fetches = new HttpCaller(group, store);
         for (int i = 0; i < count; i++) {
-            workers.add(new WorkerStandIn(group, first == 0 ? 0 : first + i, scenario.worker(i, false), fetches, trace));
+            workers.add(
+                    new WorkerStandIn(group, first == 0 ? 0 : first + i, scenario.worker(i, false), fetches, trace));
             System.out.println("worker " + workers.get(i).id());
         }
         return workers;
@@ -51,18 +60,35 @@
 
     private static void list(RosterStandIn roster, String worker, Scenario scenario, int i) {
         var spec = scenario.worker(i, false);
-        roster.report(new RosterEntry(worker, spec.zone(), spec.kind(), spec.cell(), RosterEntry.State.UP,
-            spec.cores(), 2 * spec.coldMs(), "b0"));
+        roster.report(new RosterEntry(
+                worker,
+                spec.zone(),
+                spec.kind(),
+                spec.cell(),
+                RosterEntry.State.UP,
+                spec.cores(),
+                2 * spec.coldMs(),
+                "b0"));
     }
 
     /** Store, workers and the roster that lists them. */
-    @Command(name = "fleet", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
-        description = "A store, workers and a roster that lists them.")
+    @Command(
+            name = "fleet",
+            mixinStandardHelpOptions = true,
+            versionProvider = Program.Version.class,
+            description = "A store, workers and a roster that lists them.")
     static final class Fleet implements Callable<Integer> {
-        @Option(names = "--scenario", paramLabel = "FILE", description = "Figures of the fleet; the bad day's if left out.")
+        @Option(
+                names = "--scenario",
+                paramLabel = "FILE",
+                description = "Figures of the fleet; the bad day's if left out.")
         private Path scenario;
-        @Option(names = "--port", defaultValue = "8500", description = "The roster's port; the store has the next one, "
-            + "the workers those that follow. Default ${DEFAULT-VALUE}.")
+
+        @Option(
+                names = "--port",
+                defaultValue = "8500",
+                description = "The roster's port; the store has the next one, "
+                        + "the workers those that follow. Default ${DEFAULT-VALUE}.")
         private int port;
 
         @Override
@@ -71,8 +97,10 @@
             Trace trace = new Trace(System::nanoTime);
             EventLoopGroup group = Net.group(4);
             RosterStandIn roster = new RosterStandIn(group, port, day.roster().lagMs(), trace);
-            StoreStandIn store = new StoreStandIn(group, port + 1, day.store().fullPace(), day.store().most(), trace);
-            List<WorkerStandIn> workers = workers(day, group, port + 2, day.workers().count(), store.port(), trace);
+            StoreStandIn store = new StoreStandIn(
+                    group, port + 1, day.store().fullPace(), day.store().most(), trace);
+            List<WorkerStandIn> workers =
+                    workers(day, group, port + 2, day.workers().count(), store.port(), trace);
             for (int i = 0; i < workers.size(); i++) {
                 list(roster, workers.get(i).id(), day, i);
             }
@@ -82,15 +110,24 @@
     }
 
     /** Workers. */
-    @Command(name = "worker", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
-        description = "Scripted workers.")
+    @Command(
+            name = "worker",
+            mixinStandardHelpOptions = true,
+            versionProvider = Program.Version.class,
+            description = "Scripted workers.")
     static final class Worker implements Callable<Integer> {
-        @Option(names = "--scenario", paramLabel = "FILE", description = "Figures of the fleet; the bad day's if left out.")
+        @Option(
+                names = "--scenario",
+                paramLabel = "FILE",
+                description = "Figures of the fleet; the bad day's if left out.")
         private Path scenario;
+
         @Option(names = "--port", required = true, description = "The first one's port; 0 takes any.")
         private int port;
+
         @Option(names = "--count", defaultValue = "1", description = "How many. Default ${DEFAULT-VALUE}.")
         private int count;
+
         @Option(names = "--store-port", required = true, description = "Where they fetch from.")
         private int store;
 
@@ -102,13 +139,18 @@
     }
 
     /** A roster. */
-    @Command(name = "roster", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
-        description = "A roster that lists the workers named.")
+    @Command(
+            name = "roster",
+            mixinStandardHelpOptions = true,
+            versionProvider = Program.Version.class,
+            description = "A roster that lists the workers named.")
     static final class Roster implements Callable<Integer> {
         @Option(names = "--port", required = true, description = "Its port.")
         private int port;
+
         @Option(names = "--lag-ms", defaultValue = "300", description = "How late it is. Default ${DEFAULT-VALUE}.")
         private long lag;
+
         @Option(names = "--worker", required = true, paramLabel = "ADDRESS:PORT", description = "A worker; repeatable.")
         private List<String> workers;
 
@@ -125,14 +167,25 @@
     }
 
     /** A store. */
-    @Command(name = "store", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
-        description = "A store that slows when crowded and turns fetches away past its limit.")
+    @Command(
+            name = "store",
+            mixinStandardHelpOptions = true,
+            versionProvider = Program.Version.class,
+            description = "A store that slows when crowded and turns fetches away past its limit.")
     static final class Store implements Callable<Integer> {
         @Option(names = "--port", required = true, description = "Its port.")
         private int port;
-        @Option(names = "--full-pace", defaultValue = "8", description = "Fetches at full pace. Default ${DEFAULT-VALUE}.")
+
+        @Option(
+                names = "--full-pace",
+                defaultValue = "8",
+                description = "Fetches at full pace. Default ${DEFAULT-VALUE}.")
         private int fullPace;
-        @Option(names = "--most", defaultValue = "32", description = "Fetches in hand at most. Default ${DEFAULT-VALUE}.")
+
+        @Option(
+                names = "--most",
+                defaultValue = "32",
+                description = "Fetches in hand at most. Default ${DEFAULT-VALUE}.")
         private int most;
 
         @Override
--- a/app/src/main/java/wharfhinge/app/StoreCommand.java
+++ b/app/src/main/java/wharfhinge/app/StoreCommand.java
@@ -10,15 +10,22 @@
 import wharfhinge.worker.store.Store;
 
 /** Serves packages to workers until stopped. */
-@Command(name = "store", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
-    description = "Serves the packages (NAME.pkg) of a folder to workers, until stopped.")
+@Command(
+        name = "store",
+        mixinStandardHelpOptions = true,
+        versionProvider = Program.Version.class,
+        description = "Serves the packages (NAME.pkg) of a folder to workers, until stopped.")
 final class StoreCommand implements Callable<Integer> {
     @Option(names = "--folder", required = true, paramLabel = "FOLDER", description = "Where the packages are.")
     private Path folder;
+
     @Option(names = "--port", defaultValue = "8600", description = "The port on loopback; default ${DEFAULT-VALUE}.")
     private int port;
-    @Option(names = "--most", defaultValue = "64", description = "Fetches in hand beyond which it turns away with 503; "
-        + "default ${DEFAULT-VALUE}.")
+
+    @Option(
+            names = "--most",
+            defaultValue = "64",
+            description = "Fetches in hand beyond which it turns away with 503; " + "default ${DEFAULT-VALUE}.")
     private int most;
 
     @Override
--- a/app/src/main/java/wharfhinge/app/WorkerCommand.java
+++ b/app/src/main/java/wharfhinge/app/WorkerCommand.java
@@ -10,33 +10,44 @@
 import wharfhinge.worker.WorkerSettings;
 
 /** Runs a worker until it is told to stop. */
-@Command(name = "worker", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
-    description = "Runs a worker that loads packages and runs calls, until it gets a TERM or INT signal; then it drains.")
+@Command(
+        name = "worker",
+        mixinStandardHelpOptions = true,
+        versionProvider = Program.Version.class,
+        description =
+                "Runs a worker that loads packages and runs calls, until it gets a TERM or INT signal; then it drains.")
 final class WorkerCommand implements Callable<Integer> {
     @Option(names = "--config", required = true, paramLabel = "FILE", description = "The settings, an XML file.")
     private Path config;
-    @Option(names = "--log-level", defaultValue = "info", description = "error, warn, info or debug; default ${DEFAULT-VALUE}.")
+
+    @Option(
+            names = "--log-level",
+            defaultValue = "info",
+            description = "error, warn, info or debug; default ${DEFAULT-VALUE}.")
     private String level;
 
     @Override
     public Integer call() throws Exception {
         WorkerSettings settings;
         try {
-            settings = XmlFile.load(config, WorkerSettings.schema(), WorkerSettings.class, (read, faults) -> { });
+            settings = XmlFile.load(config, WorkerSettings.schema(), WorkerSettings.class, (read, faults) -> {});
         } catch (InvalidFileException e) {
             System.err.println(e.getMessage());
             return Program.WANTING;
         }
         Logs.set(false, level);
         WorkerServer server = new WorkerServer(settings, config.toAbsolutePath().getParent());
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            try {
-                server.drain();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-            Logs.flush();
-        }, "stop"));
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> {
+                            try {
+                                server.drain();
+                            } catch (InterruptedException e) {
+                                Thread.currentThread().interrupt();
+                            }
+                            Logs.flush();
+                        },
+                        "stop"));
         System.out.println("worker " + settings.name() + " 127.0.0.1:" + server.port() + " boot " + server.boot());
         System.gc(); // what reading the settings left is given back before calls come
         server.await();
--- a/app/src/main/java/wharfhinge/app/drill/ClientFleet.java
+++ b/app/src/main/java/wharfhinge/app/drill/ClientFleet.java
@@ -66,22 +66,33 @@
         this.scenario = scenario;
         this.folder = Files.createDirectories(folder);
         roster = new RosterStandIn(group, 0, scenario.roster().lagMs(), trace);
-        store = new StoreStandIn(group, 0, scenario.store().fullPace(), scenario.store().most(), trace);
+        store = new StoreStandIn(
+                group, 0, scenario.store().fullPace(), scenario.store().most(), trace);
         HttpCaller fetches = new HttpCaller(group, store.port());
         for (int i = 0; i < scenario.workers().count(); i++) {
             WorkerModel.Spec spec = scenario.worker(i, false);
             WorkerStandIn worker = new WorkerStandIn(group, 0, spec, fetches, trace);
             workers.add(worker);
-            roster.report(new RosterEntry(worker.id(), spec.zone(), spec.kind(), spec.cell(), State.UP, spec.cores(), 2 * spec.coldMs(),
-                worker.model().boot()));
+            roster.report(new RosterEntry(
+                    worker.id(),
+                    spec.zone(),
+                    spec.kind(),
+                    spec.cell(),
+                    State.UP,
+                    spec.cores(),
+                    2 * spec.coldMs(),
+                    worker.model().boot()));
         }
         FreePorts ports = new FreePorts();
         for (int i = 0; i < scenario.gateways(); i++) {
             int port = ports.take();
             int grpcPort = ports.take();
             Path file = GatewaySettings.write(folder, scenario, i, port, roster.port(), false);
-            Files.writeString(file, Files.readString(file).replace("<clients ", "<clients reuse-port=\"true\" ")
-                .replace("<log ", more + "<grpc port=\"" + grpcPort + "\"/>\n  <log "));
+            Files.writeString(
+                    file,
+                    Files.readString(file)
+                            .replace("<clients ", "<clients reuse-port=\"true\" ")
+                            .replace("<log ", more + "<grpc port=\"" + grpcPort + "\"/>\n  <log "));
             settings.add(file);
             http.add("127.0.0.1:" + port);
             grpc.add("127.0.0.1:" + grpcPort);
@@ -99,12 +110,14 @@
         List<Ends> ends = new ArrayList<>();
         List<Thread> threads = new ArrayList<>();
         for (String library : List.of("http", "grpc")) {
-            Thread thread = new Thread(() -> {
-                Ends got = load(library, seconds);
-                synchronized (ends) {
-                    ends.add(got);
-                }
-            }, "load-" + library);
+            Thread thread = new Thread(
+                    () -> {
+                        Ends got = load(library, seconds);
+                        synchronized (ends) {
+                            ends.add(got);
+                        }
+                    },
+                    "load-" + library);
             thread.start();
             threads.add(thread);
         }
@@ -130,7 +143,7 @@
     }
 
     /** What became of a call, in a word, and how many tries it took. */
-    record Answer(String kind, int tries) { }
+    record Answer(String kind, int tries) {}
 
     /** One call that ended; {@code tookMs} counts from when it was due. */
     record Ended(long dueMs, CallClass type, String tenant, Answer answer, long tookMs) {
@@ -142,25 +155,39 @@
     static Caller caller(WharfhingeClient client) {
         return (function, type, tenant, ended) -> {
             Duration deadline = Duration.ofMillis(type.giveUpMs());
-            Call.Builder call = type.effect().equals("idempotent") ? Call.safe(function, type.name(), deadline)
-                : Call.once(function, type.name(), deadline);
-            client.call(call.tenant(tenant).copy(type.memoryMb(), type.lanes(), type.loadMs()).costUs((long) (type.workMs() * 1000)).build())
-                .thenAccept(r -> ended.accept(new Answer(r.getClass().getSimpleName().toLowerCase(Locale.ROOT), r.tries())));
+            Call.Builder call = type.effect().equals("idempotent")
+                    ? Call.safe(function, type.name(), deadline)
+                    : Call.once(function, type.name(), deadline);
+            client.call(call.tenant(tenant)
+                            .copy(type.memoryMb(), type.lanes(), type.loadMs())
+                            .costUs((long) (type.workMs() * 1000))
+                            .build())
+                    .thenAccept(r ->
+                            ended.accept(new Answer(r.getClass().getSimpleName().toLowerCase(Locale.ROOT), r.tries())));
         };
     }
 
     WharfhingeClient client(String library) {
         return library.equals("http")
-            ? new WharfhingeClient(new HttpTransport(Duration.ofMillis(CONNECT_MS), 8, 1 << 20, null, null), ClientPolicy.USUAL, http)
-            : new WharfhingeClient(new GrpcTransport(Duration.ofMillis(CONNECT_MS), 1 << 20, null, null), ClientPolicy.USUAL, grpc);
+                ? new WharfhingeClient(
+                        new HttpTransport(Duration.ofMillis(CONNECT_MS), 8, 1 << 20, null, null),
+                        ClientPolicy.USUAL,
+                        http)
+                : new WharfhingeClient(
+                        new GrpcTransport(Duration.ofMillis(CONNECT_MS), 1 << 20, null, null),
+                        ClientPolicy.USUAL,
+                        grpc);
     }
 
     /** Copies that stand, functions with one, and loads begun since the start. */
     int[] copies() {
         Map<String, Integer> all = new LinkedHashMap<>();
         workers.forEach(w -> w.model().held().forEach((function, count) -> all.merge(function, count, Integer::sum)));
-        return new int[] {all.values().stream().mapToInt(Integer::intValue).sum(), (int) all.values().stream().filter(n -> n > 0).count(),
-            workers.stream().mapToInt(w -> w.model().loadsBegun()).sum()};
+        return new int[] {
+            all.values().stream().mapToInt(Integer::intValue).sum(),
+            (int) all.values().stream().filter(n -> n > 0).count(),
+            workers.stream().mapToInt(w -> w.model().loadsBegun()).sum()
+        };
     }
 
     /** Ports of the gateways over HTTP. */
@@ -182,7 +209,9 @@
                 LockSupport.parkNanos(Math.max(1, due - System.nanoTime()));
             }
             CallClass type = random.nextDouble() < classes.get(0).share() ? classes.get(0) : classes.get(1);
-            String function = "f" + (int) (Math.pow(random.nextDouble(), 2) * scenario.offered().functions());
+            String function = "f"
+                    + (int) (Math.pow(random.nextDouble(), 2)
+                            * scenario.offered().functions());
             long dueMs = (long) (at * 1000);
             open.increment();
             caller.call(function, type, tenant, answer -> {
@@ -199,7 +228,8 @@
 
     private Ends load(String library, double seconds) {
         WharfhingeClient client = client(library);
-        List<Ended> all = load(caller(client), null, seconds, s -> scenario.offered().perS() / 2);
+        List<Ended> all =
+                load(caller(client), null, seconds, s -> scenario.offered().perS() / 2);
         Map<String, Long> byKind = new LinkedHashMap<>();
         all.forEach(e -> byKind.merge(e.answer.kind, 1L, Long::sum));
         try {
@@ -207,8 +237,11 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        return new Ends(library, byKind, all.stream().mapToLong(e -> e.answer.tries).sum(), all.stream().mapToLong(Ended::tookMs).max()
-            .orElse(0));
+        return new Ends(
+                library,
+                byKind,
+                all.stream().mapToLong(e -> e.answer.tries).sum(),
+                all.stream().mapToLong(Ended::tookMs).max().orElse(0));
     }
 
     @Override
--- a/app/src/main/java/wharfhinge/app/drill/Day.java
+++ b/app/src/main/java/wharfhinge/app/drill/Day.java
@@ -57,7 +57,8 @@
         this.folder = folder;
         this.random = new Random(scenario.seed());
         roster = new RosterStandIn(group, 0, 0, trace);
-        store = new StoreStandIn(group, 0, scenario.store().fullPace(), scenario.store().most(), trace);
+        store = new StoreStandIn(
+                group, 0, scenario.store().fullPace(), scenario.store().most(), trace);
         real = scenario.workers().real() ? new RealFleet(group, scenario, folder, trace) : null;
         if (real != null) {
             workers.addAll(real.start());
@@ -90,7 +91,10 @@
         MemoryWatch watch = real == null ? null : new MemoryWatch(group, real.processes());
         clients.start(scenario.seconds());
         Thread.sleep((long) (scenario.seconds() * 1000));
-        long most = scenario.offered().classes().stream().mapToLong(LoadClients.CallClass::giveUpMs).max().orElse(0);
+        long most = scenario.offered().classes().stream()
+                .mapToLong(LoadClients.CallClass::giveUpMs)
+                .max()
+                .orElse(0);
         for (long waited = 0; clients.open() > 0 && waited < most + 500; waited += 50) {
             Thread.sleep(50);
         }
@@ -121,9 +125,13 @@
     Map<String, Long> figures() throws IOException {
         Map<String, Long> all = new LinkedHashMap<>();
         for (GatewayProcess g : gateways) {
-            try (InputStream in = URI.create("http://127.0.0.1:" + g.port() + "/v1/status").toURL().openStream()) {
-                new String(in.readAllBytes(), StandardCharsets.UTF_8).lines().map(l -> l.split(" "))
-                    .forEach(f -> all.merge(f[0], Long.parseLong(f[1]), Long::sum));
+            try (InputStream in = URI.create("http://127.0.0.1:" + g.port() + "/v1/status")
+                    .toURL()
+                    .openStream()) {
+                new String(in.readAllBytes(), StandardCharsets.UTF_8)
+                        .lines()
+                        .map(l -> l.split(" "))
+                        .forEach(f -> all.merge(f[0], Long.parseLong(f[1]), Long::sum));
             }
         }
         return all;
@@ -133,8 +141,8 @@
         Member worker = workers.get(i);
         WorkerModel.Spec spec = scenario.worker(i, false);
         long age = fresh ? 0 : 2 * spec.coldMs();
-        roster.report(new RosterEntry(worker.id(), spec.zone(), spec.kind(), spec.cell(), state, spec.cores(), age,
-            worker.boot()));
+        roster.report(new RosterEntry(
+                worker.id(), spec.zone(), spec.kind(), spec.cell(), state, spec.cores(), age, worker.boot()));
     }
 
     // ---- Troubles ---------------------------------------------------------------------------
@@ -158,15 +166,18 @@
     }
 
     private void at(double seconds, Step step) {
-        player.schedule(() -> {
-            try {
-                step.take();
-            } catch (IOException e) {
-                System.err.println("trouble: " + e.getMessage());
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }, (long) (seconds * 1000), TimeUnit.MILLISECONDS);
+        player.schedule(
+                () -> {
+                    try {
+                        step.take();
+                    } catch (IOException e) {
+                        System.err.println("trouble: " + e.getMessage());
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                },
+                (long) (seconds * 1000),
+                TimeUnit.MILLISECONDS);
     }
 
     private void during(Trouble t, Step begin, Step end) {
@@ -192,20 +203,23 @@
         }
         switch (t.name()) {
             case "hang" -> during(t, () -> all(some, m -> m.hang(true)), () -> all(some, m -> m.hang(false)));
-            case "fast_errors" -> during(t, () -> all(some, m -> m.errors(t.size())),
-                () -> all(some, m -> m.errors(0)));
-            case "answer_lost" -> during(t, () -> all(some, m -> m.loseAnswers(t.size(), t.extra() > 0)),
-                () -> all(some, m -> m.loseAnswers(0, false)));
-            case "slow" -> during(t, () -> all(some, m -> m.slower(t.size())),
-                () -> all(some, m -> m.slower(1)));
+            case "fast_errors" -> during(
+                    t, () -> all(some, m -> m.errors(t.size())), () -> all(some, m -> m.errors(0)));
+            case "answer_lost" -> during(
+                    t,
+                    () -> all(some, m -> m.loseAnswers(t.size(), t.extra() > 0)),
+                    () -> all(some, m -> m.loseAnswers(0, false)));
+            case "slow" -> during(t, () -> all(some, m -> m.slower(t.size())), () -> all(some, m -> m.slower(1)));
             case "neighbour" -> onAndOff(t, on -> all(some, m -> m.slower(on ? 1 / (1 - t.size()) : 1)));
             case "pauses" -> onAndOff(t, on -> {
                 if (on) {
                     all(some, m -> m.pause((long) t.size()));
                 }
             });
-            case "handshake_slow" -> during(t, () -> all(some, m -> m.slowHandshakes((long) t.size())),
-                () -> all(some, m -> m.slowHandshakes(0)));
+            case "handshake_slow" -> during(
+                    t,
+                    () -> all(some, m -> m.slowHandshakes((long) t.size())),
+                    () -> all(some, m -> m.slowHandshakes(0)));
             case "flush" -> at(t.at(), () -> all(workers, m -> m.flush(t.size())));
             case "burst", "overload" -> during(t, () -> clients.rate(t.size()), () -> clients.rate(1));
             case "hot_key" -> during(t, () -> clients.hot(t.size(), (int) t.extra()), () -> clients.hot(0, 1));
@@ -213,16 +227,19 @@
             case "heavy_tail" -> during(t, () -> clients.heavy(t.part(), t.size()), () -> clients.heavy(0, 1));
             case "give_up" -> during(t, () -> clients.leave(t.size()), () -> clients.leave(0));
             case "shift" -> at(t.at(), () -> clients.shift(t.size()));
-            case "discovery_stale" -> during(t, () -> roster.lag(scenario.roster().lagMs() + (long) (t.size() * 1000)),
-                () -> roster.lag(scenario.roster().lagMs()));
+            case "discovery_stale" -> during(
+                    t,
+                    () -> roster.lag(scenario.roster().lagMs() + (long) (t.size() * 1000)),
+                    () -> roster.lag(scenario.roster().lagMs()));
             case "roster_lost" -> during(t, () -> roster.lost(true), () -> roster.lost(false));
             case "roster_silent" -> during(t, () -> roster.mute(true), () -> roster.mute(false));
             case "store_shut" -> during(t, () -> shut(true), () -> shut(false));
             case "drain" -> some(t).forEach(i -> drain(t, i));
             case "restart" -> some(t).forEach(i -> restart(t.at(), t.length(), i));
             case "balancer_roll" -> roll(t);
-            case "balancer_stall" -> gateways.stream().limit((long) Math.ceil(t.part() * gateways.size()))
-                .forEach(g -> during(t, () -> g.stall(true), () -> g.stall(false)));
+            case "balancer_stall" -> gateways.stream()
+                    .limit((long) Math.ceil(t.part() * gateways.size()))
+                    .forEach(g -> during(t, () -> g.stall(true), () -> g.stall(false)));
             default -> throw new IllegalArgumentException("unknown trouble " + t.name());
         }
     }
--- a/app/src/main/java/wharfhinge/app/drill/GatewayProcess.java
+++ b/app/src/main/java/wharfhinge/app/drill/GatewayProcess.java
@@ -55,15 +55,22 @@
 
     /** Starts it; returns once it takes connections. */
     void start() throws IOException, InterruptedException {
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-Xmx256m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
-            Program.MAIN));
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx256m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+                Program.MAIN));
         command.addAll(mutant == null ? List.of("serve") : List.of("drill-gateway", "--mutant", mutant.name()));
         command.addAll(List.of("--config", config.toString()));
         Path log = config.resolveSibling(name + ".log");
         long before = Files.exists(log) ? Files.size(log) : 0;
-        process = new ProcessBuilder(command).redirectErrorStream(true)
-            .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
+        process = new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                .start();
         long end = System.nanoTime() + START_MS * 1_000_000L;
         while (System.nanoTime() < end && process.isAlive()) {
             if (saidReady(log, before)) {
@@ -94,7 +101,9 @@
         if (now) {
             trace.note("gw-stalled", "gw", name);
         }
-        new ProcessBuilder("kill", now ? "-STOP" : "-CONT", Long.toString(process.pid())).start().waitFor();
+        new ProcessBuilder("kill", now ? "-STOP" : "-CONT", Long.toString(process.pid()))
+                .start()
+                .waitFor();
         if (!now) {
             trace.note("gw-resumed", "gw", name);
         }
--- a/app/src/main/java/wharfhinge/app/drill/GatewaySettings.java
+++ b/app/src/main/java/wharfhinge/app/drill/GatewaySettings.java
@@ -11,19 +11,24 @@
 final class GatewaySettings {
     private static final long MOST_ADVICE_MS = 2000;
 
-    private GatewaySettings() { }
+    private GatewaySettings() {}
 
-    static Path write(Path folder, Scenario day, int number, int port, int rosterPort,
-                      boolean capture) throws IOException {
+    static Path write(Path folder, Scenario day, int number, int port, int rosterPort, boolean capture)
+            throws IOException {
         Judge.Rules r = day.judged();
         StringBuilder classes = new StringBuilder();
         for (LoadClients.CallClass c : day.offered().classes()) {
-            classes.append(String.format("    <class name=\"%s\" effect=\"%s\" aim-ms=\"%d\" give-up-ms=\"%d\" "
-                + "late-worth=\"0.2\"/>%n", c.name(), c.effect(), c.aimMs(), c.giveUpMs()));
+            classes.append(String.format(
+                    "    <class name=\"%s\" effect=\"%s\" aim-ms=\"%d\" give-up-ms=\"%d\" " + "late-worth=\"0.2\"/>%n",
+                    c.name(), c.effect(), c.aimMs(), c.giveUpMs()));
         }
-        String ration = r.rationMs() == 0 ? "" : String.format("<ration period-ms=\"%d\" anyway=\"%s\" ratio=\"%s\"/>",
-            r.rationMs(), r.rationAnyway(), r.rationRatio());
-        String text = String.format("""
+        String ration = r.rationMs() == 0
+                ? ""
+                : String.format(
+                        "<ration period-ms=\"%d\" anyway=\"%s\" ratio=\"%s\"/>",
+                        r.rationMs(), r.rationAnyway(), r.rationRatio());
+        String text = String.format(
+                """
             <wharfhinge xmlns="urn:wharfhinge:settings:1">
               <gateway name="gw%d" zone="%s" number="%d" group="%d" seed="%d"/>
               <clients port="%d" stop-within-ms="3000" rehearse-ms="0" max-retry-after-ms="%d"/>
@@ -41,12 +46,35 @@
               %s
               <log format="plain"/>
             </wharfhinge>
-            """, number, number % 2 == 0 ? "zone-a" : "zone-b", number, day.gateways(), day.seed() * 100 + number, port,
-            Math.min(MOST_ADVICE_MS, day.offered().classes().stream().mapToLong(LoadClients.CallClass::giveUpMs).max().orElse(MOST_ADVICE_MS)),
-            day.workers().reports(), day.secondCopies(), day.workers().memoryMb(), day.workers().notLoaded(),
-            day.workers().keepMs(), ration, classes, r.stopSendingMs(), r.coldFrom(), r.coldMs(), r.overloadFactor(),
-            r.tipMs(), r.graceMs(), rosterPort, number,
-            capture ? "<capture folder=\"gw" + number + ".capture\" segment-mb=\"4\"/>" : "");
+            """,
+                number,
+                number % 2 == 0 ? "zone-a" : "zone-b",
+                number,
+                day.gateways(),
+                day.seed() * 100 + number,
+                port,
+                Math.min(
+                        MOST_ADVICE_MS,
+                        day.offered().classes().stream()
+                                .mapToLong(LoadClients.CallClass::giveUpMs)
+                                .max()
+                                .orElse(MOST_ADVICE_MS)),
+                day.workers().reports(),
+                day.secondCopies(),
+                day.workers().memoryMb(),
+                day.workers().notLoaded(),
+                day.workers().keepMs(),
+                ration,
+                classes,
+                r.stopSendingMs(),
+                r.coldFrom(),
+                r.coldMs(),
+                r.overloadFactor(),
+                r.tipMs(),
+                r.graceMs(),
+                rosterPort,
+                number,
+                capture ? "<capture folder=\"gw" + number + ".capture\" segment-mb=\"4\"/>" : "");
         Path file = folder.resolve("gw" + number + ".xml");
         Files.writeString(file, text);
         return file;
--- a/app/src/main/java/wharfhinge/app/drill/MemoryWatch.java
+++ b/app/src/main/java/wharfhinge/app/drill/MemoryWatch.java
@@ -49,12 +49,12 @@
         }
     }
 
-    private void sample(WorkerProcess worker) throws IOException, InterruptedException, ExecutionException,
-        TimeoutException {
+    private void sample(WorkerProcess worker)
+            throws IOException, InterruptedException, ExecutionException, TimeoutException {
         long pid = worker.pid();
         H2Caller caller = callers.computeIfAbsent(pid, p -> new H2Caller(group, worker.port()));
         String before = books(caller);
-        for (int tries = 1;; tries++) {
+        for (int tries = 1; ; tries++) {
             String smaps = Files.readString(Path.of("/proc/" + pid + "/smaps"));
             String after = books(caller);
             if (tries == TRIES || resident(before).equals(resident(after))) { // best while nothing moves
@@ -66,12 +66,18 @@
     }
 
     private static String resident(String books) {
-        return books.lines().filter(l -> l.startsWith("resident_kb")).findFirst().orElse("");
+        return books.lines()
+                .filter(l -> l.startsWith("resident_kb"))
+                .findFirst()
+                .orElse("");
     }
 
     private static String books(H2Caller caller) throws InterruptedException, ExecutionException, TimeoutException {
-        return new String(caller.send(HttpMethod.GET, "/memory", new byte[0]).get(500, TimeUnit.MILLISECONDS).body(),
-            StandardCharsets.US_ASCII);
+        return new String(
+                caller.send(HttpMethod.GET, "/memory", new byte[0])
+                        .get(500, TimeUnit.MILLISECONDS)
+                        .body(),
+                StandardCharsets.US_ASCII);
     }
 
     /** Stops, and gives what was found. */
--- a/app/src/main/java/wharfhinge/app/drill/Mutant.java
+++ b/app/src/main/java/wharfhinge/app/drill/Mutant.java
@@ -34,9 +34,26 @@
     REPEATS_UNSAFE {
         @Override
         DispatcherFactory factory() {
-            return (now, seed, s, actions) -> new Choice(now, seed, with(s, s.classes().stream().map(c ->
-                new RequestClass(c.name(), Effect.IDEMPOTENT, c.group(), 0, c.onTimeNs(), c.hardLimitNs(), c.worth(),
-                    c.lateWorth(), c.stream(), c.aimStretch())).toList(), s.familyInfo()), actions);
+            return (now, seed, s, actions) -> new Choice(
+                    now,
+                    seed,
+                    with(
+                            s,
+                            s.classes().stream()
+                                    .map(c -> new RequestClass(
+                                            c.name(),
+                                            Effect.IDEMPOTENT,
+                                            c.group(),
+                                            0,
+                                            c.onTimeNs(),
+                                            c.hardLimitNs(),
+                                            c.worth(),
+                                            c.lateWorth(),
+                                            c.stream(),
+                                            c.aimStretch()))
+                                    .toList(),
+                            s.familyInfo()),
+                    actions);
         }
     },
     /** Rule 3: does not hear that a worker leaves. */
@@ -46,10 +63,20 @@
             return new FleetSource() {
                 @Override
                 public void start(Consumer<FleetUpdate> updates) {
-                    source.start(update -> updates.accept(new FleetUpdate(update.mode() == ListMode.REFUSED
-                        ? ListMode.REFUSED : ListMode.CHANGES, update.revision(), update.entries().stream().map(e ->
-                        new RosterEntry(e.id(), e.zone(), e.kind(), e.cell(), RosterEntry.State.UP, e.weight(), e.ageMs(),
-                            e.boot())).toList())));
+                    source.start(update -> updates.accept(new FleetUpdate(
+                            update.mode() == ListMode.REFUSED ? ListMode.REFUSED : ListMode.CHANGES,
+                            update.revision(),
+                            update.entries().stream()
+                                    .map(e -> new RosterEntry(
+                                            e.id(),
+                                            e.zone(),
+                                            e.kind(),
+                                            e.cell(),
+                                            RosterEntry.State.UP,
+                                            e.weight(),
+                                            e.ageMs(),
+                                            e.boot()))
+                                    .toList())));
                 }
 
                 @Override
@@ -82,9 +109,27 @@
         DispatcherFactory factory() {
             return (now, seed, s, actions) -> {
                 FamilyInfo f = s.familyInfo();
-                return new Choice(now, seed, with(s, s.classes(), new FamilyInfo(f.keepNs(), f.loadControl(),
-                    f.notLoaded(), f.loadWaitNs(), 0, 0, 0, f.priceOfIdle(), f.ramMbByKind(), f.reportX0(),
-                    f.reportX1(), f.saysCompany(), f.warmNotes())), actions);
+                return new Choice(
+                        now,
+                        seed,
+                        with(
+                                s,
+                                s.classes(),
+                                new FamilyInfo(
+                                        f.keepNs(),
+                                        f.loadControl(),
+                                        f.notLoaded(),
+                                        f.loadWaitNs(),
+                                        0,
+                                        0,
+                                        0,
+                                        f.priceOfIdle(),
+                                        f.ramMbByKind(),
+                                        f.reportX0(),
+                                        f.reportX1(),
+                                        f.saysCompany(),
+                                        f.warmNotes())),
+                        actions);
             };
         }
     },
@@ -92,21 +137,39 @@
     CLOCK_FOR_EACH_STEP {
         @Override
         GatewayConfig change(GatewayConfig config) {
-            return config.withChains(c -> new ChainSettings(ChainSettings.Clock.EACH_STEP, false, 0, false,
-                c.mostChains(), c.mostSteps(), c.tenantShare(), c.mostBytes(), c.reserveNs()));
+            return config.withChains(c -> new ChainSettings(
+                    ChainSettings.Clock.EACH_STEP,
+                    false,
+                    0,
+                    false,
+                    c.mostChains(),
+                    c.mostSteps(),
+                    c.tenantShare(),
+                    c.mostBytes(),
+                    c.reserveNs()));
         }
     },
     /** No rule is broken; for comparison: chains are never refused early. */
     NO_EARLY_REFUSAL {
         @Override
         GatewayConfig change(GatewayConfig config) {
-            return config.withChains(c -> new ChainSettings(c.clock(), false, 0, c.loadAhead(), c.mostChains(),
-                c.mostSteps(), c.tenantShare(), c.mostBytes(), c.reserveNs()));
+            return config.withChains(c -> new ChainSettings(
+                    c.clock(),
+                    false,
+                    0,
+                    c.loadAhead(),
+                    c.mostChains(),
+                    c.mostSteps(),
+                    c.tenantShare(),
+                    c.mostBytes(),
+                    c.reserveNs()));
         }
     };
 
     /** One for each of the five rules. */
-    static final List<Mutant> OF_EACH_RULE = List.of(FORGETS_ANSWERS, REPEATS_UNSAFE, DEAF_TO_DRAINS, COLD_AS_WARM, UNRATIONED);
+    static final List<Mutant> OF_EACH_RULE =
+            List.of(FORGETS_ANSWERS, REPEATS_UNSAFE, DEAF_TO_DRAINS, COLD_AS_WARM, UNRATIONED);
+
     private static final int FORGETS = 3;
 
     /** The decisions it runs with. */
@@ -142,9 +205,26 @@
     }
 
     private static Settings with(Settings s, List<RequestClass> classes, FamilyInfo family) {
-        return new Settings(s.groupSize(), s.myNumber(), s.tickNs(), s.zone(), s.zones(), s.kinds(), s.discovery(),
-            s.weights(), s.worthBy(), s.overShareWorth(), classes, s.realms(), family, s.feedback(), s.goal(),
-            s.limits(), s.obligations(), s.prices(), s.callers());
+        return new Settings(
+                s.groupSize(),
+                s.myNumber(),
+                s.tickNs(),
+                s.zone(),
+                s.zones(),
+                s.kinds(),
+                s.discovery(),
+                s.weights(),
+                s.worthBy(),
+                s.overShareWorth(),
+                classes,
+                s.realms(),
+                family,
+                s.feedback(),
+                s.goal(),
+                s.limits(),
+                s.obligations(),
+                s.prices(),
+                s.callers());
     }
 
     /** Decisions that are told that no worker has just started. */
@@ -152,8 +232,14 @@
         return new Forwarding(to) {
             @Override
             public void members(long now, ListMode mode, long revision, List<Worker> entries) {
-                super.members(now, mode, revision, entries.stream().map(w -> new Worker(w.id(), w.zone(), w.kind(),
-                    w.cell(), w.availability(), w.weight(), 0)).toList());
+                super.members(
+                        now,
+                        mode,
+                        revision,
+                        entries.stream()
+                                .map(w -> new Worker(
+                                        w.id(), w.zone(), w.kind(), w.cell(), w.availability(), w.weight(), 0))
+                                .toList());
             }
         };
     }
--- a/app/src/main/java/wharfhinge/app/drill/RealFleet.java
+++ b/app/src/main/java/wharfhinge/app/drill/RealFleet.java
@@ -43,8 +43,13 @@
         for (LoadClients.CallClass type : day.offered().classes()) {
             for (int i = 0; i < day.offered().functions() + HOT; i++) {
                 int hot = i - day.offered().functions();
-                publish(folder, type.name() + "-" + (hot < 0 ? Integer.toString(i) : "hot" + hot), (int) type.memoryMb(),
-                    type.lanes(), type.effect(), (long) (type.loadMs() * START_SHARE));
+                publish(
+                        folder,
+                        type.name() + "-" + (hot < 0 ? Integer.toString(i) : "hot" + hot),
+                        (int) type.memoryMb(),
+                        type.lanes(),
+                        type.effect(),
+                        (long) (type.loadMs() * START_SHARE));
             }
         }
         store = new Store(group, 0, folder.resolve("packages"), most);
@@ -61,15 +66,18 @@
 
     /** Packs {@link Work} as a function. */
     static void publish(Path folder, String function, int memoryMb, int lanes, String effect, long startMs)
-        throws IOException {
+            throws IOException {
         Map<String, byte[]> files = new TreeMap<>();
         String path = Work.class.getName().replace('.', '/') + ".class";
         try (InputStream in = Work.class.getClassLoader().getResourceAsStream(path)) {
             files.put("classes/" + path, in.readAllBytes());
         }
         files.put("classes/start-ms", Long.toString(startMs).getBytes(StandardCharsets.US_ASCII));
-        files.put("classes/told", folder.resolve("told").toAbsolutePath().toString().getBytes(StandardCharsets.UTF_8));
-        Manifest about = new Manifest(function, "1", Work.class.getName(), memoryMb, lanes, effect, 60_000, 10_000, Map.of());
+        files.put(
+                "classes/told",
+                folder.resolve("told").toAbsolutePath().toString().getBytes(StandardCharsets.UTF_8));
+        Manifest about =
+                new Manifest(function, "1", Work.class.getName(), memoryMb, lanes, effect, 60_000, 10_000, Map.of());
         try (OutputStream out = Files.newOutputStream(folder.resolve("packages").resolve(function + ".pkg"))) {
             PackageBuilder.write(about, files, Keys.privateKey(folder.resolve("publisher")), out);
         } catch (InvalidPackageException e) {
@@ -79,7 +87,8 @@
 
     private String settings(Scenario day, String name) {
         Scenario.Workers w = day.workers();
-        return String.format("""
+        return String.format(
+                """
             <worker xmlns="urn:wharfhinge:worker:1" name="%s">
               <listen port="PORT"/>
               <memory copies-mb="%d" own-mb="400"/>
@@ -92,8 +101,19 @@
               <drain within-ms="2000"/>
               <events file="%s.events"/>
             </worker>
-            """, name, (int) w.memoryMb(), w.queue(), w.notLoaded(), w.notLoaded().equals("load") ? "own" : "order",
-            w.keepMs(), w.loadsAtOnce(), 2 * w.loadsAtOnce(), storePort, name, w.reportMs(), name);
+            """,
+                name,
+                (int) w.memoryMb(),
+                w.queue(),
+                w.notLoaded(),
+                w.notLoaded().equals("load") ? "own" : "order",
+                w.keepMs(),
+                w.loadsAtOnce(),
+                2 * w.loadsAtOnce(),
+                storePort,
+                name,
+                w.reportMs(),
+                name);
     }
 
     /** Starts all, as many at once as there are processors. */
--- a/app/src/main/java/wharfhinge/app/drill/Scenarios.java
+++ b/app/src/main/java/wharfhinge/app/drill/Scenarios.java
@@ -12,10 +12,10 @@
 /** Scenario files: those that come with the program, by name, and a user's own. */
 public final class Scenarios {
     /** Names of those that come with the program. */
-    public static final List<String> NAMES = List.of("bad-day", "calm", "loads-on-call", "bad-day-chains",
-        "chains", "workers", "forty-workers");
+    public static final List<String> NAMES =
+            List.of("bad-day", "calm", "loads-on-call", "bad-day-chains", "chains", "workers", "forty-workers");
 
-    private Scenarios() { }
+    private Scenarios() {}
 
     /** The file, or where it is null the scenario of that name. */
     public static Scenario load(Path file, String name) throws InvalidFileException, IOException {
@@ -36,7 +36,9 @@
 
     private static Scenario read(Path file) throws InvalidFileException {
         return XmlFile.load(file, Scenario.class.getResource("scenario.xsd"), Scenario.class, (scenario, faults) -> {
-            double shares = scenario.offered().classes().stream().mapToDouble(c -> c.share()).sum();
+            double shares = scenario.offered().classes().stream()
+                    .mapToDouble(c -> c.share())
+                    .sum();
             if (Math.abs(shares - 1) > 0.001) {
                 faults.accept(scenario, "found shares of classes that add up to " + shares + ", allowed: 1");
             }
--- a/app/src/main/java/wharfhinge/app/drill/Together.java
+++ b/app/src/main/java/wharfhinge/app/drill/Together.java
@@ -15,7 +15,7 @@
         void of(T one) throws IOException, InterruptedException;
     }
 
-    private Together() { }
+    private Together() {}
 
     /**
      * Does it to all, so many at once; returns once all are done.
--- a/app/src/main/java/wharfhinge/app/drill/WorkerProcess.java
+++ b/app/src/main/java/wharfhinge/app/drill/WorkerProcess.java
@@ -39,7 +39,7 @@
      * @param settings its settings but for the port, {@code PORT}
      */
     public WorkerProcess(String name, int port, Path folder, String settings, WorkerModel.Spec spec, Trace trace)
-        throws IOException {
+            throws IOException {
         this.name = name;
         this.folder = folder;
         this.spec = spec;
@@ -53,10 +53,21 @@
         Path log = folder.resolve(name + ".log");
         Path out = folder.resolve(name + ".out");
         Files.deleteIfExists(out);
-        ProcessBuilder builder = new ProcessBuilder(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx64m",
-            "-Xms16m", "-XX:+UseSerialGC", "-XX:ReservedCodeCacheSize=48m", "-Dio.netty.allocator.type=unpooled", "-cp",
-            System.getProperty("java.class.path"), Program.MAIN, "worker", "--config", config.toString()))
-            .redirectError(ProcessBuilder.Redirect.appendTo(log.toFile())).redirectOutput(out.toFile());
+        ProcessBuilder builder = new ProcessBuilder(List.of(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-Xmx64m",
+                        "-Xms16m",
+                        "-XX:+UseSerialGC",
+                        "-XX:ReservedCodeCacheSize=48m",
+                        "-Dio.netty.allocator.type=unpooled",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        Program.MAIN,
+                        "worker",
+                        "--config",
+                        config.toString()))
+                .redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                .redirectOutput(out.toFile());
         builder.environment().put("MALLOC_ARENA_MAX", "2"); // else each thread may keep an arena of its own
         process = builder.start();
         long end = System.nanoTime() + START_MS * 1_000_000L;
@@ -77,8 +88,22 @@
     }
 
     private void note(boolean cold) {
-        trace.note("start", "worker", id, "boot", boot, "cold", cold, "cores", spec.cores(), "speed", spec.speed(), "zone",
-            spec.zone(), "cell", spec.cell());
+        trace.note(
+                "start",
+                "worker",
+                id,
+                "boot",
+                boot,
+                "cold",
+                cold,
+                "cores",
+                spec.cores(),
+                "speed",
+                spec.speed(),
+                "zone",
+                spec.zone(),
+                "cell",
+                spec.cell());
     }
 
     /** The process. */
@@ -124,7 +149,9 @@
             return List.of();
         }
         List<String> lines = Files.readAllLines(file, StandardCharsets.UTF_8);
-        return lines.stream().filter(l -> !l.contains("\tstart\t") && l.indexOf('\t') > 0).toList();
+        return lines.stream()
+                .filter(l -> !l.contains("\tstart\t") && l.indexOf('\t') > 0)
+                .toList();
     }
 
     @Override
@@ -146,15 +173,20 @@
     @Override
     public void pause(long ms) throws IOException, InterruptedException {
         hang(true);
-        LATER.schedule(() -> {
-            hang(false);
-            return null;
-        }, ms, TimeUnit.MILLISECONDS);
+        LATER.schedule(
+                () -> {
+                    hang(false);
+                    return null;
+                },
+                ms,
+                TimeUnit.MILLISECONDS);
     }
 
     private void signal(String signal) throws IOException, InterruptedException {
         if (alive()) {
-            new ProcessBuilder("kill", signal, Long.toString(process.pid())).start().waitFor();
+            new ProcessBuilder("kill", signal, Long.toString(process.pid()))
+                    .start()
+                    .waitFor();
         }
     }
 
--- a/app/src/main/java/wharfhinge/app/measure/Bench.java
+++ b/app/src/main/java/wharfhinge/app/measure/Bench.java
@@ -22,7 +22,7 @@
     private static final int WAITS = 500;
 
     /** Where the echo process answers: itself, its bare pass-through, its workers. */
-    record Echoes(int direct, int passThrough, int[] workers) { }
+    record Echoes(int direct, int passThrough, int[] workers) {}
 
     /** A gateway that takes calls. */
     record Started(Process process, int port, Path log) {
@@ -59,16 +59,22 @@
      * @param jar  the program of another build, or null for this one
      * @param more elements of its settings
      */
-    Started gateway(String name, Path jar, String more, String logLevel, int groupSize) throws IOException, InterruptedException {
+    Started gateway(String name, Path jar, String more, String logLevel, int groupSize)
+            throws IOException, InterruptedException {
         return gateway(name, jar, more, logLevel, groupSize, "");
     }
 
     /** The same; {@code clients} are further settings of the clients' side. */
-    Started gateway(String name, Path jar, String more, String logLevel, int groupSize, String clients) throws IOException,
-        InterruptedException {
+    Started gateway(String name, Path jar, String more, String logLevel, int groupSize, String clients)
+            throws IOException, InterruptedException {
         Path own = Files.createDirectories(folder.resolve(name));
         Path log = own.resolve("gateway.log");
-        Process process = start(log, jar, "serve", "--config", settings(own, more, logLevel, groupSize, clients).toString());
+        Process process = start(
+                log,
+                jar,
+                "serve",
+                "--config",
+                settings(own, more, logLevel, groupSize, clients).toString());
         for (int i = 0; i < WAITS; i++) {
             int port = portAfter(log, "takes calls on /127.0.0.1:");
             if (port > 0) {
@@ -81,11 +87,18 @@
     }
 
     private Process start(Path log, Path jar, String... arguments) throws IOException {
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xms512m",
-            "-Xmx512m", "-cp", jar == null ? System.getProperty("java.class.path") : jar.toString(), Program.MAIN));
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xms512m",
+                "-Xmx512m",
+                "-cp",
+                jar == null ? System.getProperty("java.class.path") : jar.toString(),
+                Program.MAIN));
         command.addAll(List.of(arguments));
-        Process process = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log == null ? ProcessBuilder.Redirect.PIPE
-            : ProcessBuilder.Redirect.to(log.toFile())).start();
+        Process process = new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(log == null ? ProcessBuilder.Redirect.PIPE : ProcessBuilder.Redirect.to(log.toFile()))
+                .start();
         processes.add(process);
         return process;
     }
@@ -98,18 +111,26 @@
         if (line == null) {
             throw new IOException("the echo process did not start");
         }
-        return Stream.of(line.substring(6).split(" ")).mapToInt(Integer::parseInt).toArray();
+        return Stream.of(line.substring(6).split(" "))
+                .mapToInt(Integer::parseInt)
+                .toArray();
     }
 
     /** The port that a line of a log ends with, or 0 where there is none yet. */
     private static int portAfter(Path log, String words) throws IOException {
-        return Files.readAllLines(log).stream().filter(l -> l.contains(words))
-            .mapToInt(l -> Integer.parseInt(l.substring(l.lastIndexOf(':') + 1).trim())).findFirst().orElse(0);
+        return Files.readAllLines(log).stream()
+                .filter(l -> l.contains(words))
+                .mapToInt(l ->
+                        Integer.parseInt(l.substring(l.lastIndexOf(':') + 1).trim()))
+                .findFirst()
+                .orElse(0);
     }
 
     private Path settings(Path own, String more, String logLevel, int groupSize, String clients) throws IOException {
         Path file = own.resolve("gateway.xml");
-        Files.writeString(file, """
+        Files.writeString(
+                file,
+                """
             <wharfhinge xmlns="urn:wharfhinge:settings:1">
               <gateway name="measured" zone="z" group="GROUP"/>
               <clients port="0" max-open="20000" max-connections="20000" stop-within-ms="100"CLIENTS/>
@@ -124,9 +145,12 @@
               <roster url="http://127.0.0.1:PORT" remembered="list"/>
               MORE<log level="LEVEL"/>
             </wharfhinge>
-            """.replace("PORT", Integer.toString(roster.port())).replace("LEVEL", logLevel).replace("MORE", more)
-            .replace("CLIENTS", clients)
-            .replace("GROUP", Integer.toString(groupSize)));
+            """
+                        .replace("PORT", Integer.toString(roster.port()))
+                        .replace("LEVEL", logLevel)
+                        .replace("MORE", more)
+                        .replace("CLIENTS", clients)
+                        .replace("GROUP", Integer.toString(groupSize)));
         return file;
     }
 
--- a/app/src/main/java/wharfhinge/app/measure/ClientBenchmark.java
+++ b/app/src/main/java/wharfhinge/app/measure/ClientBenchmark.java
@@ -33,6 +33,7 @@
     /** Which protocol. */
     @Param({"http", "grpc"})
     public String protocol;
+
     private Transport transport;
     private WharfhingeClient client;
     private String gateway;
@@ -46,15 +47,21 @@
     }
 
     private Transport transport() {
-        return protocol.equals("http") ? new HttpTransport(Duration.ofSeconds(2), 1, 1 << 20, null, null)
-            : new GrpcTransport(Duration.ofSeconds(2), 1 << 20, null, null);
+        return protocol.equals("http")
+                ? new HttpTransport(Duration.ofSeconds(2), 1, 1 << 20, null, null)
+                : new GrpcTransport(Duration.ofSeconds(2), 1 << 20, null, null);
     }
 
     /** The bare transport. */
     @Benchmark
     public Object transportAlone() {
         CompletableFuture<Transport.Reply> end = new CompletableFuture<>();
-        transport.send(gateway, ClientCostCommand.CALL, ClientCostCommand.CALL.deadline().toNanos(), false, end::complete);
+        transport.send(
+                gateway,
+                ClientCostCommand.CALL,
+                ClientCostCommand.CALL.deadline().toNanos(),
+                false,
+                end::complete);
         return end.join();
     }
 
--- a/app/src/main/java/wharfhinge/app/measure/ClientCostCommand.java
+++ b/app/src/main/java/wharfhinge/app/measure/ClientCostCommand.java
@@ -32,23 +32,37 @@
 import wharfhinge.client.http.HttpTransport;
 
 /** What the client library adds to its bare transport, over both protocols. */
-@Command(name = "clients", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
-    description = "Measures calls a second with 64 open and processor time a call through one gateway: by the bare transport and by the "
-        + "client library, over HTTP/2 and over gRPC, in turns of one run; with --certificates over TLS.")
+@Command(
+        name = "clients",
+        mixinStandardHelpOptions = true,
+        versionProvider = Program.Version.class,
+        description =
+                "Measures calls a second with 64 open and processor time a call through one gateway: by the bare transport and by the "
+                        + "client library, over HTTP/2 and over gRPC, in turns of one run; with --certificates over TLS.")
 final class ClientCostCommand implements Callable<Integer> {
     private static final int OPEN = 64;
     private static final int WORKERS = 8;
     private static final int ROUNDS = 3;
-    static final Call CALL = Call.safe("f", "safe", Duration.ofSeconds(2)).body(new byte[256], "text/plain").copy(10, 64, 1).build();
+    static final Call CALL = Call.safe("f", "safe", Duration.ofSeconds(2))
+            .body(new byte[256], "text/plain")
+            .copy(10, 64, 1)
+            .build();
 
     @Option(names = "--seconds", defaultValue = "4", description = "Of each turn. Default ${DEFAULT-VALUE}.")
     private int seconds;
-    @Option(names = "--certificates", paramLabel = "PEM", description = "The gateway's certificate for 127.0.0.1; it is trusted as it is.")
+
+    @Option(
+            names = "--certificates",
+            paramLabel = "PEM",
+            description = "The gateway's certificate for 127.0.0.1; it is trusted as it is.")
     private Path certificates;
+
     @Option(names = "--key", paramLabel = "PEM", description = "Its key, PKCS 8.")
     private Path key;
 
-    @Option(names = "--jmh", description = "One call at a time with JMH in a process of its own, in the clear, in place of turns.")
+    @Option(
+            names = "--jmh",
+            description = "One call at a time with JMH in a process of its own, in the clear, in place of turns.")
     private boolean jmh;
 
     private interface Way {
@@ -58,8 +72,9 @@
     @Override
     public Integer call() throws Exception {
         try (Bench bench = new Bench(WORKERS)) {
-            String tls = certificates == null ? "" : "<tls certificates='" + certificates.toAbsolutePath() + "' key='" + key.toAbsolutePath()
-                + "'/>";
+            String tls = certificates == null
+                    ? ""
+                    : "<tls certificates='" + certificates.toAbsolutePath() + "' key='" + key.toAbsolutePath() + "'/>";
             Bench.Started gateway = bench.gateway("gateway", null, tls + "<grpc port='0'/>", "info", 1);
             String http = "127.0.0.1:" + gateway.port();
             String grpc = "127.0.0.1:" + gateway.grpcPort();
@@ -81,8 +96,13 @@
                     }
                 }
             }
-            System.out.printf("%d processors shared with gateway and workers; %d open, best of %d turns of %d s, %s%n",
-                Runtime.getRuntime().availableProcessors(), OPEN, ROUNDS, seconds, certificates == null ? "in the clear" : "TLS");
+            System.out.printf(
+                    "%d processors shared with gateway and workers; %d open, best of %d turns of %d s, %s%n",
+                    Runtime.getRuntime().availableProcessors(),
+                    OPEN,
+                    ROUNDS,
+                    seconds,
+                    certificates == null ? "in the clear" : "TLS");
             System.out.println("| way | calls/s | client's processor us a call |");
             System.out.println("| --- | --- | --- |");
             best.forEach((way, got) -> System.out.printf("| %s | %.0f | %.1f |%n", way, got[0], got[1]));
@@ -96,21 +116,41 @@
     private int sampled(String http, String grpc) throws RunnerException {
         System.out.println("| protocol | way | mean us | p50 | p99 |");
         System.out.println("| --- | --- | --- | --- | --- |");
-        for (RunResult r : new Runner(new OptionsBuilder().include(ClientBenchmark.class.getName()).param("http", http).param("grpc", grpc)
-            .forks(1).warmupIterations(3).measurementIterations(ROUNDS).warmupTime(TimeValue.seconds(seconds))
-            .measurementTime(TimeValue.seconds(seconds)).verbosity(VerboseMode.SILENT).build()).run()) {
+        for (RunResult r : new Runner(new OptionsBuilder()
+                        .include(ClientBenchmark.class.getName())
+                        .param("http", http)
+                        .param("grpc", grpc)
+                        .forks(1)
+                        .warmupIterations(3)
+                        .measurementIterations(ROUNDS)
+                        .warmupTime(TimeValue.seconds(seconds))
+                        .measurementTime(TimeValue.seconds(seconds))
+                        .verbosity(VerboseMode.SILENT)
+                        .build())
+                .run()) {
             Statistics s = r.getPrimaryResult().getStatistics();
-            System.out.printf("| %s | %s | %.0f | %.0f | %.0f |%n", r.getParams().getParam("protocol"),
-                r.getPrimaryResult().getLabel(), s.getMean(), s.getPercentile(50), s.getPercentile(99));
+            System.out.printf(
+                    "| %s | %s | %.0f | %.0f | %.0f |%n",
+                    r.getParams().getParam("protocol"),
+                    r.getPrimaryResult().getLabel(),
+                    s.getMean(),
+                    s.getPercentile(50),
+                    s.getPercentile(99));
         }
         return Program.OK;
     }
 
     private Transport transport(boolean http) throws IOException {
-        SslContext tls = certificates == null ? null : http ? HttpTransport.tls(certificates) : GrpcSslContexts.forClient()
-            .trustManager(certificates.toFile()).build();
-        return http ? new HttpTransport(Duration.ofSeconds(2), 4, 1 << 20, tls, null)
-            : new GrpcTransport(Duration.ofSeconds(2), 1 << 20, tls, null);
+        SslContext tls = certificates == null
+                ? null
+                : http
+                        ? HttpTransport.tls(certificates)
+                        : GrpcSslContexts.forClient()
+                                .trustManager(certificates.toFile())
+                                .build();
+        return http
+                ? new HttpTransport(Duration.ofSeconds(2), 4, 1 << 20, tls, null)
+                : new GrpcTransport(Duration.ofSeconds(2), 1 << 20, tls, null);
     }
 
     private static Way bare(Transport transport, String gateway, List<AutoCloseable> open) {
@@ -136,7 +176,8 @@
 
     /** Calls a second, and the processor time of this process a call in microseconds. */
     private double[] turn(Way way) throws InterruptedException {
-        var system = (com.sun.management.OperatingSystemMXBean) java.lang.management.ManagementFactory.getOperatingSystemMXBean();
+        var system = (com.sun.management.OperatingSystemMXBean)
+                java.lang.management.ManagementFactory.getOperatingSystemMXBean();
         Semaphore room = new Semaphore(OPEN);
         LongAdder done = new LongAdder();
         long cpu = system.getProcessCpuTime();
--- a/app/src/main/java/wharfhinge/app/measure/ColdStartCommand.java
+++ b/app/src/main/java/wharfhinge/app/measure/ColdStartCommand.java
@@ -9,9 +9,13 @@
 import wharfhinge.standin.HttpCaller;
 
 /** What the first seconds of a new process are like under full load, with and without its rehearsal. */
-@Command(name = "cold", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
-    description = "Sends calls at a steady rate to a gateway process from the moment it takes calls, with and without its rehearsal: by "
-        + "second the calls that were not served within 50 ms of when they were due.")
+@Command(
+        name = "cold",
+        mixinStandardHelpOptions = true,
+        versionProvider = Program.Version.class,
+        description =
+                "Sends calls at a steady rate to a gateway process from the moment it takes calls, with and without its rehearsal: by "
+                        + "second the calls that were not served within 50 ms of when they were due.")
 final class ColdStartCommand implements Callable<Integer> {
     private static final int WORKERS = 20;
     private static final int FUNCTIONS = 200;
@@ -21,30 +25,43 @@
 
     @Option(names = "--rate", defaultValue = "3000", description = "Calls a second. Default ${DEFAULT-VALUE}.")
     private int rate;
+
     @Option(names = "--seconds", defaultValue = "6", description = "Default ${DEFAULT-VALUE}.")
     private int seconds;
+
     @Option(names = "--rounds", defaultValue = "2", description = "Default ${DEFAULT-VALUE}.")
     private int rounds;
 
     @Override
     public Integer call() throws Exception {
-        System.out.printf("%d processors; %d calls a second%n| rehearsal | start ms | not in time in second 1 | 2 | 3 | further | all |%n"
-            + "| --- | --- | --- | --- | --- | --- | --- |%n", Runtime.getRuntime().availableProcessors(), rate);
+        System.out.printf(
+                "%d processors; %d calls a second%n| rehearsal | start ms | not in time in second 1 | 2 | 3 | further | all |%n"
+                        + "| --- | --- | --- | --- | --- | --- | --- |%n",
+                Runtime.getRuntime().availableProcessors(), rate);
         try (Bench bench = new Bench(WORKERS)) {
-            HttpCaller warm = new HttpCaller(bench.group, bench.gateway("other", null, "", "info", 1).port());
+            HttpCaller warm = new HttpCaller(
+                    bench.group, bench.gateway("other", null, "", "info", 1).port());
             MeasureCommand.closed(warm, 4, FUNCTIONS); // this process's own compiler, and the workers'
             for (int round = 0; round < rounds; round++) {
                 for (String way : new String[] {"none", "yes"}) {
                     long from = System.nanoTime();
-                    Bench.Started gateway = bench.gateway(way + round, null, "", "info", 1, way.equals("none") ? " rehearse-ms=\"0\"" : "");
+                    Bench.Started gateway = bench.gateway(
+                            way + round, null, "", "info", 1, way.equals("none") ? " rehearse-ms=\"0\"" : "");
                     long startMs = (System.nanoTime() - from) / 1_000_000;
                     int[] wanting = play(new HttpCaller(bench.group, gateway.port()));
                     int further = 0;
                     for (int i = 3; i < seconds; i++) {
                         further += wanting[i];
                     }
-                    System.out.printf("| %s | %d | %d | %d | %d | %d | %d |%n", way, startMs, wanting[0], wanting[1], wanting[2], further,
-                        wanting[0] + wanting[1] + wanting[2] + further);
+                    System.out.printf(
+                            "| %s | %d | %d | %d | %d | %d | %d |%n",
+                            way,
+                            startMs,
+                            wanting[0],
+                            wanting[1],
+                            wanting[2],
+                            further,
+                            wanting[0] + wanting[1] + wanting[2] + further);
                     gateway.process().destroy();
                     gateway.process().waitFor();
                 }
@@ -62,11 +79,17 @@
                 LockSupport.parkNanos(due - System.nanoTime());
             }
             int second = i / rate;
-            MeasureCommand.send(caller, i, FUNCTIONS, PATIENCE_MS, () -> {
-                if (System.nanoTime() - due <= IN_TIME_NS) {
-                    inTime.incrementAndGet(second);
-                }
-            }, () -> { });
+            MeasureCommand.send(
+                    caller,
+                    i,
+                    FUNCTIONS,
+                    PATIENCE_MS,
+                    () -> {
+                        if (System.nanoTime() - due <= IN_TIME_NS) {
+                            inTime.incrementAndGet(second);
+                        }
+                    },
+                    () -> {});
         }
         Thread.sleep(LAST_ANSWERS_MS);
         int[] wanting = new int[seconds];
--- a/app/src/main/java/wharfhinge/app/measure/DecisionCostCommand.java
+++ b/app/src/main/java/wharfhinge/app/measure/DecisionCostCommand.java
@@ -29,22 +29,43 @@
 import wharfhinge.capture.Recorder;
 
 /** What the decisions on a call cost by the size of the fleet, without sockets. */
-@Command(name = "decisions", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
-    description = "Measures the decisions on a call (its query, its answer, its timers, its probes) at 20 to 3000 workers, believing "
-        + "itself one of 1 and of 100: microseconds and bytes allocated, warm, one thread, simulated time.")
+@Command(
+        name = "decisions",
+        mixinStandardHelpOptions = true,
+        versionProvider = Program.Version.class,
+        description =
+                "Measures the decisions on a call (its query, its answer, its timers, its probes) at 20 to 3000 workers, believing "
+                        + "itself one of 1 and of 100: microseconds and bytes allocated, warm, one thread, simulated time.")
 final class DecisionCostCommand implements Callable<Integer> {
     private static final long MS = 1_000_000L;
     private static final int MOST_NOTED = 100_000; // decided on one event
     private static final int WARM = 40; // calls for each worker, so that most functions stand somewhere
 
-    @Option(names = "--against", paramLabel = "JAR", description = "A jar of an earlier build, whose decisions are measured beside.")
+    @Option(
+            names = "--against",
+            paramLabel = "JAR",
+            description = "A jar of an earlier build, whose decisions are measured beside.")
     private Path against;
-    @Option(names = "--calls", defaultValue = "20000", description = "Calls of each part, after half as many or 40 for each worker. "
-        + "Default ${DEFAULT-VALUE}.")
+
+    @Option(
+            names = "--calls",
+            defaultValue = "20000",
+            description =
+                    "Calls of each part, after half as many or 40 for each worker. " + "Default ${DEFAULT-VALUE}.")
     private int calls;
-    @Option(names = "--workers", split = ",", defaultValue = "20,85,200,800,3000", description = "Sizes of the fleet. Default ${DEFAULT-VALUE}.")
+
+    @Option(
+            names = "--workers",
+            split = ",",
+            defaultValue = "20,85,200,800,3000",
+            description = "Sizes of the fleet. Default ${DEFAULT-VALUE}.")
     private int[] fleets;
-    @Option(names = "--groups", split = ",", defaultValue = "1,100", description = "Sizes of the group. Default ${DEFAULT-VALUE}.")
+
+    @Option(
+            names = "--groups",
+            split = ",",
+            defaultValue = "1,100",
+            description = "Sizes of the group. Default ${DEFAULT-VALUE}.")
     private int[] groups;
 
     @Override
@@ -53,12 +74,14 @@
         if (against != null) {
             makers.add(0, earlier(against));
         }
-        System.out.printf("%d processors; %d calls of each part after %d or %d for each worker%n",
-            Runtime.getRuntime().availableProcessors(), calls, calls / 2, WARM);
+        System.out.printf(
+                "%d processors; %d calls of each part after %d or %d for each worker%n",
+                Runtime.getRuntime().availableProcessors(), calls, calls / 2, WARM);
         for (Recorder.Maker maker : makers) {
             new Fleet(maker, 20, 1).run(calls); // the first row's compiler
         }
-        System.out.println("| workers | group | " + (against == null ? "" : "earlier us | earlier bytes | ") + "us a call | bytes a call |");
+        System.out.println("| workers | group | " + (against == null ? "" : "earlier us | earlier bytes | ")
+                + "us a call | bytes a call |");
         System.out.println("| --- | --- | " + (against == null ? "" : "--- | --- | ") + "--- | --- |");
         for (int workers : fleets) {
             for (int group : groups) {
@@ -67,7 +90,8 @@
                     Fleet fleet = new Fleet(maker, workers, group);
                     fleet.run(Math.max(calls / 2, WARM * workers));
                     long[] took = fleet.run(calls);
-                    row.append(String.format(java.util.Locale.ROOT, " %.1f | %d |", took[0] / 1000.0 / calls, took[1] / calls));
+                    row.append(String.format(
+                            java.util.Locale.ROOT, " %.1f | %d |", took[0] / 1000.0 / calls, took[1] / calls));
                 }
                 System.out.println(row);
             }
@@ -101,8 +125,8 @@
                 }
             }
         };
-        var made = loader.loadClass("wharfhinge.Choice").getConstructor(long.class, long.class, Settings.class,
-            Dispatcher.Actions.class);
+        var made = loader.loadClass("wharfhinge.Choice")
+                .getConstructor(long.class, long.class, Settings.class, Dispatcher.Actions.class);
         return (now, seed, settings, actions) -> {
             try {
                 return (Dispatcher) made.newInstance(now, seed, settings, actions);
@@ -113,24 +137,60 @@
     }
 
     private static Settings settings(int group) {
-        return new Settings(group, 0, 2 * MS, "z", List.of("z"), List.of("k"), Dispatcher.Discovery.PUSHED,
-            Dispatcher.Weights.NOMINAL, Dispatcher.WorthBy.REQUEST, 0, List.of(new Dispatcher.RequestClass("safe",
-                Dispatcher.Effect.IDEMPOTENT, Dispatcher.Group.ALL, 0, 600 * MS, 2000 * MS, 1, 0.2, false, 1)), List.of(),
-            new Dispatcher.FamilyInfo(60_000 * MS, false, Dispatcher.NotLoaded.LOAD, 10_000 * MS, 0, 0, 0, 0, List.of(4096.0), "",
-                "", true, true), new Dispatcher.Feedback(Dispatcher.Reports.PIGGYBACK, List.of("rif")),
-            new Dispatcher.Goal(1, 0, 0, 0), new Dispatcher.Limits(true, false, true, false, true, 3, 100_000, 1000 * MS,
-                250 * MS, 15_000 * MS, 100, 0, 0), new Dispatcher.Obligations(0, 0.2, 8000 * MS, 2, 1000 * MS, 2000 * MS,
-                16 * MS), new Dispatcher.Prices(0, 0, 0, 0, 0, 0), new Dispatcher.Callers(false));
+        return new Settings(
+                group,
+                0,
+                2 * MS,
+                "z",
+                List.of("z"),
+                List.of("k"),
+                Dispatcher.Discovery.PUSHED,
+                Dispatcher.Weights.NOMINAL,
+                Dispatcher.WorthBy.REQUEST,
+                0,
+                List.of(new Dispatcher.RequestClass(
+                        "safe",
+                        Dispatcher.Effect.IDEMPOTENT,
+                        Dispatcher.Group.ALL,
+                        0,
+                        600 * MS,
+                        2000 * MS,
+                        1,
+                        0.2,
+                        false,
+                        1)),
+                List.of(),
+                new Dispatcher.FamilyInfo(
+                        60_000 * MS,
+                        false,
+                        Dispatcher.NotLoaded.LOAD,
+                        10_000 * MS,
+                        0,
+                        0,
+                        0,
+                        0,
+                        List.of(4096.0),
+                        "",
+                        "",
+                        true,
+                        true),
+                new Dispatcher.Feedback(Dispatcher.Reports.PIGGYBACK, List.of("rif")),
+                new Dispatcher.Goal(1, 0, 0, 0),
+                new Dispatcher.Limits(
+                        true, false, true, false, true, 3, 100_000, 1000 * MS, 250 * MS, 15_000 * MS, 100, 0, 0),
+                new Dispatcher.Obligations(0, 0.2, 8000 * MS, 2, 1000 * MS, 2000 * MS, 16 * MS),
+                new Dispatcher.Prices(0, 0, 0, 0, 0, 0),
+                new Dispatcher.Callers(false));
     }
 
-    private record Due(long at, long number, Runnable what) { }
+    private record Due(long at, long number, Runnable what) {}
 
     /** Workers that answer after 20 ms, half of the lanes of the fleet in use, functions asked for by rank. */
     private static final class Fleet implements Dispatcher.Actions {
         private final ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
         private final long self = Thread.currentThread().getId();
-        private final PriorityQueue<Due> queue = new PriorityQueue<>(Comparator.comparingLong(Due::at)
-            .thenComparingLong(Due::number));
+        private final PriorityQueue<Due> queue =
+                new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::number));
         private final Random random = new Random(1);
         private final Dispatcher to;
         private final int workers;
@@ -167,7 +227,8 @@
                     queue.poll().what.run();
                 }
                 String function = "f" + (int) (Math.pow(random.nextDouble(), 3) * workers * 4);
-                Request request = new Request("c" + ids++, null, 2000 * MS, 100, function, 20 * MS, 4, 300, "safe", false, false);
+                Request request =
+                        new Request("c" + ids++, null, 2000 * MS, 100, function, 20 * MS, 4, 300, "safe", false, false);
                 told(() -> to.query(now, request));
             }
             return new long[] {took, bytes};
@@ -190,7 +251,8 @@
                 String second = seconds[i];
                 switch (kinds[i]) {
                     case ATTEMPT -> answer(first, second);
-                    case PROBE -> later(MS, () -> told(() -> to.probed(now, first, Outcome.SERVED, MS, Map.of("rif", 1.0))));
+                    case PROBE -> later(
+                            MS, () -> told(() -> to.probed(now, first, Outcome.SERVED, MS, Map.of("rif", 1.0))));
                     default -> later(delays[i], () -> told(() -> to.due(now, first)));
                 }
             }
@@ -204,8 +266,9 @@
         }
 
         private void answer(String request, String worker) {
-            Completion end = new Completion(request, Outcome.SERVED, 0, 20 * MS, worker, Note.FOUND_LOADED, 0, true,
-                Map.of("rif", (double) random.nextInt(4)));
+            Completion end = new Completion(
+                    request, Outcome.SERVED, 0, 20 * MS, worker, Note.FOUND_LOADED, 0, true, Map.of("rif", (double)
+                            random.nextInt(4)));
             later(20 * MS, () -> told(() -> to.completed(now, end)));
         }
 
@@ -229,33 +292,33 @@
         }
 
         @Override
-        public void cancel(String request, int attempt) { }
+        public void cancel(String request, int attempt) {}
 
         @Override
-        public void refuse(String request, long coolDownNs) { }
+        public void refuse(String request, long coolDownNs) {}
 
         @Override
-        public void fail(String request) { }
+        public void fail(String request) {}
 
         @Override
-        public void hold(String worker, String function, int count) { }
+        public void hold(String worker, String function, int count) {}
 
         @Override
-        public void unload(String worker, String function) { }
+        public void unload(String worker, String function) {}
 
         @Override
-        public void publish(int peer, byte[] payload) { }
+        public void publish(int peer, byte[] payload) {}
 
         @Override
-        public void listen(boolean on) { }
+        public void listen(boolean on) {}
 
         @Override
-        public void reload() { }
+        public void reload() {}
 
         @Override
-        public void hangUp(String worker) { }
+        public void hangUp(String worker) {}
 
         @Override
-        public void remark(String text) { }
+        public void remark(String text) {}
     }
 }
--- a/app/src/main/java/wharfhinge/app/measure/EchoCommand.java
+++ b/app/src/main/java/wharfhinge/app/measure/EchoCommand.java
@@ -10,8 +10,12 @@
 import wharfhinge.standin.Net;
 
 /** The peers of a measurement: workers that answer at once, the same over HTTP/1.1, and a bare pass-through. */
-@Command(name = "echo", hidden = true, mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
-    description = "Peers of a measurement.")
+@Command(
+        name = "echo",
+        hidden = true,
+        mixinStandardHelpOptions = true,
+        versionProvider = Program.Version.class,
+        description = "Peers of a measurement.")
 final class EchoCommand implements Callable<Integer> {
     @Option(names = "--workers", required = true, description = "How many.")
     private int workers;
--- a/app/src/main/java/wharfhinge/app/measure/FleetRateCommand.java
+++ b/app/src/main/java/wharfhinge/app/measure/FleetRateCommand.java
@@ -10,21 +10,32 @@
 import wharfhinge.standin.HttpCaller;
 
 /** The highest rate of one gateway before a large fleet, this build's beside an earlier one's. */
-@Command(name = "fleet", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
-    description = "Measures on loopback how many calls a second come through one gateway before many workers (all in one process, "
-        + "they answer at once), with 64 open; an earlier build's gateway beside it, in turns.")
+@Command(
+        name = "fleet",
+        mixinStandardHelpOptions = true,
+        versionProvider = Program.Version.class,
+        description =
+                "Measures on loopback how many calls a second come through one gateway before many workers (all in one process, "
+                        + "they answer at once), with 64 open; an earlier build's gateway beside it, in turns.")
 final class FleetRateCommand implements Callable<Integer> {
     private static final int ROUNDS = 3;
     private static final int WARM_UP = 6;
 
     @Option(names = "--workers", defaultValue = "800", description = "Default ${DEFAULT-VALUE}.")
     private int workers;
+
     @Option(names = "--functions", defaultValue = "3200", description = "Default ${DEFAULT-VALUE}.")
     private int functions;
-    @Option(names = "--group", defaultValue = "1", description = "How many gateways each believes there are. Default ${DEFAULT-VALUE}.")
+
+    @Option(
+            names = "--group",
+            defaultValue = "1",
+            description = "How many gateways each believes there are. Default ${DEFAULT-VALUE}.")
     private int group;
+
     @Option(names = "--seconds", defaultValue = "6", description = "Of each turn. Default ${DEFAULT-VALUE}.")
     private int seconds;
+
     @Option(names = "--against", paramLabel = "JAR", description = "The program of an earlier build.")
     private Path against;
 
@@ -33,11 +44,14 @@
         try (Bench bench = new Bench(workers)) {
             Map<String, Integer> gateways = new LinkedHashMap<>();
             if (against != null) {
-                gateways.put("earlier", bench.gateway("earlier", against, "", "info", group).port());
+                gateways.put(
+                        "earlier",
+                        bench.gateway("earlier", against, "", "info", group).port());
             }
             gateways.put("now", bench.gateway("now", null, "", "info", group).port());
-            System.out.printf("%d processors; %d workers, %d functions, believing itself one of %d, %d rounds of %d s after %d s%n",
-                Runtime.getRuntime().availableProcessors(), workers, functions, group, ROUNDS, seconds, WARM_UP);
+            System.out.printf(
+                    "%d processors; %d workers, %d functions, believing itself one of %d, %d rounds of %d s after %d s%n",
+                    Runtime.getRuntime().availableProcessors(), workers, functions, group, ROUNDS, seconds, WARM_UP);
             Map<String, Double> highest = new LinkedHashMap<>();
             for (int round = 0; round < ROUNDS; round++) {
                 for (Map.Entry<String, Integer> g : gateways.entrySet()) {
--- a/app/src/main/java/wharfhinge/app/measure/ReplayBenchmark.java
+++ b/app/src/main/java/wharfhinge/app/measure/ReplayBenchmark.java
@@ -26,10 +26,13 @@
     /** The capture's path. */
     @Param("")
     public String capture;
+
     private List<Frame> frames;
 
     static List<Frame> read(Path file) throws IOException {
-        return file.toString().endsWith(".jsonl") ? Text.fixture(Files.readAllLines(file)) : CaptureReader.read(file).frames();
+        return file.toString().endsWith(".jsonl")
+                ? Text.fixture(Files.readAllLines(file))
+                : CaptureReader.read(file).frames();
     }
 
     /** Reads it once. */
--- a/app/src/main/java/wharfhinge/app/measure/WorkerCostCommand.java
+++ b/app/src/main/java/wharfhinge/app/measure/WorkerCostCommand.java
@@ -34,14 +34,21 @@
 import wharfhinge.worker.store.Store;
 
 /** Measures the project's own worker: loads by their parts, calls a second, memory of an empty one. */
-@Command(name = "worker", mixinStandardHelpOptions = true, versionProvider = Program.Version.class,
-    description = "Measures a worker process on loopback: what loads take by their parts, calls a second through one warm copy "
-        + "beside the same function called in-process, and at 1, 8 and 64 lanes, and what an empty worker holds.")
+@Command(
+        name = "worker",
+        mixinStandardHelpOptions = true,
+        versionProvider = Program.Version.class,
+        description =
+                "Measures a worker process on loopback: what loads take by their parts, calls a second through one warm copy "
+                        + "beside the same function called in-process, and at 1, 8 and 64 lanes, and what an empty worker holds.")
 public final class WorkerCostCommand implements Callable<Integer> {
     private static final int LOADS = 40;
     private static final int MEMORY_MB = 64;
 
-    @Option(names = "--seconds", defaultValue = "4", description = "Of each part, after as much warm-up. Default ${DEFAULT-VALUE}.")
+    @Option(
+            names = "--seconds",
+            defaultValue = "4",
+            description = "Of each part, after as much warm-up. Default ${DEFAULT-VALUE}.")
     private int seconds;
 
     /** Answers what came, after a digest of it: some microseconds of work. */
@@ -73,14 +80,17 @@
         for (int i = 0; i < LOADS; i++) {
             publish(folder, "load-" + i, 1, 4 << 20);
         }
-        System.out.printf("%d processors; %d s of each part after as much warm-up%n", Runtime.getRuntime().availableProcessors(),
-            seconds);
+        System.out.printf(
+                "%d processors; %d s of each part after as much warm-up%n",
+                Runtime.getRuntime().availableProcessors(), seconds);
         try (Store store = new Store(group, 0, folder.resolve("packages"), 64)) {
-            WorkerProcess worker = new WorkerProcess("w", 0, folder, settings(store.port()), spec(), new Trace(System::nanoTime));
+            WorkerProcess worker =
+                    new WorkerProcess("w", 0, folder, settings(store.port()), spec(), new Trace(System::nanoTime));
             worker.start(false);
             try {
                 Thread.sleep(1000);
-                System.out.printf("memory of an empty worker: %d MB resident (wanted under 80)%n", rss(worker.pid()) / 1024);
+                System.out.printf(
+                        "memory of an empty worker: %d MB resident (wanted under 80)%n", rss(worker.pid()) / 1024);
                 H2Caller caller = new H2Caller(group, worker.port());
                 loads(caller);
                 double inProcess = inProcess();
@@ -88,11 +98,13 @@
                 for (int lanes : new int[] {1, 8, 64}) {
                     closed(caller, "lanes-" + lanes, lanes);
                     double rate = closed(caller, "lanes-" + lanes, lanes);
-                    System.out.printf("through a worker, %2d lanes, %2d calls open: %8.0f calls/s, %.3f of in-process%n", lanes,
-                        lanes, rate, rate / inProcess);
+                    System.out.printf(
+                            "through a worker, %2d lanes, %2d calls open: %8.0f calls/s, %.3f of in-process%n",
+                            lanes, lanes, rate, rate / inProcess);
                 }
-                System.out.printf("memory of the worker beside its copies, after it all: %d MB resident%n",
-                    (rss(worker.pid()) - books(caller).get("resident_kb")) / 1024);
+                System.out.printf(
+                        "memory of the worker beside its copies, after it all: %d MB resident%n",
+                        (rss(worker.pid()) - books(caller).get("resident_kb")) / 1024);
             } finally {
                 worker.stop();
             }
@@ -106,7 +118,8 @@
     }
 
     private static String settings(int store) {
-        return String.format("""
+        return String.format(
+                """
             <worker xmlns="urn:wharfhinge:worker:1" name="w">
               <listen port="PORT"/>
               <memory copies-mb="512" own-mb="400"/>
@@ -115,10 +128,12 @@
               <images folder="images"/>
               <keys><key file="publisher.pub"/></keys>
             </worker>
-            """, store);
+            """,
+                store);
     }
 
-    private static void publish(Path folder, String name, int lanes, int padding) throws IOException, InvalidPackageException {
+    private static void publish(Path folder, String name, int lanes, int padding)
+            throws IOException, InvalidPackageException {
         Map<String, byte[]> files = new TreeMap<>();
         String path = Digest.class.getName().replace('.', '/') + ".class";
         try (InputStream in = Digest.class.getClassLoader().getResourceAsStream(path)) {
@@ -128,15 +143,33 @@
         new java.util.Random(name.hashCode()).nextBytes(noise);
         files.put("classes/model", noise);
         try (OutputStream out = Files.newOutputStream(folder.resolve("packages").resolve(name + ".pkg"))) {
-            PackageBuilder.write(new Manifest(name, "1", Digest.class.getName(), MEMORY_MB, lanes, "idempotent", 10_000, 10_000,
-                Map.of()), files, Keys.privateKey(folder.resolve("publisher")), out);
+            PackageBuilder.write(
+                    new Manifest(
+                            name,
+                            "1",
+                            Digest.class.getName(),
+                            MEMORY_MB,
+                            lanes,
+                            "idempotent",
+                            10_000,
+                            10_000,
+                            Map.of()),
+                    files,
+                    Keys.privateKey(folder.resolve("publisher")),
+                    out);
         }
     }
 
     private static Map<String, Long> books(H2Caller caller) throws Exception {
         Map<String, Long> books = new HashMap<>();
-        new String(caller.send(HttpMethod.GET, "/memory", new byte[0]).get(5, TimeUnit.SECONDS).body(),
-            StandardCharsets.US_ASCII).lines().map(l -> l.split(" ")).forEach(f -> books.put(f[0], Long.parseLong(f[1])));
+        new String(
+                        caller.send(HttpMethod.GET, "/memory", new byte[0])
+                                .get(5, TimeUnit.SECONDS)
+                                .body(),
+                        StandardCharsets.US_ASCII)
+                .lines()
+                .map(l -> l.split(" "))
+                .forEach(f -> books.put(f[0], Long.parseLong(f[1])));
         return books;
     }
 
@@ -151,9 +184,14 @@
         }
         Map<String, Long> after = books(caller);
         double loads = after.get("loads_done") - before.get("loads_done");
-        System.out.printf("a load of a package of 4 MB and %d MB of memory (mean of %.0f): fetch %.1f ms, verify %.1f ms, start "
-            + "%.1f ms%n", MEMORY_MB, loads, per(before, after, "fetch_us", loads), per(before, after, "verify_us", loads),
-            per(before, after, "start_us", loads));
+        System.out.printf(
+                "a load of a package of 4 MB and %d MB of memory (mean of %.0f): fetch %.1f ms, verify %.1f ms, start "
+                        + "%.1f ms%n",
+                MEMORY_MB,
+                loads,
+                per(before, after, "fetch_us", loads),
+                per(before, after, "verify_us", loads),
+                per(before, after, "start_us", loads));
     }
 
     private static double per(Map<String, Long> before, Map<String, Long> after, String part, double loads) {
--- a/app/src/test/java/wharfhinge/app/ArchitectureTest.java
+++ b/app/src/test/java/wharfhinge/app/ArchitectureTest.java
@@ -13,77 +13,175 @@
 
 /** Arrows point down only, and the decisions touch neither I/O nor clocks nor threads. */
 class ArchitectureTest {
-    private static final JavaClasses ALL = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
-        .importPackages("wharfhinge");
+    private static final JavaClasses ALL = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests())
+            .importPackages("wharfhinge");
 
     @Test
     void arrowsPointDownOnly() {
-        layeredArchitecture().consideringOnlyDependenciesInLayers()
-            .layer("app").definedBy("wharfhinge.app..")
-            .layer("stand-ins").definedBy("wharfhinge.standin..")
-            .layer("worker").definedBy("wharfhinge.worker..")
-            .layer("lab").definedBy("wharfhinge.lab..")
-            .layer("gateway").definedBy("wharfhinge.gateway..")
-            .layer("platform").definedBy("wharfhinge.platform..")
-            .layer("settings").definedBy("wharfhinge.settings..")
-            .layer("config").definedBy("wharfhinge.config..")
-            .layer("capture").definedBy("wharfhinge.capture..")
-            .layer("protocol").definedBy("wharfhinge.protocol..")
-            .layer("decisions").definedBy("wharfhinge.decisions..")
-            .layer("policy").definedBy("wharfhinge")
-            .layer("clients").definedBy("wharfhinge.client..")
-            .whereLayer("app").mayNotBeAccessedByAnyLayer()
-            .whereLayer("stand-ins").mayOnlyBeAccessedByLayers("app")
-            .whereLayer("worker").mayOnlyBeAccessedByLayers("app")
-            .whereLayer("lab").mayOnlyBeAccessedByLayers("app")
-            .whereLayer("platform").mayOnlyBeAccessedByLayers("app")
-            .whereLayer("settings").mayOnlyBeAccessedByLayers("app", "platform")
-            .whereLayer("gateway").mayOnlyBeAccessedByLayers("app", "platform")
-            .whereLayer("config").mayOnlyBeAccessedByLayers("app", "gateway", "platform")
-            .whereLayer("capture").mayOnlyBeAccessedByLayers("app", "gateway")
-            .whereLayer("clients").mayOnlyBeAccessedByLayers("app")
-            .whereLayer("protocol").mayOnlyBeAccessedByLayers("app", "gateway", "platform", "stand-ins", "worker", "clients")
-            .whereLayer("decisions").mayOnlyBeAccessedByLayers("app", "gateway", "platform", "config", "lab", "worker")
-            .whereLayer("policy").mayOnlyBeAccessedByLayers("app", "gateway", "platform", "settings", "config", "decisions", "capture", "lab")
-            .check(ALL);
+        layeredArchitecture()
+                .consideringOnlyDependenciesInLayers()
+                .layer("app")
+                .definedBy("wharfhinge.app..")
+                .layer("stand-ins")
+                .definedBy("wharfhinge.standin..")
+                .layer("worker")
+                .definedBy("wharfhinge.worker..")
+                .layer("lab")
+                .definedBy("wharfhinge.lab..")
+                .layer("gateway")
+                .definedBy("wharfhinge.gateway..")
+                .layer("platform")
+                .definedBy("wharfhinge.platform..")
+                .layer("settings")
+                .definedBy("wharfhinge.settings..")
+                .layer("config")
+                .definedBy("wharfhinge.config..")
+                .layer("capture")
+                .definedBy("wharfhinge.capture..")
+                .layer("protocol")
+                .definedBy("wharfhinge.protocol..")
+                .layer("decisions")
+                .definedBy("wharfhinge.decisions..")
+                .layer("policy")
+                .definedBy("wharfhinge")
+                .layer("clients")
+                .definedBy("wharfhinge.client..")
+                .whereLayer("app")
+                .mayNotBeAccessedByAnyLayer()
+                .whereLayer("stand-ins")
+                .mayOnlyBeAccessedByLayers("app")
+                .whereLayer("worker")
+                .mayOnlyBeAccessedByLayers("app")
+                .whereLayer("lab")
+                .mayOnlyBeAccessedByLayers("app")
+                .whereLayer("platform")
+                .mayOnlyBeAccessedByLayers("app")
+                .whereLayer("settings")
+                .mayOnlyBeAccessedByLayers("app", "platform")
+                .whereLayer("gateway")
+                .mayOnlyBeAccessedByLayers("app", "platform")
+                .whereLayer("config")
+                .mayOnlyBeAccessedByLayers("app", "gateway", "platform")
+                .whereLayer("capture")
+                .mayOnlyBeAccessedByLayers("app", "gateway")
+                .whereLayer("clients")
+                .mayOnlyBeAccessedByLayers("app")
+                .whereLayer("protocol")
+                .mayOnlyBeAccessedByLayers("app", "gateway", "platform", "stand-ins", "worker", "clients")
+                .whereLayer("decisions")
+                .mayOnlyBeAccessedByLayers("app", "gateway", "platform", "config", "lab", "worker")
+                .whereLayer("policy")
+                .mayOnlyBeAccessedByLayers(
+                        "app", "gateway", "platform", "settings", "config", "decisions", "capture", "lab")
+                .check(ALL);
     }
 
     @Test
     void theJudgeSharesNothingWithWhatItJudges() {
-        noClasses().that().resideInAPackage("wharfhinge.standin.judge..").should().dependOnClassesThat()
-            .resideOutsideOfPackages("wharfhinge.standin.judge..", "java..").check(ALL);
+        noClasses()
+                .that()
+                .resideInAPackage("wharfhinge.standin.judge..")
+                .should()
+                .dependOnClassesThat()
+                .resideOutsideOfPackages("wharfhinge.standin.judge..", "java..")
+                .check(ALL);
     }
 
     @Test
     void decisionsAreFreeOfClocksThreadsAndSockets() {
-        noClasses().that().resideInAnyPackage("wharfhinge", "wharfhinge.decisions..").should().dependOnClassesThat()
-            .resideInAnyPackage("java.io..", "java.net..", "java.nio..", "java.time..", "java.util.concurrent..", "io.netty..",
-                "org.slf4j..").check(ALL);
-        noClasses().that().resideInAnyPackage("wharfhinge", "wharfhinge.decisions..").should().callMethod(System.class, "nanoTime")
-            .orShould().callMethod(System.class, "currentTimeMillis").check(ALL);
-        fields().that().areDeclaredInClassesThat().resideInAnyPackage("wharfhinge", "wharfhinge.decisions..").and().areStatic()
-            .should().beFinal().check(ALL);
+        noClasses()
+                .that()
+                .resideInAnyPackage("wharfhinge", "wharfhinge.decisions..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(
+                        "java.io..",
+                        "java.net..",
+                        "java.nio..",
+                        "java.time..",
+                        "java.util.concurrent..",
+                        "io.netty..",
+                        "org.slf4j..")
+                .check(ALL);
+        noClasses()
+                .that()
+                .resideInAnyPackage("wharfhinge", "wharfhinge.decisions..")
+                .should()
+                .callMethod(System.class, "nanoTime")
+                .orShould()
+                .callMethod(System.class, "currentTimeMillis")
+                .check(ALL);
+        fields().that()
+                .areDeclaredInClassesThat()
+                .resideInAnyPackage("wharfhinge", "wharfhinge.decisions..")
+                .and()
+                .areStatic()
+                .should()
+                .beFinal()
+                .check(ALL);
     }
 
     /** Deadlines, pauses and budgets of clients go by a clock that never jumps. */
     @Test
     void theWallClockDoesNotMatterToClients() {
-        noClasses().that().resideInAPackage("wharfhinge.client..").should().callMethod(System.class, "currentTimeMillis").orShould()
-            .dependOnClassesThat().haveFullyQualifiedName("java.time.Clock").orShould().callMethod(java.time.Instant.class, "now")
-            .orShould().dependOnClassesThat().haveFullyQualifiedName("java.util.Date").check(ALL);
-        noClasses().that().resideInAPackage("wharfhinge.client.core..").should().dependOnClassesThat().resideInAnyPackage("java.io..",
-            "java.net..", "java.nio..", "java.time..", "java.util.concurrent..", "io.netty..", "io.grpc..", "org.slf4j..").orShould()
-            .callMethod(System.class, "nanoTime").check(ALL);
+        noClasses()
+                .that()
+                .resideInAPackage("wharfhinge.client..")
+                .should()
+                .callMethod(System.class, "currentTimeMillis")
+                .orShould()
+                .dependOnClassesThat()
+                .haveFullyQualifiedName("java.time.Clock")
+                .orShould()
+                .callMethod(java.time.Instant.class, "now")
+                .orShould()
+                .dependOnClassesThat()
+                .haveFullyQualifiedName("java.util.Date")
+                .check(ALL);
+        noClasses()
+                .that()
+                .resideInAPackage("wharfhinge.client.core..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(
+                        "java.io..",
+                        "java.net..",
+                        "java.nio..",
+                        "java.time..",
+                        "java.util.concurrent..",
+                        "io.netty..",
+                        "io.grpc..",
+                        "org.slf4j..")
+                .orShould()
+                .callMethod(System.class, "nanoTime")
+                .check(ALL);
     }
 
     @Test
     void theWorkersSideDoesNotKnowTheClientsSide() {
-        classes().that().resideInAPackage("wharfhinge.gateway.upstream..").should().onlyDependOnClassesThat()
-            .resideOutsideOfPackage("wharfhinge.gateway.front..").check(ALL);
-        noClasses().that().resideInAPackage("wharfhinge.gateway.front..").should().dependOnClassesThat()
-            .resideInAnyPackage("wharfhinge.gateway.upstream..", "wharfhinge.gateway.roster..").check(ALL);
-        noClasses().that().resideInAPackage("wharfhinge.gateway.loop..").and().haveModifier(JavaModifier.PUBLIC)
-            .should().dependOnClassesThat().resideInAnyPackage("wharfhinge.gateway.upstream..",
-                "wharfhinge.gateway.front..").check(ALL);
+        classes()
+                .that()
+                .resideInAPackage("wharfhinge.gateway.upstream..")
+                .should()
+                .onlyDependOnClassesThat()
+                .resideOutsideOfPackage("wharfhinge.gateway.front..")
+                .check(ALL);
+        noClasses()
+                .that()
+                .resideInAPackage("wharfhinge.gateway.front..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("wharfhinge.gateway.upstream..", "wharfhinge.gateway.roster..")
+                .check(ALL);
+        noClasses()
+                .that()
+                .resideInAPackage("wharfhinge.gateway.loop..")
+                .and()
+                .haveModifier(JavaModifier.PUBLIC)
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("wharfhinge.gateway.upstream..", "wharfhinge.gateway.front..")
+                .check(ALL);
     }
 }
--- a/app/src/test/java/wharfhinge/app/CommandLineTest.java
+++ b/app/src/test/java/wharfhinge/app/CommandLineTest.java
@@ -17,6 +17,7 @@
 /** Commands, their exit codes and what they say. */
 class CommandLineTest {
     private static final String SAMPLE = "../deploy/samples/loads-on-call.xml";
+
     @TempDir
     private Path folder;
 
@@ -42,14 +43,32 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"", "serve", "check", "stand-in", "drill", "measure", "stand-in worker", "stand-in roster",
-        "stand-in store", "stand-in fleet", "worker", "store", "package", "package build", "package inspect", "package verify",
-        "package key", "replay"})
+    @ValueSource(
+            strings = {
+                "",
+                "serve",
+                "check",
+                "stand-in",
+                "drill",
+                "measure",
+                "stand-in worker",
+                "stand-in roster",
+                "stand-in store",
+                "stand-in fleet",
+                "worker",
+                "store",
+                "package",
+                "package build",
+                "package inspect",
+                "package verify",
+                "package key",
+                "replay"
+            })
     void helpAndVersionAreEverywhere(String command) {
         List<String> words = command.isEmpty() ? List.of() : List.of(command.split(" "));
         for (String option : List.of("--help", "--version")) {
             String[] arguments = java.util.stream.Stream.concat(words.stream(), java.util.stream.Stream.of(option))
-                .toArray(String[]::new);
+                    .toArray(String[]::new);
             Ran ran = run(arguments);
             assertEquals(Program.OK, ran.code, command + option);
             assertTrue(ran.text().contains("wharfhinge"), ran.text());
@@ -66,7 +85,8 @@
     void checkTellsAllThatIsWrong() throws Exception {
         assertEquals(Program.OK, run("check", SAMPLE).code);
         Path wrong = folder.resolve("wrong.xml");
-        Files.writeString(wrong, Files.readString(Path.of(SAMPLE)).replace("8400", "x").replace("idempotent", "y"));
+        Files.writeString(
+                wrong, Files.readString(Path.of(SAMPLE)).replace("8400", "x").replace("idempotent", "y"));
         Ran ran = run("check", SAMPLE, wrong.toString());
         assertEquals(Program.WANTING, ran.code);
         assertTrue(ran.text().contains("found 'x'") && ran.text().contains("found 'y'"), ran.text());
@@ -77,7 +97,11 @@
     void anUnknownDrillIsNamed() {
         Ran ran = run("drill", "no-such-day");
         assertEquals(Program.WANTING, ran.code);
-        assertTrue(ran.text().contains("found 'no-such-day', allowed: [bad-day, calm, loads-on-call, bad-day-chains, chains, workers, forty-workers]"), ran.text());
+        assertTrue(
+                ran.text()
+                        .contains(
+                                "found 'no-such-day', allowed: [bad-day, calm, loads-on-call, bad-day-chains, chains, workers, forty-workers]"),
+                ran.text());
     }
 
     @Test
@@ -90,8 +114,21 @@
         assertEquals(Program.OK, run("package", "key", key).code);
         assertEquals(Program.OK, run("package", "key", other).code);
         assertEquals(Program.WANTING, run("package", "key", key).code, "a key is never written over");
-        Ran built = run("package", "build", "--classes", folder.resolve("classes").toString(), "--entry", "a.B", "--name", "f",
-            "--memory-mb", "8", "--sign", key, "--out", out);
+        Ran built = run(
+                "package",
+                "build",
+                "--classes",
+                folder.resolve("classes").toString(),
+                "--entry",
+                "a.B",
+                "--name",
+                "f",
+                "--memory-mb",
+                "8",
+                "--sign",
+                key,
+                "--out",
+                out);
         assertEquals(Program.OK, built.code, built.text());
         Ran shown = run("package", "inspect", out);
         assertTrue(shown.text().contains("entry=a.B") && shown.text().contains("# signed"), shown.text());
@@ -99,9 +136,22 @@
         Ran refused = run("package", "verify", "--key", other + ".pub", out);
         assertEquals(Program.WANTING, refused.code);
         assertTrue(refused.text().contains("none of the 1 trusted keys"), refused.text());
-        Ran wrong = run("package", "build", "--classes", folder.resolve("classes").toString(), "--entry", "a.C", "--name", "f",
-            "--memory-mb", "8", "--out", out);
-        assertTrue(wrong.code == Program.WANTING && wrong.text().contains("entry a.C is not among the files"), wrong.text());
+        Ran wrong = run(
+                "package",
+                "build",
+                "--classes",
+                folder.resolve("classes").toString(),
+                "--entry",
+                "a.C",
+                "--name",
+                "f",
+                "--memory-mb",
+                "8",
+                "--out",
+                out);
+        assertTrue(
+                wrong.code == Program.WANTING && wrong.text().contains("entry a.C is not among the files"),
+                wrong.text());
         assertEquals(Program.OK, run("package", "verify", out).code, "what was there stands");
     }
 
@@ -115,8 +165,10 @@
 
     @Test
     void aWorkersSettingsTellAllThatIsWrong() throws Exception {
-        Path file = Files.writeString(folder.resolve("w.xml"), "<worker xmlns='urn:wharfhinge:worker:1' name='w'>\n"
-            + "<listen port='99999'/>\n<memory copies-mb='0'/>\n<store url='ftp://x'/>\n<images folder='i'/>\n</worker>\n");
+        Path file = Files.writeString(
+                folder.resolve("w.xml"),
+                "<worker xmlns='urn:wharfhinge:worker:1' name='w'>\n"
+                        + "<listen port='99999'/>\n<memory copies-mb='0'/>\n<store url='ftp://x'/>\n<images folder='i'/>\n</worker>\n");
         Ran ran = run("worker", "--config", file.toString());
         assertEquals(Program.WANTING, ran.code);
         for (String place : List.of("99999", "'0'", "ftp://x")) {
--- a/app/src/test/java/wharfhinge/app/OtherJdkTest.java
+++ b/app/src/test/java/wharfhinge/app/OtherJdkTest.java
@@ -21,13 +21,22 @@
         Path own = Path.of(System.getProperty("java.home")).toRealPath();
         List<Path> others;
         try (Stream<Path> beside = Files.list(own.getParent())) {
-            others = beside.filter(p -> !Files.isSymbolicLink(p) && !p.equals(own) && Files.isExecutable(p.resolve("bin/java"))).toList();
+            others = beside.filter(p ->
+                            !Files.isSymbolicLink(p) && !p.equals(own) && Files.isExecutable(p.resolve("bin/java")))
+                    .toList();
         }
         assumeTrue(!others.isEmpty(), "no other JDK beside " + own);
         Path fixture = Path.of("../capture/src/test/resources/wharfhinge/capture/overload.jsonl");
         for (Path other : others) {
-            Process replay = new ProcessBuilder(other.resolve("bin/java").toString(), "-cp", System.getProperty("java.class.path"),
-                Program.MAIN, "replay", fixture.toString()).redirectErrorStream(true).start();
+            Process replay = new ProcessBuilder(
+                            other.resolve("bin/java").toString(),
+                            "-cp",
+                            System.getProperty("java.class.path"),
+                            Program.MAIN,
+                            "replay",
+                            fixture.toString())
+                    .redirectErrorStream(true)
+                    .start();
             String said = new String(replay.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
             assertTrue(replay.waitFor(30, TimeUnit.SECONDS));
             assertEquals(0, replay.exitValue(), other + ": " + said);
--- a/app/src/test/java/wharfhinge/app/drill/DrillTest.java
+++ b/app/src/test/java/wharfhinge/app/drill/DrillTest.java
@@ -43,36 +43,51 @@
         for (int i = 0; i < gateways; i++) {
             CaptureReader.Capture capture = CaptureReader.read(folder.resolve("gw" + i + ".capture"));
             Replayer.Result result = new Replayer().replay(capture.frames(), Long.MAX_VALUE, null);
-            assertNull(result.difference(), () -> String.join("\n", result.difference().lines()));
+            assertNull(
+                    result.difference(),
+                    () -> String.join("\n", result.difference().lines()));
             assertTrue(result.compared() > 500, result.toString());
         }
     }
 
     @Test
     void aShortBadDayKeepsAllRules() throws Exception {
-        Judge.Verdict verdict = play(null, 9, new Trouble("hang", 1, 3, 0.15, 0, 0), new Trouble("drain", 1, 3, 0.15, 0, 1),
-            new Trouble("balancer_stall", 3, 2, 0.3, 0, 0), new Trouble("balancer_roll", 6, 1, 0.6, 0.3, 0),
-            new Trouble("answer_lost", 5, 3, 0.4, 0.2, 1), new Trouble("restart", 4, 0.5, 0.2, 0, 0),
-            new Trouble("roster_lost", 5, 2, 0, 0, 0), new Trouble("store_shut", 6, 1, 0, 0, 0));
+        Judge.Verdict verdict = play(
+                null,
+                9,
+                new Trouble("hang", 1, 3, 0.15, 0, 0),
+                new Trouble("drain", 1, 3, 0.15, 0, 1),
+                new Trouble("balancer_stall", 3, 2, 0.3, 0, 0),
+                new Trouble("balancer_roll", 6, 1, 0.6, 0.3, 0),
+                new Trouble("answer_lost", 5, 3, 0.4, 0.2, 1),
+                new Trouble("restart", 4, 0.5, 0.2, 0, 0),
+                new Trouble("roster_lost", 5, 2, 0, 0, 0),
+                new Trouble("store_shut", 6, 1, 0, 0, 0));
         assertEquals(5, verdict.kept(), Judge.report(verdict).toString());
-        assertTrue(Integer.parseInt(verdict.figures().get("calls")) > 800, verdict.figures().toString());
+        assertTrue(
+                Integer.parseInt(verdict.figures().get("calls")) > 800,
+                verdict.figures().toString());
         replayed(3);
     }
 
     @ParameterizedTest
     @EnumSource(value = Mutant.class, mode = EnumSource.Mode.EXCLUDE, names = "NO_EARLY_REFUSAL")
     void eachMutantIsFound(Mutant mutant) throws Exception {
-        Judge.Verdict verdict = switch (mutant) {
-            case FORGETS_ANSWERS -> play(mutant, 4, new Trouble("fast_errors", 0, 9, 1, 0.9, 0));
-            case REPEATS_UNSAFE -> play(mutant, 4, new Trouble("fast_errors", 0, 9, 1, 0.5, 0));
-            case DEAF_TO_DRAINS -> play(mutant, 6, new Trouble("drain", 0.5, 9, 0.5, 0, 1));
-            case COLD_AS_WARM -> play(mutant, 6, new Trouble("restart", 1, 0.2, 0.5, 0, 0),
-                new Trouble("overload", 1, 9, 0, 2, 0));
-            case CLOCK_FOR_EACH_STEP -> play(mutant, 4, new Trouble("chains", 0, 9, 0, 0.6, 0),
-                new Trouble("slow", 0, 9, 0.5, 4, 0));
-            case NO_EARLY_REFUSAL -> throw new AssertionError("breaks no rule");
-            case UNRATIONED -> play(mutant, 5, new Trouble("scan", 0, 9, 0, 0.5, 0));
-        };
+        Judge.Verdict verdict =
+                switch (mutant) {
+                    case FORGETS_ANSWERS -> play(mutant, 4, new Trouble("fast_errors", 0, 9, 1, 0.9, 0));
+                    case REPEATS_UNSAFE -> play(mutant, 4, new Trouble("fast_errors", 0, 9, 1, 0.5, 0));
+                    case DEAF_TO_DRAINS -> play(mutant, 6, new Trouble("drain", 0.5, 9, 0.5, 0, 1));
+                    case COLD_AS_WARM -> play(
+                            mutant,
+                            6,
+                            new Trouble("restart", 1, 0.2, 0.5, 0, 0),
+                            new Trouble("overload", 1, 9, 0, 2, 0));
+                    case CLOCK_FOR_EACH_STEP -> play(
+                            mutant, 4, new Trouble("chains", 0, 9, 0, 0.6, 0), new Trouble("slow", 0, 9, 0.5, 4, 0));
+                    case NO_EARLY_REFUSAL -> throw new AssertionError("breaks no rule");
+                    case UNRATIONED -> play(mutant, 5, new Trouble("scan", 0, 9, 0, 0.5, 0));
+                };
         assertTrue(verdict.broken().containsKey(mutant.rule()), mutant + ": " + Judge.report(verdict));
     }
 }
--- a/app/src/test/java/wharfhinge/app/drill/GatewayKilledTest.java
+++ b/app/src/test/java/wharfhinge/app/drill/GatewayKilledTest.java
@@ -28,21 +28,29 @@
 /** A gateway process killed between two steps of a chain, and what a client's retry then meets. */
 @Timeout(60)
 class GatewayKilledTest {
-    private static final String CHAIN = """
+    private static final String CHAIN =
+            """
         {"key":"k","deadline_ms":2400,"input":"in","steps":[
          {"id":"a","function":"fa","class":"order","input":["client"],"cost_us":FIRST,"load_ms":20},
          {"id":"b","function":"fb","class":"sync","input":["a"],"cost_us":COST,"load_ms":20}]}""";
+
     @TempDir
     private Path folder;
+
     private final FreePorts ports = new FreePorts();
     private final Trace trace = new Trace(System::nanoTime);
-    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
     private GatewayProcess gateway(Scenario day, int number, int roster) throws Exception {
         int port = ports.take();
         Path settings = GatewaySettings.write(folder, day, number, port, roster, false);
-        Files.writeString(settings, Files.readString(settings).replace("let-through=\"20\"",
-            "resume-file=\"steps" + number + "\" resume-window-ms=\"60000\""));
+        Files.writeString(
+                settings,
+                Files.readString(settings)
+                        .replace(
+                                "let-through=\"20\"",
+                                "resume-file=\"steps" + number + "\" resume-window-ms=\"60000\""));
         return new GatewayProcess("gw" + number, port, settings, null, trace);
     }
 
@@ -54,9 +62,18 @@
         Scenario day = Scenarios.load(null, "chains");
         EventLoopGroup group = Net.group(2);
         try (RosterStandIn roster = new RosterStandIn(group, 0, 0, trace);
-             StoreStandIn store = new StoreStandIn(group, 0, 10, 40, trace);
-             WorkerStandIn worker = new WorkerStandIn(group, 0, day.worker(0, false), new HttpCaller(group, store.port()), trace)) {
-            roster.report(new RosterEntry(worker.id(), "zone-a", "std", 0, State.UP, 2, 60_000, worker.model().boot()));
+                StoreStandIn store = new StoreStandIn(group, 0, 10, 40, trace);
+                WorkerStandIn worker =
+                        new WorkerStandIn(group, 0, day.worker(0, false), new HttpCaller(group, store.port()), trace)) {
+            roster.report(new RosterEntry(
+                    worker.id(),
+                    "zone-a",
+                    "std",
+                    0,
+                    State.UP,
+                    2,
+                    60_000,
+                    worker.model().boot()));
             story.tell(day, roster.port());
         } finally {
             group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS);
@@ -64,9 +81,13 @@
     }
 
     private CompletableFuture<HttpResponse<String>> chain(GatewayProcess at, int firstUs, int costUs) {
-        return client.sendAsync(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + at.port() + "/v1/chain"))
-            .timeout(Duration.ofSeconds(10)).POST(HttpRequest.BodyPublishers.ofString(CHAIN.replace("FIRST", "" + firstUs).replace("COST", "" + costUs)))
-            .build(), HttpResponse.BodyHandlers.ofString());
+        return client.sendAsync(
+                HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + at.port() + "/v1/chain"))
+                        .timeout(Duration.ofSeconds(10))
+                        .POST(HttpRequest.BodyPublishers.ofString(
+                                CHAIN.replace("FIRST", "" + firstUs).replace("COST", "" + costUs)))
+                        .build(),
+                HttpResponse.BodyHandlers.ofString());
     }
 
     /** The answer of a retry; a gateway just started may not have its list yet, which is said as a refusal. */
@@ -74,13 +95,19 @@
         long end = System.nanoTime() + 15_000_000_000L;
         String answer = "";
         while (!answer.equals("served") && System.nanoTime() < end) {
-            answer = chain(at, 20_000, 20_000).get().headers().firstValue("wh-answer").orElse("none");
+            answer = chain(at, 20_000, 20_000)
+                    .get()
+                    .headers()
+                    .firstValue("wh-answer")
+                    .orElse("none");
         }
         return answer;
     }
 
     private long ran(String step) {
-        return trace.lines().stream().filter(l -> l.contains("\trun\t") && l.contains("." + step + "\t")).count();
+        return trace.lines().stream()
+                .filter(l -> l.contains("\trun\t") && l.contains("." + step + "\t"))
+                .count();
     }
 
     /** Its clock leaps past the chain's deadline: one answer at once, and nothing is begun after it. */
@@ -94,7 +121,11 @@
                 gateway.stall(true);
                 Thread.sleep(2600); // longer than the chain may take
                 gateway.stall(false);
-                assertTrue(!call.get().headers().firstValue("wh-answer").orElse("none").equals("served"));
+                assertTrue(!call.get()
+                        .headers()
+                        .firstValue("wh-answer")
+                        .orElse("none")
+                        .equals("served"));
                 assertEquals(0, ran("b"), "a step began after the deadline");
             } finally {
                 gateway.stop();
@@ -103,8 +134,8 @@
     }
 
     /** A chain of which this step runs; one that a gateway refuses while its list is on the way is sent again. */
-    private CompletableFuture<HttpResponse<String>> running(GatewayProcess at, String step, int firstUs,
-                                                           int costUs) throws Exception {
+    private CompletableFuture<HttpResponse<String>> running(GatewayProcess at, String step, int firstUs, int costUs)
+            throws Exception {
         CompletableFuture<HttpResponse<String>> call = chain(at, firstUs, costUs);
         long end = System.nanoTime() + 15_000_000_000L;
         while (ran(step) == 0 && System.nanoTime() < end) {
--- a/app/src/test/java/wharfhinge/app/drill/LongDrillTest.java
+++ b/app/src/test/java/wharfhinge/app/drill/LongDrillTest.java
@@ -24,7 +24,9 @@
             Judge.Verdict verdict = played.play();
             assertEquals(5, verdict.kept(), Judge.report(verdict).toString());
             assertEquals(List.of(), played.memory().faults());
-            assertTrue(Integer.parseInt(verdict.figures().get("calls")) > 1000, verdict.figures().toString());
+            assertTrue(
+                    Integer.parseInt(verdict.figures().get("calls")) > 1000,
+                    verdict.figures().toString());
         }
     }
 
--- a/bench-adapter/src/main/java/wharfhinge/adapter/Main.java
+++ b/bench-adapter/src/main/java/wharfhinge/adapter/Main.java
@@ -9,7 +9,7 @@
 /** Command line of the jar: {@code adapter} speaks the wire on standard input and output. */
 public final class Main {
 
-    private Main() { }
+    private Main() {}
 
     /** Runs the adapter; exits with 0 at end of input, 1 on malformed input, 2 on wrong usage. */
     public static void main(String[] args) {
@@ -18,8 +18,10 @@
             System.exit(2);
         }
         try {
-            new Session(new BufferedInputStream(new FileInputStream(FileDescriptor.in), 1 << 16),
-                new FileOutputStream(FileDescriptor.out)).run();
+            new Session(
+                            new BufferedInputStream(new FileInputStream(FileDescriptor.in), 1 << 16),
+                            new FileOutputStream(FileDescriptor.out))
+                    .run();
         } catch (MalformedInputException | IOException e) {
             System.err.println("wharfhinge: " + e.getMessage());
             System.exit(1);
--- a/bench-adapter/src/main/java/wharfhinge/adapter/Session.java
+++ b/bench-adapter/src/main/java/wharfhinge/adapter/Session.java
@@ -30,7 +30,7 @@
     private long lineNumber;
     private long now;
 
-    private record Instance(Dispatcher dispatcher, WireActions actions) { }
+    private record Instance(Dispatcher dispatcher, WireActions actions) {}
 
     private interface Event {
         void tell(Dispatcher dispatcher);
@@ -167,13 +167,14 @@
 
     private void members(Fields f) throws IOException, MalformedInputException {
         int i = f.small("i");
-        Dispatcher.ListMode mode = switch (f.required("mode")) {
-            case "changes" -> Dispatcher.ListMode.CHANGES;
-            case "all" -> Dispatcher.ListMode.ALL;
-            case "remembered" -> Dispatcher.ListMode.REMEMBERED;
-            case "refused" -> Dispatcher.ListMode.REFUSED;
-            default -> throw f.bad("unknown mode");
-        };
+        Dispatcher.ListMode mode =
+                switch (f.required("mode")) {
+                    case "changes" -> Dispatcher.ListMode.CHANGES;
+                    case "all" -> Dispatcher.ListMode.ALL;
+                    case "remembered" -> Dispatcher.ListMode.REMEMBERED;
+                    case "refused" -> Dispatcher.ListMode.REFUSED;
+                    default -> throw f.bad("unknown mode");
+                };
         long revision = f.wholeOrZero("rev");
         int count = f.smallOrZero("elements");
         List<Dispatcher.Worker> entries = new ArrayList<>();
@@ -191,12 +192,13 @@
         String zone = f.optional("area");
         String kind = f.optional("sku");
         int cell = f.smallOrZero("pack");
-        Dispatcher.Availability availability = switch (f.required("availability")) {
-            case "U" -> Dispatcher.Availability.UP;
-            case "L" -> Dispatcher.Availability.DRAINING;
-            case "D" -> Dispatcher.Availability.WITHDRAWN;
-            default -> throw f.bad("unknown availability");
-        };
+        Dispatcher.Availability availability =
+                switch (f.required("availability")) {
+                    case "U" -> Dispatcher.Availability.UP;
+                    case "L" -> Dispatcher.Availability.DRAINING;
+                    case "D" -> Dispatcher.Availability.WITHDRAWN;
+                    default -> throw f.bad("unknown availability");
+                };
         double weight = f.numberOrZero("power_hint");
         long startedAt = f.wholeOrZero("boot_time_ns");
         f.end();
@@ -215,9 +217,18 @@
         double loadMs = f.numberOrZero("warm_ms");
         String requestClass = f.required("priority");
         int opts = f.smallOrZero("opts");
-        Dispatcher.Request request = new Dispatcher.Request(call, tenant, remaining, memory, function,
-            (opts & 1) != 0 ? cost : 0, lanes, loadMs, requestClass, (opts & REPEAT_BIT) != 0,
-            (opts & WRITE_BIT) != 0);
+        Dispatcher.Request request = new Dispatcher.Request(
+                call,
+                tenant,
+                remaining,
+                memory,
+                function,
+                (opts & 1) != 0 ? cost : 0,
+                lanes,
+                loadMs,
+                requestClass,
+                (opts & REPEAT_BIT) != 0,
+                (opts & WRITE_BIT) != 0);
         tell(f, i, d -> d.query(now, request));
     }
 
@@ -235,8 +246,8 @@
         if (remark < 0 || note >= NOTES.length) {
             throw f.bad("unknown remark: " + remark);
         }
-        Dispatcher.Completion completion = new Dispatcher.Completion(call, outcome, attempt, took,
-            worker, NOTES[note], remark >> COMPANY_SHIFT, settled, report);
+        Dispatcher.Completion completion = new Dispatcher.Completion(
+                call, outcome, attempt, took, worker, NOTES[note], remark >> COMPANY_SHIFT, settled, report);
         tell(f, i, d -> d.completed(now, completion));
     }
 
--- a/bench-adapter/src/main/java/wharfhinge/adapter/WireActions.java
+++ b/bench-adapter/src/main/java/wharfhinge/adapter/WireActions.java
@@ -19,8 +19,14 @@
 
     @Override
     public void attempt(String request, String worker, long timeoutNs) {
-        line("ATTEMPT").append(' ').append(request).append(' ').append(timeoutNs)
-            .append(' ').append(worker).append('\n');
+        line("ATTEMPT")
+                .append(' ')
+                .append(request)
+                .append(' ')
+                .append(timeoutNs)
+                .append(' ')
+                .append(worker)
+                .append('\n');
     }
 
     @Override
@@ -30,7 +36,12 @@
 
     @Override
     public void refuse(String request, long coolDownNs) {
-        line("PUSH_BACK").append(' ').append(request).append(' ').append(coolDownNs).append('\n');
+        line("PUSH_BACK")
+                .append(' ')
+                .append(request)
+                .append(' ')
+                .append(coolDownNs)
+                .append('\n');
     }
 
     @Override
@@ -40,8 +51,14 @@
 
     @Override
     public void hold(String worker, String function, int count) {
-        line("BRING_UP").append(' ').append(function).append(' ').append(count)
-            .append(' ').append(worker).append('\n');
+        line("BRING_UP")
+                .append(' ')
+                .append(function)
+                .append(' ')
+                .append(count)
+                .append(' ')
+                .append(worker)
+                .append('\n');
     }
 
     @Override
@@ -61,8 +78,12 @@
 
     @Override
     public void publish(int peer, byte[] payload) {
-        line("PUBLISH").append(' ').append(peer).append(' ')
-            .append(payload.length == 0 ? "-" : HexFormat.of().formatHex(payload)).append('\n');
+        line("PUBLISH")
+                .append(' ')
+                .append(peer)
+                .append(' ')
+                .append(payload.length == 0 ? "-" : HexFormat.of().formatHex(payload))
+                .append('\n');
     }
 
     @Override
--- a/bench-adapter/src/test/java/wharfhinge/adapter/SessionTest.java
+++ b/bench-adapter/src/test/java/wharfhinge/adapter/SessionTest.java
@@ -11,13 +11,13 @@
 
 class SessionTest {
     private static final String SETTINGS = "{\"classes\": [{\"name\": \"c\", \"effect\": \"idempotent\", "
-        + "\"group\": \"all\", \"hard_limit_ns\": 2500000000, \"on_time_ns\": 600000000, \"worth\": 1.0}], "
-        + "\"family_info\": {\"keep_ns\": 8400000000, \"load_control\": true, \"not_loaded\": \"load\"}, "
-        + "\"limits\": {\"max_attempts\": 5, \"second_copies\": true, \"cancelling\": true}, "
-        + "\"obligations\": {\"cold_from\": 0.17, \"overload_factor\": 2.0, \"tip_after_ns\": 1000000000, "
-        + "\"warm_after_ns\": 16000000000}, \"group_size\": 1, \"tick_ns\": 4000000, \"new_key\": [1, {}]}";
-    private static final String BEGIN = "TICK 1000\nBEGIN 3 7 " + SETTINGS + "\n"
-        + "MEMBERS 3 remembered 1 1\nM h:1 z k 0 U 1 -\nCOMMIT\n";
+            + "\"group\": \"all\", \"hard_limit_ns\": 2500000000, \"on_time_ns\": 600000000, \"worth\": 1.0}], "
+            + "\"family_info\": {\"keep_ns\": 8400000000, \"load_control\": true, \"not_loaded\": \"load\"}, "
+            + "\"limits\": {\"max_attempts\": 5, \"second_copies\": true, \"cancelling\": true}, "
+            + "\"obligations\": {\"cold_from\": 0.17, \"overload_factor\": 2.0, \"tip_after_ns\": 1000000000, "
+            + "\"warm_after_ns\": 16000000000}, \"group_size\": 1, \"tick_ns\": 4000000, \"new_key\": [1, {}]}";
+    private static final String BEGIN =
+            "TICK 1000\nBEGIN 3 7 " + SETTINGS + "\n" + "MEMBERS 3 remembered 1 1\nM h:1 z k 0 U 1 -\nCOMMIT\n";
     private static final String QUERY = "TICK 2000\nQUERY 3 t/a - 240000000 384 00ff - 2 - c 0\nCOMMIT\n";
 
     /** What was asked of its homes was not answered in time. */
@@ -47,8 +47,8 @@
 
     @Test
     void aRequestIsSentAndServed() throws Exception {
-        String reply = run(BEGIN + QUERY + LOOKED
-            + "TICK 3000\nCOMPLETED 3 t/a 0 0 18500000 h:1 1 1 rif:7,x0:0.4\nCOMMIT\n");
+        String reply =
+                run(BEGIN + QUERY + LOOKED + "TICK 3000\nCOMPLETED 3 t/a 0 0 18500000 h:1 1 1 rif:7,x0:0.4\nCOMMIT\n");
         assertTrue(reply.contains("ATTEMPT 3 t/a 0 h:1\n"), reply);
         assertEquals(4, reply.split("FINISHED\n", -1).length - 1);
         assertTrue(!reply.contains("PUSH_BACK") && !reply.contains("DROP_REQUEST"), reply);
@@ -57,9 +57,9 @@
     @Test
     void everyEventIsRead() throws Exception {
         String reply = run(BEGIN + QUERY + "TICK 4000\nCHECKED 3 h:1 0 1400000 rif:7\n"
-            + "ESTABLISHED 3 t/a 9250000 0 h:1\nINBOX 3 2 68692037\nDUE 3 a token\n"
-            + "RESIDENT 3 640000000 1 0 h:1 00ff\nTIMED_OUT_CLIENT 3 t/a\n"
-            + "MEMBERS 3 changes 2 1\nM h:1 z k 0 L 1 -\nMEMBERS 3 all 3 0\nRETIRE 3\nCOMMIT\n");
+                + "ESTABLISHED 3 t/a 9250000 0 h:1\nINBOX 3 2 68692037\nDUE 3 a token\n"
+                + "RESIDENT 3 640000000 1 0 h:1 00ff\nTIMED_OUT_CLIENT 3 t/a\n"
+                + "MEMBERS 3 changes 2 1\nM h:1 z k 0 L 1 -\nMEMBERS 3 all 3 0\nRETIRE 3\nCOMMIT\n");
         assertTrue(reply.endsWith("FINISHED\n"), reply);
     }
 
--- a/capture/src/main/java/wharfhinge/capture/Account.java
+++ b/capture/src/main/java/wharfhinge/capture/Account.java
@@ -55,7 +55,11 @@
         if (about(frame.event().request())) {
             return frame.event().request();
         }
-        return frame.acts().stream().map(Act::request).filter(this::about).findFirst().orElse(null);
+        return frame.acts().stream()
+                .map(Act::request)
+                .filter(this::about)
+                .findFirst()
+                .orElse(null);
     }
 
     @Override
@@ -67,13 +71,22 @@
         }
         if (frame.event() instanceof Event.Query) {
             begun = frame.at();
-            lines.add(String.format(Locale.ROOT, "call %s (%s): function %s, class %s, %.0f ms to its deadline", id,
-                outer.getOrDefault(id, "-"), call.function(), call.requestClass(), call.remainingNs() / MS));
+            lines.add(String.format(
+                    Locale.ROOT,
+                    "call %s (%s): function %s, class %s, %.0f ms to its deadline",
+                    id,
+                    outer.getOrDefault(id, "-"),
+                    call.function(),
+                    call.requestClass(),
+                    call.remainingNs() / MS));
         }
-        lines.add(String.format(Locale.ROOT, "+%.1f ms, frame %d: %s", (frame.at() - begun) / MS, index, told(frame.event())));
+        lines.add(String.format(
+                Locale.ROOT, "+%.1f ms, frame %d: %s", (frame.at() - begun) / MS, index, told(frame.event())));
         boolean chose = false;
         for (Act act : replayed) {
-            if (about(act.request()) || act.text().endsWith(":" + id) || act.function().equals(call.function())) {
+            if (about(act.request())
+                    || act.text().endsWith(":" + id)
+                    || act.function().equals(call.function())) {
                 lines.add("    decided: " + act.line());
                 chose |= act.kind() == Act.Kind.ATTEMPT || act.kind() == Act.Kind.REFUSE || act.kind() == Act.Kind.HOLD;
                 if (act.kind() == Act.Kind.ATTEMPT) {
@@ -88,8 +101,14 @@
 
     private static String told(Event event) {
         if (event instanceof Event.Completed c) {
-            return String.format(Locale.ROOT, "attempt %d at %s ended: %s, %s, after %.1f ms", c.how().attempt(),
-                c.how().worker(), c.how().outcome(), c.how().note(), c.how().tookNs() / MS);
+            return String.format(
+                    Locale.ROOT,
+                    "attempt %d at %s ended: %s, %s, after %.1f ms",
+                    c.how().attempt(),
+                    c.how().worker(),
+                    c.how().outcome(),
+                    c.how().note(),
+                    c.how().tookNs() / MS);
         }
         if (event instanceof Event.Query) {
             return "it came";
@@ -98,17 +117,24 @@
     }
 
     private void reason(String worker, String function) {
-        Belief chosen = beliefs.stream().filter(b -> b.worker().equals(worker)).findFirst().orElse(null);
+        Belief chosen = beliefs.stream()
+                .filter(b -> b.worker().equals(worker))
+                .findFirst()
+                .orElse(null);
         if (chosen == null) {
             return;
         }
-        List<Belief> warm = beliefs.stream().filter(b -> b.up() && !b.ejected() && b.standing()).toList();
+        List<Belief> warm = beliefs.stream()
+                .filter(b -> b.up() && !b.ejected() && b.standing())
+                .toList();
         long room = warm.stream().filter(Belief::belowValve).count();
         String why;
         if (chosen.ejected()) {
             why = "a trial of an ejected worker";
-        } else if (chosen.standing() && warm.stream().filter(Belief::belowValve).allMatch(b -> b.inFlight() >= chosen.inFlight())) {
-            why = "believed warm, with the fewest own calls in flight of the " + room + " warm ones that are not saturated";
+        } else if (chosen.standing()
+                && warm.stream().filter(Belief::belowValve).allMatch(b -> b.inFlight() >= chosen.inFlight())) {
+            why = "believed warm, with the fewest own calls in flight of the " + room
+                    + " warm ones that are not saturated";
         } else if (chosen.standing()) {
             why = "believed warm; others with fewer in flight were tried before, had no free lane, or may not get it";
         } else if (chosen.loading()) {
@@ -123,11 +149,24 @@
 
     private void candidates() {
         lines.add("    believed then of " + beliefs.size() + " workers (warm and least loaded first):");
-        beliefs.stream().sorted(Comparator.comparing((Belief b) -> !b.standing()).thenComparing(b -> !b.loading())
-            .thenComparingInt(Belief::inFlight).thenComparing(Belief::worker)).limit(SHOWN).forEach(b -> lines.add(
-            String.format(Locale.ROOT, "      %-22s %s%s%s%s%s in flight %d, valve %.2f, load %.2f, failures %.2f", b.worker(),
-                b.standing() ? "warm " : b.loading() ? "loading " : "", b.up() ? "" : "leaving ", b.ejected() ? "ejected " : "",
-                b.cold() ? "cold " : "", b.belowValve() ? "" : "saturated ", b.inFlight(), b.valve(), b.load(),
-                b.failures())));
+        beliefs.stream()
+                .sorted(Comparator.comparing((Belief b) -> !b.standing())
+                        .thenComparing(b -> !b.loading())
+                        .thenComparingInt(Belief::inFlight)
+                        .thenComparing(Belief::worker))
+                .limit(SHOWN)
+                .forEach(b -> lines.add(String.format(
+                        Locale.ROOT,
+                        "      %-22s %s%s%s%s%s in flight %d, valve %.2f, load %.2f, failures %.2f",
+                        b.worker(),
+                        b.standing() ? "warm " : b.loading() ? "loading " : "",
+                        b.up() ? "" : "leaving ",
+                        b.ejected() ? "ejected " : "",
+                        b.cold() ? "cold " : "",
+                        b.belowValve() ? "" : "saturated ",
+                        b.inFlight(),
+                        b.valve(),
+                        b.load(),
+                        b.failures())));
     }
 }
--- a/capture/src/main/java/wharfhinge/capture/Act.java
+++ b/capture/src/main/java/wharfhinge/capture/Act.java
@@ -12,7 +12,21 @@
 @JsonInclude(JsonInclude.Include.NON_DEFAULT)
 public record Act(Kind kind, String request, String worker, String function, String text, long number, String payload) {
     /** The methods of {@link wharfhinge.Dispatcher.Actions}. */
-    public enum Kind { ATTEMPT, CANCEL, REFUSE, FAIL, HOLD, UNLOAD, PROBE, TIMER, PUBLISH, LISTEN, RELOAD, HANG_UP, REMARK }
+    public enum Kind {
+        ATTEMPT,
+        CANCEL,
+        REFUSE,
+        FAIL,
+        HOLD,
+        UNLOAD,
+        PROBE,
+        TIMER,
+        PUBLISH,
+        LISTEN,
+        RELOAD,
+        HANG_UP,
+        REMARK
+    }
 
     /** Nulls count as empty. */
     public Act {
--- a/capture/src/main/java/wharfhinge/capture/Acts.java
+++ b/capture/src/main/java/wharfhinge/capture/Acts.java
@@ -86,7 +86,8 @@
 
     @Override
     public void publish(int peer, byte[] payload) {
-        taken.add(new Act(Kind.PUBLISH, "", "", "", "", peer, Base64.getEncoder().encodeToString(payload)));
+        taken.add(
+                new Act(Kind.PUBLISH, "", "", "", "", peer, Base64.getEncoder().encodeToString(payload)));
         if (doing != null) {
             doing.publish(peer, payload);
         }
--- a/capture/src/main/java/wharfhinge/capture/CaptureFile.java
+++ b/capture/src/main/java/wharfhinge/capture/CaptureFile.java
@@ -25,7 +25,7 @@
     /** Name of a segment. */
     static final String SUFFIX = ".whcap";
 
-    private CaptureFile() { }
+    private CaptureFile() {}
 
     /** Of a block's head in that version, after the mark. */
     static int headBytes(int version) {
@@ -34,6 +34,17 @@
 
     /** The head line of a segment; wall and loop time were read together. */
     static String head(String gateway, long wallMs, long nanos, boolean hashed) {
-        return MAGIC + ' ' + VERSION + ' ' + gateway + ' ' + wallMs + ' ' + nanos + ' ' + (hashed ? "hashed" : "plain") + '\n';
+        return MAGIC
+                + ' '
+                + VERSION
+                + ' '
+                + gateway
+                + ' '
+                + wallMs
+                + ' '
+                + nanos
+                + ' '
+                + (hashed ? "hashed" : "plain")
+                + '\n';
     }
 }
--- a/capture/src/main/java/wharfhinge/capture/CaptureReader.java
+++ b/capture/src/main/java/wharfhinge/capture/CaptureReader.java
@@ -26,7 +26,8 @@
      * @param wallMs   wall clock at {@code nanos} of the gateway's own clock
      * @param troubles where it was cut or damaged; a {@link Event.Gap} stands there
      */
-    public record Capture(String gateway, long wallMs, long nanos, boolean hashed, List<Frame> frames, List<String> troubles) {
+    public record Capture(
+            String gateway, long wallMs, long nanos, boolean hashed, List<Frame> frames, List<String> troubles) {
         /** A frame's time on the wall clock, microseconds. */
         public long wallUs(Frame frame) {
             return wallMs * 1000 + (frame.at() - nanos) / 1000;
@@ -34,7 +35,8 @@
     }
 
     /** A block as its head tells it. */
-    public record BlockHead(Path segment, long offset, long wallMs, long firstNs, long lastNs, int frames, NameFilter names) { }
+    public record BlockHead(
+            Path segment, long offset, long wallMs, long firstNs, long lastNs, int frames, NameFilter names) {}
 
     private record Head(int version, String gateway, long wallMs, long nanos, boolean hashed, int length) {
         int blockHead() {
@@ -44,7 +46,7 @@
 
     private static final int COUNT_AT = 4 + 8 + 8; // in a block's head after its checksum
 
-    private CaptureReader() { }
+    private CaptureReader() {}
 
     /** Segments of a folder in their order, or the one file. */
     public static List<Path> segments(Path at) throws IOException {
@@ -52,7 +54,9 @@
             return List.of(at);
         }
         try (Stream<Path> files = Files.list(at)) {
-            return files.filter(p -> p.toString().endsWith(CaptureFile.SUFFIX)).sorted().collect(Collectors.toList());
+            return files.filter(p -> p.toString().endsWith(CaptureFile.SUFFIX))
+                    .sorted()
+                    .collect(Collectors.toList());
         }
     }
 
@@ -65,7 +69,7 @@
             Head head = read(segment, frames, troubles);
             if (first != null && !first.gateway.equals(head.gateway)) {
                 throw new IOException(at + ": holds captures of " + first.gateway + " and " + head.gateway
-                    + "; name the files of one");
+                        + "; name the files of one");
             }
             first = first == null ? head : first;
         }
@@ -76,7 +80,8 @@
     }
 
     private static Head read(Path segment, List<Frame> frames, List<String> troubles) throws IOException {
-        try (DataInputStream in = new DataInputStream(new BufferedInputStream(Files.newInputStream(segment), 1 << 16))) {
+        try (DataInputStream in =
+                new DataInputStream(new BufferedInputStream(Files.newInputStream(segment), 1 << 16))) {
             Head head = head(segment, in);
             long offset = head.length;
             long size = Files.size(segment);
@@ -93,8 +98,9 @@
                 }
                 if (trouble != null) {
                     troubles.add(segment.getFileName() + " at byte " + offset + ": " + trouble
-                        + "; what follows in this segment is left out");
-                    long at = frames.isEmpty() ? 0 : frames.get(frames.size() - 1).at();
+                            + "; what follows in this segment is left out");
+                    long at =
+                            frames.isEmpty() ? 0 : frames.get(frames.size() - 1).at();
                     frames.add(new Frame(at, new Event.Gap(1), List.of(), ""));
                     return head;
                 }
@@ -116,17 +122,26 @@
         if (words.length < 2 || !words[0].equals(CaptureFile.MAGIC)) {
             throw new IOException(segment + ": no capture, found '" + line + "'");
         }
-        if (!words[1].matches("[0-9]{1,6}") || Integer.parseInt(words[1]) < CaptureFile.UNFILTERED
-            || Integer.parseInt(words[1]) > CaptureFile.VERSION || words.length != 6) {
+        if (!words[1].matches("[0-9]{1,6}")
+                || Integer.parseInt(words[1]) < CaptureFile.UNFILTERED
+                || Integer.parseInt(words[1]) > CaptureFile.VERSION
+                || words.length != 6) {
             throw new IOException(segment + ": written in version " + words[1] + ", this program reads versions "
-                + CaptureFile.UNFILTERED + " to " + CaptureFile.VERSION + "; replay it with the program that wrote it");
-        }
-        return new Head(Integer.parseInt(words[1]), words[2], Long.parseLong(words[3]), Long.parseLong(words[4]), words[5].equals("hashed"),
-            line.length() + 1);
+                    + CaptureFile.UNFILTERED + " to " + CaptureFile.VERSION
+                    + "; replay it with the program that wrote it");
+        }
+        return new Head(
+                Integer.parseInt(words[1]),
+                words[2],
+                Long.parseLong(words[3]),
+                Long.parseLong(words[4]),
+                words[5].equals("hashed"),
+                line.length() + 1);
     }
 
     /** Null, or what is wrong with the block. */
-    private static String block(DataInputStream in, Head file, int length, long left, List<Frame> frames) throws IOException {
+    private static String block(DataInputStream in, Head file, int length, long left, List<Frame> frames)
+            throws IOException {
         int crc = in.readInt();
         byte[] head = in.readNBytes(CaptureFile.headBytes(file.version) - 8);
         if (length < 0 || length > CaptureFile.MOST_BLOCK) {
@@ -135,7 +150,9 @@
         if (length > left) {
             return "cut inside a block";
         }
-        int filter = file.version == CaptureFile.UNFILTERED ? 0 : ByteBuffer.wrap(head).getInt(head.length - 4);
+        int filter = file.version == CaptureFile.UNFILTERED
+                ? 0
+                : ByteBuffer.wrap(head).getInt(head.length - 4);
         byte[] rest = in.readNBytes(length);
         if (filter < 0 || filter > rest.length) {
             return "a filter of " + filter + " bytes";
@@ -182,13 +199,21 @@
                     long last = in.readLong();
                     int frames = in.readInt();
                     int filter = head.version == CaptureFile.UNFILTERED ? 0 : in.readInt();
-                    if (filter < 0 || filter > CaptureFile.MOST_FILTER || length < filter
-                        || size - offset - head.blockHead() < length) {
+                    if (filter < 0
+                            || filter > CaptureFile.MOST_FILTER
+                            || length < filter
+                            || size - offset - head.blockHead() < length) {
                         break;
                     }
                     NameFilter names = NameFilter.read(in.readNBytes(filter));
-                    heads.add(new BlockHead(segment, offset, head.wallMs + (first - head.nanos) / 1_000_000, first, last, frames,
-                        names));
+                    heads.add(new BlockHead(
+                            segment,
+                            offset,
+                            head.wallMs + (first - head.nanos) / 1_000_000,
+                            first,
+                            last,
+                            frames,
+                            names));
                     in.skipNBytes(length - filter);
                     offset += (long) head.blockHead() + length;
                 }
--- a/capture/src/main/java/wharfhinge/capture/CaptureWriter.java
+++ b/capture/src/main/java/wharfhinge/capture/CaptureWriter.java
@@ -31,7 +31,8 @@
 public final class CaptureWriter implements Consumer<Frame>, AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(CaptureWriter.class);
     private static final int BATCH = 256;
-    private static final long BATCH_NS = 100_000_000L; // of the frames' clock; a dispatcher's own timer comes twice a second
+    private static final long BATCH_NS =
+            100_000_000L; // of the frames' clock; a dispatcher's own timer comes twice a second
     private static final int WAITING = 65_536; // frames
     private static final int BLOCK_FRAMES = 2000;
     private static final long BLOCK_NS = 500_000_000L;
@@ -39,10 +40,10 @@
     private static final long RETRY_NS = 1_000_000_000L;
 
     /** Figures of a writer. */
-    public record Figures(long frames, long lost, long bytes, long segments) { }
+    public record Figures(long frames, long lost, long bytes, long segments) {}
 
     /** Wall clock and the frames' clock, read together. */
-    private record Clocks(long wallMs, long nanos) { }
+    private record Clocks(long wallMs, long nanos) {}
 
     private final Path folder;
     private final String gateway;
@@ -75,7 +76,7 @@
      * @param mostBytes    of all segments of this gateway in the folder
      */
     public CaptureWriter(Path folder, String gateway, long segmentBytes, long mostBytes, long mostAgeMs, boolean hashed)
-        throws IOException {
+            throws IOException {
         this.folder = Files.createDirectories(folder);
         this.gateway = gateway;
         this.segmentBytes = segmentBytes;
@@ -94,7 +95,9 @@
             batch.add(new Frame(frame.at(), new Event.Gap(lostNow), List.of(), ""));
         }
         batch.add(frame);
-        if (batch.size() >= BATCH || frame.at() - batch.get(0).at() >= BATCH_NS || frame.event() instanceof Event.Life) {
+        if (batch.size() >= BATCH
+                || frame.at() - batch.get(0).at() >= BATCH_NS
+                || frame.event() instanceof Event.Life) {
             handOver();
         }
     }
@@ -103,7 +106,8 @@
         if (batch.isEmpty()) {
             return;
         }
-        clocks = new Clocks(System.currentTimeMillis(), batch.get(batch.size() - 1).at());
+        clocks = new Clocks(
+                System.currentTimeMillis(), batch.get(batch.size() - 1).at());
         if (framesWaiting.get() + batch.size() <= WAITING) {
             framesWaiting.addAndGet(batch.size());
             waiting.add(batch);
@@ -165,7 +169,9 @@
                 LOG.warn("capture can't be written, a gap is marked: {}", e.getMessage());
                 nextTry = System.nanoTime() + RETRY_NS;
             }
-            long gone = block.stream().filter(f -> !(f.event() instanceof Event.Gap)).count();
+            long gone = block.stream()
+                    .filter(f -> !(f.event() instanceof Event.Gap))
+                    .count();
             lostOnDisk += gone;
             lost += gone;
             close(file);
@@ -194,9 +200,17 @@
         byte[] packed = Zstd.compress(plain, LEVEL);
         byte[] filter = NameFilter.of(names()).bytes();
         ByteBuffer out = ByteBuffer.allocate(4 + CaptureFile.HEAD_BYTES + filter.length + packed.length);
-        out.putInt(CaptureFile.MARK).putInt(filter.length + packed.length).putInt(0).putInt(plain.length)
-            .putLong(block.get(0).at()).putLong(block.get(block.size() - 1).at()).putInt(block.size())
-            .putInt(filter.length).put(filter).put(packed).flip();
+        out.putInt(CaptureFile.MARK)
+                .putInt(filter.length + packed.length)
+                .putInt(0)
+                .putInt(plain.length)
+                .putLong(block.get(0).at())
+                .putLong(block.get(block.size() - 1).at())
+                .putInt(block.size())
+                .putInt(filter.length)
+                .put(filter)
+                .put(packed)
+                .flip();
         CRC32C crc = new CRC32C();
         crc.update(out.array(), CaptureFile.SUMMED_FROM, out.limit() - CaptureFile.SUMMED_FROM);
         out.putInt(CaptureFile.SUMMED_FROM - 4, (int) crc.getValue());
@@ -228,8 +242,7 @@
         Path path = folder.resolve(String.format("%s-%015d-%06d%s", gateway, wall, segments, CaptureFile.SUFFIX));
         file = FileChannel.open(path, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
         Clocks both = clocks;
-        byte[] head = CaptureFile.head(gateway, both.wallMs, both.nanos, hashed)
-            .getBytes(StandardCharsets.US_ASCII);
+        byte[] head = CaptureFile.head(gateway, both.wallMs, both.nanos, hashed).getBytes(StandardCharsets.US_ASCII);
         file.write(ByteBuffer.wrap(head));
         inSegment = head.length;
         bytes += head.length;
@@ -241,12 +254,17 @@
         List<Path> all;
         try (Stream<Path> files = Files.list(folder)) {
             all = files.filter(p -> p.getFileName().toString().startsWith(gateway + '-')
-                && p.toString().endsWith(CaptureFile.SUFFIX) && !p.equals(writing)).sorted().collect(Collectors.toList());
+                            && p.toString().endsWith(CaptureFile.SUFFIX)
+                            && !p.equals(writing))
+                    .sorted()
+                    .collect(Collectors.toList());
         }
         long sum = segmentBytes;
         for (int i = all.size() - 1; i >= 0; i--) {
             sum += Files.size(all.get(i));
-            boolean old = System.currentTimeMillis() - Files.getLastModifiedTime(all.get(i)).toMillis() > mostAgeMs;
+            boolean old = System.currentTimeMillis()
+                            - Files.getLastModifiedTime(all.get(i)).toMillis()
+                    > mostAgeMs;
             if (sum > mostBytes || old) {
                 Files.deleteIfExists(all.get(i));
             }
--- a/capture/src/main/java/wharfhinge/capture/Event.java
+++ b/capture/src/main/java/wharfhinge/capture/Event.java
@@ -15,7 +15,7 @@
 @JsonTypeInfo(use = JsonTypeInfo.Id.SIMPLE_NAME, property = "event")
 public sealed interface Event {
     /** Tells it; what the dispatcher decides goes to the actions that it was made with. */
-    default void tell(long now, Dispatcher to) { }
+    default void tell(long now, Dispatcher to) {}
 
     /** The call that it is about, or null. */
     default String request() {
@@ -28,13 +28,13 @@
     }
 
     /** A new dispatcher begins; {@code number} counts those of one process. */
-    record Life(int number, long seed, Settings settings) implements Event { }
+    record Life(int number, long seed, Settings settings) implements Event {}
 
     /** So many frames were lost here. */
-    record Gap(long lost) implements Event { }
+    record Gap(long lost) implements Event {}
 
     /** The client's name of a call. */
-    record Named(String request, String outer) implements Event { }
+    record Named(String request, String outer) implements Event {}
 
     /** A list or its change. */
     record Members(ListMode mode, long revision, List<Worker> workers) implements Event {
--- a/capture/src/main/java/wharfhinge/capture/HashedNames.java
+++ b/capture/src/main/java/wharfhinge/capture/HashedNames.java
@@ -29,8 +29,8 @@
     }
 
     /** Makes the dispatcher that stands behind. {@code key} is any secret; it is not kept in captures. */
-    public static HashedNames before(Recorder.Maker maker, byte[] key, long now, long seed, Settings settings,
-                                     Actions actions) {
+    public static HashedNames before(
+            Recorder.Maker maker, byte[] key, long now, long seed, Settings settings, Actions actions) {
         Table table = new Table(key);
         return new HashedNames(table, maker.create(now, seed, table.hashed(settings), new Named(table, actions)));
     }
@@ -111,7 +111,9 @@
             if (known != null) {
                 return known;
             }
-            String hash = HexFormat.of().formatHex(mac.doFinal(name.getBytes(StandardCharsets.UTF_8))).substring(0, DIGITS);
+            String hash = HexFormat.of()
+                    .formatHex(mac.doFinal(name.getBytes(StandardCharsets.UTF_8)))
+                    .substring(0, DIGITS);
             hashes.put(name, hash);
             names.put(hash, name);
             if (hashes.size() > KNOWN) {
@@ -122,16 +124,46 @@
         }
 
         Settings hashed(Settings s) {
-            List<Realm> realms = s.realms() == null ? null
-                : s.realms().stream().map(r -> new Realm(hash(r.name()), r.share(), r.quotaPerS())).toList();
-            return new Settings(s.groupSize(), s.myNumber(), s.tickNs(), s.zone(), s.zones(), s.kinds(), s.discovery(),
-                s.weights(), s.worthBy(), s.overShareWorth(), s.classes(), realms, s.familyInfo(), s.feedback(), s.goal(),
-                s.limits(), s.obligations(), s.prices(), s.callers());
+            List<Realm> realms = s.realms() == null
+                    ? null
+                    : s.realms().stream()
+                            .map(r -> new Realm(hash(r.name()), r.share(), r.quotaPerS()))
+                            .toList();
+            return new Settings(
+                    s.groupSize(),
+                    s.myNumber(),
+                    s.tickNs(),
+                    s.zone(),
+                    s.zones(),
+                    s.kinds(),
+                    s.discovery(),
+                    s.weights(),
+                    s.worthBy(),
+                    s.overShareWorth(),
+                    s.classes(),
+                    realms,
+                    s.familyInfo(),
+                    s.feedback(),
+                    s.goal(),
+                    s.limits(),
+                    s.obligations(),
+                    s.prices(),
+                    s.callers());
         }
 
         Request hashed(Request r) {
-            return new Request(r.id(), hash(r.tenant()), r.remainingNs(), r.memoryMb(), hash(r.function()), r.costNs(),
-                r.lanes(), r.loadMs(), r.requestClass(), r.repeat(), r.write());
+            return new Request(
+                    r.id(),
+                    hash(r.tenant()),
+                    r.remainingNs(),
+                    r.memoryMb(),
+                    hash(r.function()),
+                    r.costNs(),
+                    r.lanes(),
+                    r.loadMs(),
+                    r.requestClass(),
+                    r.repeat(),
+                    r.write());
         }
     }
 }
--- a/capture/src/main/java/wharfhinge/capture/Recorder.java
+++ b/capture/src/main/java/wharfhinge/capture/Recorder.java
@@ -21,7 +21,8 @@
     }
 
     /** Makes a dispatcher that is recorded; its making is the first frame. */
-    public Recorder(Maker maker, long now, int life, long seed, Settings settings, Actions actions, Consumer<Frame> sink) {
+    public Recorder(
+            Maker maker, long now, int life, long seed, Settings settings, Actions actions, Consumer<Frame> sink) {
         this.sink = sink;
         this.acts = new Acts(actions);
         this.to = maker.create(now, seed, settings, acts);
