--- a/capture/src/main/java/wharfhinge/capture/Reducer.java
+++ b/capture/src/main/java/wharfhinge/capture/Reducer.java
@@ -62,13 +62,15 @@
 
     private List<Frame> cut(List<Frame> life) {
         List<Frame> story = until(life);
-        for (int before = story.size() + 1; story.size() < before;) {
+        for (int before = story.size() + 1; story.size() < before; ) {
             before = story.size();
             List<Frame> now = story;
             Set<String> calls = new LinkedHashSet<>();
             now.stream().map(f -> f.event().request()).filter(r -> r != null).forEach(calls::add);
             story = smaller(now, new ArrayList<>(calls), kept -> now.stream()
-                .filter(f -> f.event().request() == null || kept.contains(f.event().request())).toList());
+                    .filter(f -> f.event().request() == null
+                            || kept.contains(f.event().request()))
+                    .toList());
             List<Frame> fewCalls = story;
             Set<String> workers = new LinkedHashSet<>();
             fewCalls.forEach(f -> {
@@ -77,7 +79,10 @@
                 }
             });
             story = smaller(fewCalls, new ArrayList<>(workers), kept -> fewCalls.stream()
-                .filter(f -> f.event().worker() == null || kept.contains(f.event().worker())).map(f -> only(f, kept)).toList());
+                    .filter(f -> f.event().worker() == null
+                            || kept.contains(f.event().worker()))
+                    .map(f -> only(f, kept))
+                    .toList());
             List<Frame> fewWorkers = story;
             List<Integer> places = new ArrayList<>();
             for (int i = 1; i < fewWorkers.size(); i++) {
@@ -109,8 +114,10 @@
 
     private static Frame only(Frame frame, Set<String> kept) {
         if (frame.event() instanceof Event.Members m) {
-            List<Worker> workers = m.workers().stream().filter(w -> kept.contains(w.id())).toList();
-            return new Frame(frame.at(), new Event.Members(m.mode(), m.revision(), workers), frame.acts(), frame.thrown());
+            List<Worker> workers =
+                    m.workers().stream().filter(w -> kept.contains(w.id())).toList();
+            return new Frame(
+                    frame.at(), new Event.Members(m.mode(), m.revision(), workers), frame.acts(), frame.thrown());
         }
         return frame;
     }
@@ -152,7 +159,7 @@
         List<Frame> decided = new ArrayList<>();
         new Replayer().counterfactual(story, Long.MAX_VALUE, new Replayer.Watcher() {
             @Override
-            public void before(long index, Frame frame, wharfhinge.Dispatcher dispatcher) { }
+            public void before(long index, Frame frame, wharfhinge.Dispatcher dispatcher) {}
 
             @Override
             public void after(long index, Frame frame, List<Act> replayed) {
--- a/capture/src/main/java/wharfhinge/capture/Replayer.java
+++ b/capture/src/main/java/wharfhinge/capture/Replayer.java
@@ -41,7 +41,7 @@
      * @param skipped  frames after a gap, before the next life
      * @param gaps     frames lost, as far as it is told
      */
-    public record Result(Difference difference, long compared, long skipped, long lives, long gaps) { }
+    public record Result(Difference difference, long compared, long skipped, long lives, long gaps) {}
 
     /** Told of each frame as it is replayed, before the dispatcher is told the event. */
     public interface Watcher {
@@ -49,7 +49,7 @@
         void before(long index, Frame frame, Dispatcher dispatcher);
 
         /** What was decided on the same frame. */
-        default void after(long index, Frame frame, List<Act> replayed) { }
+        default void after(long index, Frame frame, List<Act> replayed) {}
     }
 
     private final Recorder.Maker maker;
@@ -118,7 +118,8 @@
             }
             compared++;
             if (compare && (!decided.equals(frame.acts()) || !thrown.equals(frame.thrown()))) {
-                return new Result(new Difference(i, frame, decided, thrown, List.copyOf(before)), compared, skipped, lives, gaps);
+                return new Result(
+                        new Difference(i, frame, decided, thrown, List.copyOf(before)), compared, skipped, lives, gaps);
             }
             before.add(frame);
             if (before.size() > BEFORE) {
--- a/capture/src/main/java/wharfhinge/capture/Skew.java
+++ b/capture/src/main/java/wharfhinge/capture/Skew.java
@@ -31,7 +31,10 @@
             return Optional.empty();
         }
         long middle = median(ahead);
-        return Optional.of(new Skew(middle, ahead.size(), median(ahead.stream().map(a -> Math.abs(a - middle)).toList())));
+        return Optional.of(new Skew(
+                middle,
+                ahead.size(),
+                median(ahead.stream().map(a -> Math.abs(a - middle)).toList())));
     }
 
     /** When each change was told first, on the wall clock; after a restart of the roster numbers may come again. */
--- a/capture/src/main/java/wharfhinge/capture/Symptom.java
+++ b/capture/src/main/java/wharfhinge/capture/Symptom.java
@@ -11,7 +11,7 @@
  * function}, {@code text}; {@code *} in a value stands for anything. {@code threw >= 1} counts what was thrown.
  */
 public final class Symptom {
-    private record Term(String kind, List<String[]> fields, long least) { }
+    private record Term(String kind, List<String[]> fields, long least) {}
 
     private final List<Term> terms = new ArrayList<>();
 
@@ -23,7 +23,8 @@
             List<String[]> fields = new ArrayList<>();
             for (int i = 1; i < words.length; i++) {
                 String[] pair = words[i].split("=", 2);
-                if (pair.length != 2 || !List.of("request", "worker", "function", "text").contains(pair[0])) {
+                if (pair.length != 2
+                        || !List.of("request", "worker", "function", "text").contains(pair[0])) {
                     throw wrong(text, words[i], "request=, worker=, function= or text=");
                 }
                 fields.add(pair);
@@ -48,29 +49,34 @@
     }
 
     private static IllegalArgumentException wrong(String term, String found, String allowed) {
-        return new IllegalArgumentException("symptom, '" + term.strip() + "': found '" + found.strip() + "', allowed: " + allowed);
+        return new IllegalArgumentException(
+                "symptom, '" + term.strip() + "': found '" + found.strip() + "', allowed: " + allowed);
     }
 
     /** Whether these frames' decisions show it. */
     public boolean shows(List<Frame> decided) {
-        return terms.stream().allMatch(t -> decided.stream().mapToLong(f -> count(f, t)).sum() >= t.least);
+        return terms.stream()
+                .allMatch(t -> decided.stream().mapToLong(f -> count(f, t)).sum() >= t.least);
     }
 
     private static long count(Frame frame, Term term) {
         if (term.kind.equals("THREW")) {
             return frame.thrown().isEmpty() ? 0 : 1;
         }
-        return frame.acts().stream().filter(a -> a.kind().name().equals(term.kind)
-            && term.fields.stream().allMatch(f -> has(a, f))).count();
+        return frame.acts().stream()
+                .filter(a -> a.kind().name().equals(term.kind)
+                        && term.fields.stream().allMatch(f -> has(a, f)))
+                .count();
     }
 
     private static boolean has(Act act, String[] field) {
-        String value = switch (field[0]) {
-            case "request" -> act.request();
-            case "worker" -> act.worker();
-            case "function" -> act.function();
-            default -> act.text();
-        };
+        String value =
+                switch (field[0]) {
+                    case "request" -> act.request();
+                    case "worker" -> act.worker();
+                    case "function" -> act.function();
+                    default -> act.text();
+                };
         return value.matches(Pattern.quote(field[1]).replace("*", "\\E.*\\Q"));
     }
 }
--- a/capture/src/main/java/wharfhinge/capture/Text.java
+++ b/capture/src/main/java/wharfhinge/capture/Text.java
@@ -12,14 +12,16 @@
 
 /** Frames as lines of JSON: what decision logs and fixtures hold. The same frame gives the same line. */
 public final class Text {
-    private static final ObjectMapper JSON = JsonMapper.builder().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
-        .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS).build();
+    private static final ObjectMapper JSON = JsonMapper.builder()
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
+            .build();
 
     static {
         JSON.registerSubtypes(Event.class.getPermittedSubclasses());
     }
 
-    private Text() { }
+    private Text() {}
 
     /** A frame as a line. */
     public static String line(Frame frame) {
--- a/capture/src/main/java/wharfhinge/capture/WireCodec.java
+++ b/capture/src/main/java/wharfhinge/capture/WireCodec.java
@@ -18,70 +18,117 @@
 /** Frames to and from their form on disk, {@code capture.proto}. */
 final class WireCodec {
 
-    private WireCodec() { }
+    private WireCodec() {}
 
     static wharfhinge.capture.wire.Frame write(Frame frame) {
         var to = wharfhinge.capture.wire.Frame.newBuilder().setAtNs(frame.at()).setThrown(frame.thrown());
-        frame.acts().forEach(a -> to.addActs(wharfhinge.capture.wire.Act.newBuilder().setKind(a.kind().name())
-            .setRequest(a.request()).setWorker(a.worker()).setFunction(a.function()).setText(a.text()).setNumber(a.number())
-            .setPayload(ByteString.copyFrom(Base64.getDecoder().decode(a.payload())))));
+        frame.acts()
+                .forEach(a -> to.addActs(wharfhinge.capture.wire.Act.newBuilder()
+                        .setKind(a.kind().name())
+                        .setRequest(a.request())
+                        .setWorker(a.worker())
+                        .setFunction(a.function())
+                        .setText(a.text())
+                        .setNumber(a.number())
+                        .setPayload(ByteString.copyFrom(Base64.getDecoder().decode(a.payload())))));
         Event event = frame.event();
         if (event instanceof Event.Life e) {
-            to.setLife(wharfhinge.capture.wire.Life.newBuilder().setNumber(e.number()).setSeed(e.seed())
-                .setSettingsJson(Text.json(e.settings())));
+            to.setLife(wharfhinge.capture.wire.Life.newBuilder()
+                    .setNumber(e.number())
+                    .setSeed(e.seed())
+                    .setSettingsJson(Text.json(e.settings())));
         } else if (event instanceof Event.Gap e) {
             to.setGap(wharfhinge.capture.wire.Gap.newBuilder().setLost(e.lost()));
         } else if (event instanceof Event.Named e) {
-            to.setNamed(wharfhinge.capture.wire.Named.newBuilder().setId(e.request()).setOuter(e.outer()));
+            to.setNamed(wharfhinge.capture.wire.Named.newBuilder()
+                    .setId(e.request())
+                    .setOuter(e.outer()));
         } else if (event instanceof Event.Members e) {
-            var members = wharfhinge.capture.wire.Members.newBuilder().setMode(e.mode().name()).setRevision(e.revision());
-            e.workers().forEach(w -> members.addWorkers(wharfhinge.capture.wire.Worker.newBuilder().setId(w.id())
-                .setZone(w.zone()).setKind(w.kind()).setCell(w.cell()).setAvailability(w.availability().name())
-                .setWeight(w.weight()).setStartedAt(w.startedAt())));
+            var members = wharfhinge.capture.wire.Members.newBuilder()
+                    .setMode(e.mode().name())
+                    .setRevision(e.revision());
+            e.workers()
+                    .forEach(w -> members.addWorkers(wharfhinge.capture.wire.Worker.newBuilder()
+                            .setId(w.id())
+                            .setZone(w.zone())
+                            .setKind(w.kind())
+                            .setCell(w.cell())
+                            .setAvailability(w.availability().name())
+                            .setWeight(w.weight())
+                            .setStartedAt(w.startedAt())));
             to.setMembers(members);
         } else if (event instanceof Event.Query e) {
             to.setQuery(wharfhinge.capture.wire.Query.newBuilder().setRequest(request(e.call())));
         } else if (event instanceof Event.Expected e) {
             to.setExpected(wharfhinge.capture.wire.Expected.newBuilder().setRequest(request(e.call())));
         } else if (event instanceof Event.AskedWarm e) {
-            to.setAskedWarm(wharfhinge.capture.wire.AskedWarm.newBuilder().setFunction(e.function()).setWarm(e.warm()));
+            to.setAskedWarm(wharfhinge.capture.wire.AskedWarm.newBuilder()
+                    .setFunction(e.function())
+                    .setWarm(e.warm()));
         } else if (event instanceof Event.ClientLeft e) {
             to.setClientLeft(wharfhinge.capture.wire.ClientLeft.newBuilder().setRequest(e.request()));
         } else if (event instanceof Event.Probed e) {
-            to.setProbed(wharfhinge.capture.wire.Probed.newBuilder().setWorker(e.worker()).setOutcome(e.outcome().name())
-                .setTookNs(e.tookNs()).addAllReport(report(e.report())));
+            to.setProbed(wharfhinge.capture.wire.Probed.newBuilder()
+                    .setWorker(e.worker())
+                    .setOutcome(e.outcome().name())
+                    .setTookNs(e.tookNs())
+                    .addAllReport(report(e.report())));
         } else if (event instanceof Event.Established e) {
-            to.setEstablished(wharfhinge.capture.wire.Established.newBuilder().setRequest(e.request())
-                .setAttempt(e.attempt()).setWorker(e.worker()));
+            to.setEstablished(wharfhinge.capture.wire.Established.newBuilder()
+                    .setRequest(e.request())
+                    .setAttempt(e.attempt())
+                    .setWorker(e.worker()));
         } else if (event instanceof Event.Inbox e) {
-            to.setInbox(wharfhinge.capture.wire.Inbox.newBuilder().setPeer(e.peer())
-                .setPayload(ByteString.copyFrom(e.payload())));
+            to.setInbox(wharfhinge.capture.wire.Inbox.newBuilder()
+                    .setPeer(e.peer())
+                    .setPayload(ByteString.copyFrom(e.payload())));
         } else if (event instanceof Event.Due e) {
             to.setDue(wharfhinge.capture.wire.Due.newBuilder().setToken(e.token()));
         } else if (event instanceof Event.Completed e) {
             Completion c = e.how();
-            to.setCompleted(wharfhinge.capture.wire.Completed.newBuilder().setRequest(c.request())
-                .setOutcome(c.outcome().name()).setAttempt(c.attempt()).setTookNs(c.tookNs()).setWorker(c.worker())
-                .setNote(c.note().name()).setCompany(c.company()).setSettled(c.settled()).addAllReport(report(c.report())));
+            to.setCompleted(wharfhinge.capture.wire.Completed.newBuilder()
+                    .setRequest(c.request())
+                    .setOutcome(c.outcome().name())
+                    .setAttempt(c.attempt())
+                    .setTookNs(c.tookNs())
+                    .setWorker(c.worker())
+                    .setNote(c.note().name())
+                    .setCompany(c.company())
+                    .setSettled(c.settled())
+                    .addAllReport(report(c.report())));
         } else if (event instanceof Event.Resident e) {
-            to.setResident(wharfhinge.capture.wire.Resident.newBuilder().setWorker(e.worker()).setFunction(e.function())
-                .setCount(e.count()).setOutcome(e.outcome().name()).setTookNs(e.tookNs()));
+            to.setResident(wharfhinge.capture.wire.Resident.newBuilder()
+                    .setWorker(e.worker())
+                    .setFunction(e.function())
+                    .setCount(e.count())
+                    .setOutcome(e.outcome().name())
+                    .setTookNs(e.tookNs()));
         }
         return to.build();
     }
 
     private static wharfhinge.capture.wire.Request request(Request r) {
-        var to = wharfhinge.capture.wire.Request.newBuilder().setId(r.id()).setRemainingNs(r.remainingNs())
-            .setMemoryMb(r.memoryMb()).setFunction(r.function()).setCostNs(r.costNs()).setLanes(r.lanes())
-            .setLoadMs(r.loadMs()).setRequestClass(r.requestClass()).setRepeat(r.repeat()).setWrite(r.write());
+        var to = wharfhinge.capture.wire.Request.newBuilder()
+                .setId(r.id())
+                .setRemainingNs(r.remainingNs())
+                .setMemoryMb(r.memoryMb())
+                .setFunction(r.function())
+                .setCostNs(r.costNs())
+                .setLanes(r.lanes())
+                .setLoadMs(r.loadMs())
+                .setRequestClass(r.requestClass())
+                .setRepeat(r.repeat())
+                .setWrite(r.write());
         return (r.tenant() == null ? to : to.setTenant(r.tenant())).build();
     }
 
     private static List<wharfhinge.capture.wire.Figure> report(Map<String, Double> report) {
         List<wharfhinge.capture.wire.Figure> figures = new ArrayList<>();
         if (report != null) {
-            report.forEach((name, value) -> figures.add(wharfhinge.capture.wire.Figure.newBuilder().setName(name)
-                .setValue(value).build()));
+            report.forEach((name, value) -> figures.add(wharfhinge.capture.wire.Figure.newBuilder()
+                    .setName(name)
+                    .setValue(value)
+                    .build()));
         }
         return figures;
     }
@@ -91,8 +138,14 @@
         List<Act> acts = new ArrayList<>();
         try {
             for (var a : f.getActsList()) {
-                acts.add(new Act(Act.Kind.valueOf(a.getKind()), a.getRequest(), a.getWorker(), a.getFunction(), a.getText(),
-                    a.getNumber(), Base64.getEncoder().encodeToString(a.getPayload().toByteArray())));
+                acts.add(new Act(
+                        Act.Kind.valueOf(a.getKind()),
+                        a.getRequest(),
+                        a.getWorker(),
+                        a.getFunction(),
+                        a.getText(),
+                        a.getNumber(),
+                        Base64.getEncoder().encodeToString(a.getPayload().toByteArray())));
             }
             return new Frame(f.getAtNs(), event(f), acts, f.getThrown());
         } catch (IllegalArgumentException e) {
@@ -102,39 +155,79 @@
 
     private static Event event(wharfhinge.capture.wire.Frame f) throws IOException {
         return switch (f.getEventCase()) {
-            case LIFE -> new Event.Life(f.getLife().getNumber(), f.getLife().getSeed(),
-                Text.settings(f.getLife().getSettingsJson()));
+            case LIFE -> new Event.Life(
+                    f.getLife().getNumber(),
+                    f.getLife().getSeed(),
+                    Text.settings(f.getLife().getSettingsJson()));
             case GAP -> new Event.Gap(f.getGap().getLost());
             case NAMED -> new Event.Named(f.getNamed().getId(), f.getNamed().getOuter());
-            case MEMBERS -> new Event.Members(ListMode.valueOf(f.getMembers().getMode()), f.getMembers().getRevision(),
-                f.getMembers().getWorkersList().stream().map(w -> new Worker(w.getId(), w.getZone(), w.getKind(), w.getCell(),
-                    Availability.valueOf(w.getAvailability()), w.getWeight(), w.getStartedAt())).toList());
+            case MEMBERS -> new Event.Members(
+                    ListMode.valueOf(f.getMembers().getMode()),
+                    f.getMembers().getRevision(),
+                    f.getMembers().getWorkersList().stream()
+                            .map(w -> new Worker(
+                                    w.getId(),
+                                    w.getZone(),
+                                    w.getKind(),
+                                    w.getCell(),
+                                    Availability.valueOf(w.getAvailability()),
+                                    w.getWeight(),
+                                    w.getStartedAt()))
+                            .toList());
             case QUERY -> new Event.Query(request(f.getQuery().getRequest()));
             case EXPECTED -> new Event.Expected(request(f.getExpected().getRequest()));
-            case ASKED_WARM -> new Event.AskedWarm(f.getAskedWarm().getFunction(), f.getAskedWarm().getWarm());
+            case ASKED_WARM -> new Event.AskedWarm(
+                    f.getAskedWarm().getFunction(), f.getAskedWarm().getWarm());
             case CLIENT_LEFT -> new Event.ClientLeft(f.getClientLeft().getRequest());
-            case PROBED -> new Event.Probed(f.getProbed().getWorker(), Outcome.valueOf(f.getProbed().getOutcome()),
-                f.getProbed().getTookNs(), report(f.getProbed().getReportList()));
-            case ESTABLISHED -> new Event.Established(f.getEstablished().getRequest(), f.getEstablished().getAttempt(),
-                f.getEstablished().getWorker());
-            case INBOX -> new Event.Inbox(f.getInbox().getPeer(), f.getInbox().getPayload().toByteArray());
+            case PROBED -> new Event.Probed(
+                    f.getProbed().getWorker(),
+                    Outcome.valueOf(f.getProbed().getOutcome()),
+                    f.getProbed().getTookNs(),
+                    report(f.getProbed().getReportList()));
+            case ESTABLISHED -> new Event.Established(
+                    f.getEstablished().getRequest(),
+                    f.getEstablished().getAttempt(),
+                    f.getEstablished().getWorker());
+            case INBOX -> new Event.Inbox(
+                    f.getInbox().getPeer(), f.getInbox().getPayload().toByteArray());
             case DUE -> new Event.Due(f.getDue().getToken());
             case COMPLETED -> completed(f.getCompleted());
-            case RESIDENT -> new Event.Resident(f.getResident().getWorker(), f.getResident().getFunction(),
-                f.getResident().getCount(), Outcome.valueOf(f.getResident().getOutcome()), f.getResident().getTookNs());
+            case RESIDENT -> new Event.Resident(
+                    f.getResident().getWorker(),
+                    f.getResident().getFunction(),
+                    f.getResident().getCount(),
+                    Outcome.valueOf(f.getResident().getOutcome()),
+                    f.getResident().getTookNs());
             case EVENT_NOT_SET -> throw new IOException("an event that this version does not know");
         };
     }
 
     private static Event completed(wharfhinge.capture.wire.Completed c) {
-        return new Event.Completed(new Completion(c.getRequest(), Outcome.valueOf(c.getOutcome()), c.getAttempt(),
-            c.getTookNs(), c.getWorker(), Note.valueOf(c.getNote()), c.getCompany(), c.getSettled(),
-            report(c.getReportList())));
+        return new Event.Completed(new Completion(
+                c.getRequest(),
+                Outcome.valueOf(c.getOutcome()),
+                c.getAttempt(),
+                c.getTookNs(),
+                c.getWorker(),
+                Note.valueOf(c.getNote()),
+                c.getCompany(),
+                c.getSettled(),
+                report(c.getReportList())));
     }
 
     private static Request request(wharfhinge.capture.wire.Request r) {
-        return new Request(r.getId(), r.hasTenant() ? r.getTenant() : null, r.getRemainingNs(), r.getMemoryMb(),
-            r.getFunction(), r.getCostNs(), r.getLanes(), r.getLoadMs(), r.getRequestClass(), r.getRepeat(), r.getWrite());
+        return new Request(
+                r.getId(),
+                r.hasTenant() ? r.getTenant() : null,
+                r.getRemainingNs(),
+                r.getMemoryMb(),
+                r.getFunction(),
+                r.getCostNs(),
+                r.getLanes(),
+                r.getLoadMs(),
+                r.getRequestClass(),
+                r.getRepeat(),
+                r.getWrite());
     }
 
     private static Map<String, Double> report(List<wharfhinge.capture.wire.Figure> figures) {
--- a/client-core/src/main/java/wharfhinge/client/core/CallPlan.java
+++ b/client-core/src/main/java/wharfhinge/client/core/CallPlan.java
@@ -14,7 +14,8 @@
             throw new IllegalArgumentException("deadline: found " + deadlineNs + " ns, allowed: above 0");
         }
         if (hedge && !safe) {
-            throw new IllegalArgumentException("hedge: found on a call that is not safe to repeat, allowed: on safe ones");
+            throw new IllegalArgumentException(
+                    "hedge: found on a call that is not safe to repeat, allowed: on safe ones");
         }
     }
 }
--- a/client-core/src/main/java/wharfhinge/client/core/ClientDecisions.java
+++ b/client-core/src/main/java/wharfhinge/client/core/ClientDecisions.java
@@ -71,7 +71,7 @@
     }
 
     /** What is counted. */
-    public record Figures(int open, double tokens, long ejected, long retries, long hedges) { }
+    public record Figures(int open, double tokens, long ejected, long retries, long hedges) {}
 
     private final ClientPolicy policy;
     private final RandomGenerator random;
@@ -104,7 +104,10 @@
     /** A call comes; {@code id} is the caller's and new. */
     public void begin(long now, long id, CallPlan plan) {
         if (calls.size() >= policy.maxOpen()) {
-            actions.finish(id, new CallEnd(CallEnd.Kind.REFUSED, false, policy.backoffNs(), 0, CallEnd.Reason.TOO_MANY_OPEN), -1);
+            actions.finish(
+                    id,
+                    new CallEnd(CallEnd.Kind.REFUSED, false, policy.backoffNs(), 0, CallEnd.Reason.TOO_MANY_OPEN),
+                    -1);
             return;
         }
         tokens = Math.min(policy.retryBurst(), tokens + policy.retryShare());
--- a/client-core/src/main/java/wharfhinge/client/core/ClientPolicy.java
+++ b/client-core/src/main/java/wharfhinge/client/core/ClientPolicy.java
@@ -13,11 +13,20 @@
  * @param ejectNs       for so long, until one call tries it; doubles each time, up to sixteen times
  * @param hedgeNs       when a hedge is sent
  */
-public record ClientPolicy(int maxOpen, double retryShare, double retryBurst, long backoffNs, long backoffMostNs, long silentNs,
-                           int ejectAfter, long ejectNs, long hedgeNs) {
+public record ClientPolicy(
+        int maxOpen,
+        double retryShare,
+        double retryBurst,
+        long backoffNs,
+        long backoffMostNs,
+        long silentNs,
+        int ejectAfter,
+        long ejectNs,
+        long hedgeNs) {
     private static final long MS = 1_000_000L;
     /** For calls that take milliseconds to a second or two. */
-    public static final ClientPolicy USUAL = new ClientPolicy(10_000, 0.2, 20, 20 * MS, 1000 * MS, 1000 * MS, 3, 1000 * MS, 500 * MS);
+    public static final ClientPolicy USUAL =
+            new ClientPolicy(10_000, 0.2, 20, 20 * MS, 1000 * MS, 1000 * MS, 3, 1000 * MS, 500 * MS);
 
     /** Checks it. */
     public ClientPolicy {
--- a/client-grpc/src/main/java/wharfhinge/client/grpc/GrpcTransport.java
+++ b/client-grpc/src/main/java/wharfhinge/client/grpc/GrpcTransport.java
@@ -61,8 +61,9 @@
 
     private ManagedChannel channel(String gateway) {
         return channels.computeIfAbsent(gateway, name -> {
-            NettyChannelBuilder builder = NettyChannelBuilder.forTarget("dns:///" + name).directExecutor()
-                .maxInboundMessageSize(mostAnswerBytes);
+            NettyChannelBuilder builder = NettyChannelBuilder.forTarget("dns:///" + name)
+                    .directExecutor()
+                    .maxInboundMessageSize(mostAnswerBytes);
             return (tls == null ? builder.usePlaintext() : builder.sslContext(tls)).build();
         });
     }
@@ -90,22 +91,24 @@
         }
 
         void begin(Call call, long remainingNs, boolean repeat) {
-            CallOptions timed = call.streams() ? CallOptions.DEFAULT // its parts may come for as long as they like
-                : CallOptions.DEFAULT.withDeadlineAfter(remainingNs, TimeUnit.NANOSECONDS);
+            CallOptions timed = call.streams()
+                    ? CallOptions.DEFAULT // its parts may come for as long as they like
+                    : CallOptions.DEFAULT.withDeadlineAfter(remainingNs, TimeUnit.NANOSECONDS);
             CallOptions options = timed.withStreamTracerFactory(new ClientStreamTracer.Factory() {
-                    @Override
-                    public ClientStreamTracer newClientStreamTracer(ClientStreamTracer.StreamInfo info, Metadata headers) {
-                        return new ClientStreamTracer() {
-                            @Override
-                            public void outboundHeaders() {
-                                sent = true;
-                            }
-                        };
-                    }
-                });
+                @Override
+                public ClientStreamTracer newClientStreamTracer(ClientStreamTracer.StreamInfo info, Metadata headers) {
+                    return new ClientStreamTracer() {
+                        @Override
+                        public void outboundHeaders() {
+                            sent = true;
+                        }
+                    };
+                }
+            });
             ManagedChannel channel = channel(gateway);
             boolean connected = channel.getState(false) == ConnectivityState.READY;
-            rpc = channel.newCall(call.streams() ? GatewayGrpc.getStreamMethod() : GatewayGrpc.getCallMethod(), options);
+            rpc = channel.newCall(
+                    call.streams() ? GatewayGrpc.getStreamMethod() : GatewayGrpc.getCallMethod(), options);
             streams = call.streams();
             Metadata headers = new Metadata();
             String bearer = token.get();
@@ -119,12 +122,16 @@
             if (connected) {
                 return; // it is on its way: no timer for each call
             }
-            connecting = timers.schedule(() -> {
-                if (!sent && over.compareAndSet(false, true)) {
-                    listener.ended(Transport.Reply.without(TryEnd.NOT_SENT, gateway + ": accepted, and says nothing"));
-                    rpc.cancel("not on its way in time", null);
-                }
-            }, connectWithin.toMillis(), TimeUnit.MILLISECONDS);
+            connecting = timers.schedule(
+                    () -> {
+                        if (!sent && over.compareAndSet(false, true)) {
+                            listener.ended(
+                                    Transport.Reply.without(TryEnd.NOT_SENT, gateway + ": accepted, and says nothing"));
+                            rpc.cancel("not on its way in time", null);
+                        }
+                    },
+                    connectWithin.toMillis(),
+                    TimeUnit.MILLISECONDS);
         }
 
         @Override
@@ -155,7 +162,9 @@
                 if (reply == null) {
                     reply = message.toBuilder().clearBody().build();
                     if (!over.get()) {
-                        listener.began(message.getWorker(), message.getContentType().isEmpty() ? null : message.getContentType());
+                        listener.began(
+                                message.getWorker(),
+                                message.getContentType().isEmpty() ? null : message.getContentType());
                     }
                 }
                 if (message.getBody().isEmpty() || over.get()) {
@@ -172,8 +181,13 @@
                     timer.cancel(false);
                 }
                 if (status.isOk() && reply != null) {
-                    end(new Transport.Reply(TryEnd.SERVED, reply.getBody().toByteArray(), reply.getContentType(), reply.getWorker(), 0,
-                        null));
+                    end(new Transport.Reply(
+                            TryEnd.SERVED,
+                            reply.getBody().toByteArray(),
+                            reply.getContentType(),
+                            reply.getWorker(),
+                            0,
+                            null));
                 } else if (status.getCode() != Status.Code.DEADLINE_EXCEEDED) { // the client's own clock ends it
                     end(without(status, trailers == null ? new Metadata() : trailers));
                 }
@@ -182,24 +196,47 @@
 
         private Transport.Reply without(Status status, Metadata trailers) {
             String answer = trailers.get(GrpcProtocol.ANSWER);
-            TryEnd end = "refused".equals(answer) ? TryEnd.REFUSED : "failed".equals(answer) ? TryEnd.FAILED
-                : switch (status.getCode()) {
-                    case INVALID_ARGUMENT, NOT_FOUND, UNIMPLEMENTED, RESOURCE_EXHAUSTED, UNAUTHENTICATED, PERMISSION_DENIED,
-                        OUT_OF_RANGE -> TryEnd.INVALID;
-                    default -> sent ? TryEnd.BROKEN : TryEnd.NOT_SENT;
-                };
+            TryEnd end = "refused".equals(answer)
+                    ? TryEnd.REFUSED
+                    : "failed".equals(answer)
+                            ? TryEnd.FAILED
+                            : switch (status.getCode()) {
+                                case INVALID_ARGUMENT,
+                                        NOT_FOUND,
+                                        UNIMPLEMENTED,
+                                        RESOURCE_EXHAUSTED,
+                                        UNAUTHENTICATED,
+                                        PERMISSION_DENIED,
+                                        OUT_OF_RANGE -> TryEnd.INVALID;
+                                default -> sent ? TryEnd.BROKEN : TryEnd.NOT_SENT;
+                            };
             String advice = trailers.get(GrpcProtocol.RETRY_AFTER_MS);
             long adviceNs = advice != null && advice.matches("[0-9]{1,9}") ? Long.parseLong(advice) * MS : 0;
             String reason = trailers.get(GrpcProtocol.REASON);
-            return new Transport.Reply(end, new byte[0], null, null, adviceNs, reason != null ? reason
-                : end == TryEnd.INVALID ? status.getDescription() : gateway + ": " + status);
+            return new Transport.Reply(
+                    end,
+                    new byte[0],
+                    null,
+                    null,
+                    adviceNs,
+                    reason != null
+                            ? reason
+                            : end == TryEnd.INVALID ? status.getDescription() : gateway + ": " + status);
         }
     }
 
     private static CallRequest request(Call call, boolean repeat, long remainingNs) {
-        CallRequest.Builder to = CallRequest.newBuilder().setFunction(call.function()).setRequestClass(call.requestClass())
-            .setCostUs(call.costUs()).setMemoryMb(call.memoryMb()).setLanes(call.lanes()).setLoadMs(call.loadMs()).setRepeat(repeat)
-            .setDeadlineMs(call.streams() ? Math.max(1, remainingNs / MS) : 0).setWrite(call.write()).setBody(ByteString.copyFrom(call.body()));
+        CallRequest.Builder to = CallRequest.newBuilder()
+                .setFunction(call.function())
+                .setRequestClass(call.requestClass())
+                .setCostUs(call.costUs())
+                .setMemoryMb(call.memoryMb())
+                .setLanes(call.lanes())
+                .setLoadMs(call.loadMs())
+                .setRepeat(repeat)
+                .setDeadlineMs(call.streams() ? Math.max(1, remainingNs / MS) : 0)
+                .setWrite(call.write())
+                .setBody(ByteString.copyFrom(call.body()));
         if (call.tenant() != null) {
             to.setTenant(call.tenant());
         }
--- a/client-http/src/main/java/wharfhinge/client/http/Exchange.java
+++ b/client-http/src/main/java/wharfhinge/client/http/Exchange.java
@@ -42,7 +42,14 @@
     private volatile boolean sent;
     private volatile Channel stream;
 
-    Exchange(String gateway, Call call, long remainingNs, boolean repeat, int mostAnswerBytes, String token, Transport.Listener listener) {
+    Exchange(
+            String gateway,
+            Call call,
+            long remainingNs,
+            boolean repeat,
+            int mostAnswerBytes,
+            String token,
+            Transport.Listener listener) {
         this.token = token;
         this.gateway = gateway;
         this.call = call;
@@ -105,8 +112,11 @@
     }
 
     private FullHttpRequest request() {
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, ClientProtocol.CALL_PATH
-            + call.function(), Unpooled.wrappedBuffer(call.body()));
+        FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                HttpMethod.POST,
+                ClientProtocol.CALL_PATH + call.function(),
+                Unpooled.wrappedBuffer(call.body()));
         HttpHeaders h = request.headers();
         h.set(HttpHeaderNames.HOST, gateway).setInt(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
         h.set(ClientProtocol.CLASS, call.requestClass());
@@ -176,15 +186,18 @@
         HttpHeaders h = r.headers();
         String answer = h.get(ClientProtocol.ANSWER, "");
         int status = r.status().code();
-        TryEnd end = switch (answer) {
-            case "served" -> TryEnd.SERVED;
-            case "refused" -> TryEnd.REFUSED;
-            case "failed" -> TryEnd.FAILED;
-            default -> status >= CLIENT_ERRORS && status < SERVER_ERRORS ? TryEnd.INVALID : TryEnd.FAILED;
-        };
-        String reason = end == TryEnd.INVALID ? new String(body, StandardCharsets.UTF_8).strip() : h.get(ClientProtocol.REASON);
+        TryEnd end =
+                switch (answer) {
+                    case "served" -> TryEnd.SERVED;
+                    case "refused" -> TryEnd.REFUSED;
+                    case "failed" -> TryEnd.FAILED;
+                    default -> status >= CLIENT_ERRORS && status < SERVER_ERRORS ? TryEnd.INVALID : TryEnd.FAILED;
+                };
+        String reason =
+                end == TryEnd.INVALID ? new String(body, StandardCharsets.UTF_8).strip() : h.get(ClientProtocol.REASON);
         String advice = h.get(ClientProtocol.RETRY_AFTER_MS, "");
         long adviceNs = advice.matches("[0-9]{1,9}") ? Long.parseLong(advice) * MS : 0;
-        return new Transport.Reply(end, body, h.get(HttpHeaderNames.CONTENT_TYPE), h.get(ClientProtocol.WORKER), adviceNs, reason);
+        return new Transport.Reply(
+                end, body, h.get(HttpHeaderNames.CONTENT_TYPE), h.get(ClientProtocol.WORKER), adviceNs, reason);
     }
 }
--- a/client-http/src/main/java/wharfhinge/client/http/HttpTransport.java
+++ b/client-http/src/main/java/wharfhinge/client/http/HttpTransport.java
@@ -43,7 +43,8 @@
      * @param tls             null without TLS
      * @param token           asked for each try, a bearer token or null; null where there are none
      */
-    public HttpTransport(Duration connectWithin, int connectionsEach, int mostAnswerBytes, SslContext tls, Supplier<String> token) {
+    public HttpTransport(
+            Duration connectWithin, int connectionsEach, int mostAnswerBytes, SslContext tls, Supplier<String> token) {
         this.token = token == null ? () -> null : token;
         this.connectWithin = connectWithin;
         this.connectionsEach = connectionsEach;
@@ -53,9 +54,14 @@
 
     /** TLS towards gateways whose certificate comes from these authorities (PEM). @throws IOException where they can't be read */
     public static SslContext tls(Path authorities) throws IOException {
-        return SslContextBuilder.forClient().trustManager(authorities.toFile()).applicationProtocolConfig(new ApplicationProtocolConfig(
-            ApplicationProtocolConfig.Protocol.ALPN, ApplicationProtocolConfig.SelectorFailureBehavior.NO_ADVERTISE,
-            ApplicationProtocolConfig.SelectedListenerFailureBehavior.ACCEPT, ApplicationProtocolNames.HTTP_2)).build();
+        return SslContextBuilder.forClient()
+                .trustManager(authorities.toFile())
+                .applicationProtocolConfig(new ApplicationProtocolConfig(
+                        ApplicationProtocolConfig.Protocol.ALPN,
+                                ApplicationProtocolConfig.SelectorFailureBehavior.NO_ADVERTISE,
+                        ApplicationProtocolConfig.SelectedListenerFailureBehavior.ACCEPT,
+                                ApplicationProtocolNames.HTTP_2))
+                .build();
     }
 
     @Override
@@ -75,17 +81,21 @@
 
     /** Begins a connection; the initializer gets the channel before TLS is done. */
     Bootstrap bootstrap(String host, int port, ChannelInitializer<Channel> initializer) {
-        return new Bootstrap().group(group).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectWithin.toMillis()).remoteAddress(host, port)
-            .handler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    if (tls != null) {
-                        channel.pipeline().addLast(tls.newHandler(channel.alloc(), host, port));
+        return new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectWithin.toMillis())
+                .remoteAddress(host, port)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        if (tls != null) {
+                            channel.pipeline().addLast(tls.newHandler(channel.alloc(), host, port));
+                        }
+                        channel.pipeline().addLast(initializer);
                     }
-                    channel.pipeline().addLast(initializer);
-                }
-            });
+                });
     }
 
     @Override
--- a/client-http/src/main/java/wharfhinge/client/http/Peer.java
+++ b/client-http/src/main/java/wharfhinge/client/http/Peer.java
@@ -56,8 +56,10 @@
             if (on != null) {
                 on.streams++;
             } else {
-                Connection made = connections.stream().filter(c -> !c.ready && !c.leaving && c.waiting.size() < STREAMS_UNTOLD)
-                    .findFirst().orElse(null);
+                Connection made = connections.stream()
+                        .filter(c -> !c.ready && !c.leaving && c.waiting.size() < STREAMS_UNTOLD)
+                        .findFirst()
+                        .orElse(null);
                 boolean room = connections.stream().filter(c -> !c.leaving).count() < transport.connectionsEach();
                 if (closed) {
                     why = "client closed";
@@ -68,8 +70,10 @@
                     fresh.waiting.add(exchange);
                     connections.add(fresh);
                 } else {
-                    made = connections.stream().filter(c -> !c.ready && !c.leaving && c.waiting.size() < MOST_WAITING).findFirst()
-                        .orElse(null);
+                    made = connections.stream()
+                            .filter(c -> !c.ready && !c.leaving && c.waiting.size() < MOST_WAITING)
+                            .findFirst()
+                            .orElse(null);
                     why = made == null ? "all connections are full" : null;
                     if (made != null) {
                         made.waiting.add(exchange);
@@ -90,14 +94,22 @@
         int colon = name.lastIndexOf(':');
         ChannelFuture connecting;
         try {
-            connecting = transport.bootstrap(name.substring(0, colon), Integer.parseInt(name.substring(colon + 1)),
-                new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(Http2FrameCodecBuilder.forClient().build(),
-                            new Http2MultiplexHandler(new ChannelInboundHandlerAdapter()), new Watch(c));
-                    }
-                }).connect();
+            connecting = transport
+                    .bootstrap(
+                            name.substring(0, colon),
+                            Integer.parseInt(name.substring(colon + 1)),
+                            new ChannelInitializer<Channel>() {
+                                @Override
+                                protected void initChannel(Channel channel) {
+                                    channel.pipeline()
+                                            .addLast(
+                                                    Http2FrameCodecBuilder.forClient()
+                                                            .build(),
+                                                    new Http2MultiplexHandler(new ChannelInboundHandlerAdapter()),
+                                                    new Watch(c));
+                                }
+                            })
+                    .connect();
         } catch (RuntimeException e) {
             gone(c, "address: found '" + name + "', allowed: host:port");
             return;
@@ -108,30 +120,36 @@
                 return;
             }
             Channel channel = connecting.channel();
-            channel.eventLoop().schedule(() -> {
-                synchronized (this) {
-                    if (c.ready) {
-                        return;
-                    }
-                }
-                gone(c, "accepted, and says nothing");
-                channel.close();
-            }, transport.connectWithin().toMillis(), TimeUnit.MILLISECONDS);
+            channel.eventLoop()
+                    .schedule(
+                            () -> {
+                                synchronized (this) {
+                                    if (c.ready) {
+                                        return;
+                                    }
+                                }
+                                gone(c, "accepted, and says nothing");
+                                channel.close();
+                            },
+                            transport.connectWithin().toMillis(),
+                            TimeUnit.MILLISECONDS);
         });
     }
 
     private void open(Connection c, Exchange exchange) {
-        new Http2StreamChannelBootstrap(c.channel).handler(new ChannelInboundHandlerAdapter()).open()
-            .addListener((Future<Http2StreamChannel> opened) -> {
-                if (opened.isSuccess()) {
-                    Http2StreamChannel stream = opened.getNow();
-                    stream.closeFuture().addListener(closed -> freed(c));
-                    exchange.go(stream);
-                } else {
-                    freed(c);
-                    exchange.notSent("no stream: " + opened.cause().getMessage());
-                }
-            });
+        new Http2StreamChannelBootstrap(c.channel)
+                .handler(new ChannelInboundHandlerAdapter())
+                .open()
+                .addListener((Future<Http2StreamChannel> opened) -> {
+                    if (opened.isSuccess()) {
+                        Http2StreamChannel stream = opened.getNow();
+                        stream.closeFuture().addListener(closed -> freed(c));
+                        exchange.go(stream);
+                    } else {
+                        freed(c);
+                        exchange.notSent("no stream: " + opened.cause().getMessage());
+                    }
+                });
     }
 
     private synchronized void freed(Connection c) {
--- a/client-http/src/main/java/wharfhinge/client/http/StreamedAnswer.java
+++ b/client-http/src/main/java/wharfhinge/client/http/StreamedAnswer.java
@@ -39,7 +39,9 @@
             streams = "served".equals(response.headers().get(ClientProtocol.ANSWER));
             asked = true;
             if (streams && !exchange.over()) {
-                listener.began(response.headers().get(ClientProtocol.WORKER), response.headers().get(HttpHeaderNames.CONTENT_TYPE));
+                listener.began(
+                        response.headers().get(ClientProtocol.WORKER),
+                        response.headers().get(HttpHeaderNames.CONTENT_TYPE));
             }
         }
         if (message instanceof HttpContent content) {
@@ -54,8 +56,16 @@
                 words.writeBytes(ByteBufUtil.getBytes(bytes));
             }
             if (message instanceof LastHttpContent) {
-                exchange.end(streams ? new Transport.Reply(TryEnd.SERVED, new byte[0], head.headers().get(HttpHeaderNames.CONTENT_TYPE),
-                    head.headers().get(ClientProtocol.WORKER), 0, null) : Exchange.reply(head, words.toByteArray()));
+                exchange.end(
+                        streams
+                                ? new Transport.Reply(
+                                        TryEnd.SERVED,
+                                        new byte[0],
+                                        head.headers().get(HttpHeaderNames.CONTENT_TYPE),
+                                        head.headers().get(ClientProtocol.WORKER),
+                                        0,
+                                        null)
+                                : Exchange.reply(head, words.toByteArray()));
             }
         }
     }
--- a/client/src/main/java/wharfhinge/client/Call.java
+++ b/client/src/main/java/wharfhinge/client/Call.java
@@ -15,8 +15,22 @@
  * @param id           the caller's own name for it, or null
  * @param lanes        and the following: figures for the gateway, 0 where untold
  */
-public record Call(String function, String requestClass, Duration deadline, boolean safe, boolean hedge, boolean streams, String tenant, String id,
-                   byte[] body, String contentType, long costUs, double memoryMb, int lanes, double loadMs, boolean write) {
+public record Call(
+        String function,
+        String requestClass,
+        Duration deadline,
+        boolean safe,
+        boolean hedge,
+        boolean streams,
+        String tenant,
+        String id,
+        byte[] body,
+        String contentType,
+        long costUs,
+        double memoryMb,
+        int lanes,
+        double loadMs,
+        boolean write) {
 
     /** Checks what is needed. */
     public Call {
@@ -28,7 +42,8 @@
             throw new IllegalArgumentException("deadline: found " + deadline + ", allowed: 1 ms or more");
         }
         if (hedge && !safe) {
-            throw new IllegalArgumentException("hedge: found on a call that is not safe to repeat, allowed: on safe ones");
+            throw new IllegalArgumentException(
+                    "hedge: found on a call that is not safe to repeat, allowed: on safe ones");
         }
     }
 
@@ -120,8 +135,22 @@
 
         /** The call. */
         public Call build() {
-            return new Call(function, requestClass, deadline, safe, hedge, streams, tenant, id, body, contentType, costUs, memoryMb, lanes,
-                loadMs, write);
+            return new Call(
+                    function,
+                    requestClass,
+                    deadline,
+                    safe,
+                    hedge,
+                    streams,
+                    tenant,
+                    id,
+                    body,
+                    contentType,
+                    costUs,
+                    memoryMb,
+                    lanes,
+                    loadMs,
+                    write);
         }
     }
 }
--- a/client/src/main/java/wharfhinge/client/Transport.java
+++ b/client/src/main/java/wharfhinge/client/Transport.java
@@ -24,7 +24,7 @@
         void ended(Reply reply);
 
         /** An answer in parts began. Only for calls that stream, once, before all parts. */
-        default void began(String worker, String contentType) { }
+        default void began(String worker, String contentType) {}
 
         /** A part, in order; the next one is read from the network only once {@code more} was run, on any thread. */
         default void part(byte[] bytes, Runnable more) {
--- a/client/src/main/java/wharfhinge/client/WharfhingeClient.java
+++ b/client/src/main/java/wharfhinge/client/WharfhingeClient.java
@@ -101,8 +101,9 @@
 
     private CompletableFuture<Result> begin(Call call, Parts parts) {
         if (call.streams() != (parts != null)) {
-            throw new IllegalArgumentException("call " + call.function() + ": found " + (call.streams() ? "one that streams" : "one that "
-                + "does not stream") + ", allowed: streamed ones with stream(), others with call()");
+            throw new IllegalArgumentException("call " + call.function() + ": found "
+                    + (call.streams() ? "one that streams" : "one that " + "does not stream")
+                    + ", allowed: streamed ones with stream(), others with call()");
         }
         CompletableFuture<Result> result = new CompletableFuture<>();
         long id = ids.incrementAndGet();
@@ -178,13 +179,18 @@
 
         @Override
         public void timer(long id, int token, long delayNs) {
-            calls.get(id).timers.add(thread.schedule(() -> {
-                try {
-                    decisions.due(now(), id, token);
-                } catch (RuntimeException e) {
-                    LOG.error("client's decisions", e);
-                }
-            }, delayNs, TimeUnit.NANOSECONDS));
+            calls.get(id)
+                    .timers
+                    .add(thread.schedule(
+                            () -> {
+                                try {
+                                    decisions.due(now(), id, token);
+                                } catch (RuntimeException e) {
+                                    LOG.error("client's decisions", e);
+                                }
+                            },
+                            delayNs,
+                            TimeUnit.NANOSECONDS));
         }
     }
 
@@ -240,8 +246,13 @@
 
     private static Result result(CallEnd end, Transport.Reply reply) {
         String reason = (reply == null || reply.reason() == null ? "" : reply.reason())
-            + (end.reason() == CallEnd.Reason.ANSWERED ? "" : " (" + end.reason().name().toLowerCase(java.util.Locale.ROOT)
-            .replace('_', '-') + ")");
+                + (end.reason() == CallEnd.Reason.ANSWERED
+                        ? ""
+                        : " ("
+                                + end.reason()
+                                        .name()
+                                        .toLowerCase(java.util.Locale.ROOT)
+                                        .replace('_', '-') + ")");
         return switch (end.kind()) {
             case SERVED -> new Result.Served(reply.body(), reply.contentType(), reply.worker(), end.tries());
             case REFUSED -> new Result.Refused(Duration.ofNanos(end.comeBackNs()), reason.strip(), end.tries());
--- a/config/src/main/java/wharfhinge/config/ChainConfig.java
+++ b/config/src/main/java/wharfhinge/config/ChainConfig.java
@@ -16,17 +16,30 @@
  * @param resumeFile where finished steps are kept over restarts, or null
  * @param named      chains that clients call by name
  */
-public record ChainConfig(ChainSettings settings, long giveUpNs, long resumeWindowNs, int resumeKeys, long resumeBytes,
-                          Path resumeFile, Map<String, Named> named) {
+public record ChainConfig(
+        ChainSettings settings,
+        long giveUpNs,
+        long resumeWindowNs,
+        int resumeKeys,
+        long resumeBytes,
+        Path resumeFile,
+        Map<String, Named> named) {
     private static final long MS = 1_000_000L;
     private static final long MB = 1 << 20;
 
     /** A chain set by name. */
-    public record Named(long aimNs, List<NamedStep> steps) { }
+    public record Named(long aimNs, List<NamedStep> steps) {}
 
     /** A step of such a chain; its input is the client's or steps' answers, by their names. */
-    public record NamedStep(String id, String function, String requestClass, List<String> input, double memoryMb,
-                            int lanes, double loadMs, long costUs) { }
+    public record NamedStep(
+            String id,
+            String function,
+            String requestClass,
+            List<String> input,
+            double memoryMb,
+            int lanes,
+            double loadMs,
+            long costUs) {}
 
     static void check(SettingsXml x, XmlFile.Faults faults) {
         Map<String, SettingsXml.CallClass> classes = new HashMap<>();
@@ -37,11 +50,19 @@
             for (SettingsXml.ChainStep s : chain.steps) {
                 SettingsXml.CallClass type = classes.get(s.requestClass);
                 if (type == null || type.stream) {
-                    faults.accept(s, "step " + s.id + ": found class " + s.requestClass + ", allowed: one of "
-                        + classes.keySet() + " that does not stream");
+                    faults.accept(
+                            s,
+                            "step " + s.id + ": found class " + s.requestClass + ", allowed: one of " + classes.keySet()
+                                    + " that does not stream");
                 }
-                steps.add(new ChainPlan.Step(s.id, s.function, s.requestClass, wharfhinge.Dispatcher.Effect.IDEMPOTENT,
-                    s.input.stream().filter(i -> !i.equals("client")).toList(), 0, 0));
+                steps.add(new ChainPlan.Step(
+                        s.id,
+                        s.function,
+                        s.requestClass,
+                        wharfhinge.Dispatcher.Effect.IDEMPOTENT,
+                        s.input.stream().filter(i -> !i.equals("client")).toList(),
+                        0,
+                        0));
             }
             try {
                 ChainPlan.of(steps);
@@ -52,14 +73,19 @@
             long least = 0;
             for (int round = 0; round < chain.steps.size(); round++) { // longest path; order in the file is free
                 for (SettingsXml.ChainStep s : chain.steps) {
-                    long begin = s.input.stream().mapToLong(i -> ends.getOrDefault(i, 0L)).max().orElse(0);
+                    long begin = s.input.stream()
+                            .mapToLong(i -> ends.getOrDefault(i, 0L))
+                            .max()
+                            .orElse(0);
                     ends.put(s.id, begin + s.leastMs);
                     least = Math.max(least, begin + s.leastMs);
                 }
             }
             if (least > chain.aimMs) {
-                faults.accept(chain, "chain " + chain.name + ": found least times that add up to " + least
-                    + " ms along its longest path, allowed: at most aim-ms, " + chain.aimMs);
+                faults.accept(
+                        chain,
+                        "chain " + chain.name + ": found least times that add up to " + least
+                                + " ms along its longest path, allowed: at most aim-ms, " + chain.aimMs);
             }
         }
     }
@@ -67,12 +93,37 @@
     static ChainConfig of(SettingsXml x, Path folder) {
         SettingsXml.Chains c = x.chains;
         Map<String, Named> named = new LinkedHashMap<>();
-        c.chains.forEach(chain -> named.put(chain.name, new Named(chain.aimMs * MS, chain.steps.stream()
-            .map(s -> new NamedStep(s.id, s.function, s.requestClass, List.copyOf(s.input), s.memoryMb, s.lanes, s.loadMs,
-                (long) s.costUs)).toList())));
-        return new ChainConfig(new ChainSettings(ChainSettings.Clock.ONE, c.earlyRefusal, c.letThrough, c.loadAhead,
-            c.maxOpen, c.maxSteps, c.tenantShare, c.maxHeldMb * MB, 2 * x.gateway.tickMs * MS), c.giveUpMs * MS,
-            c.resumeWindowMs * MS, c.resumeKeys, c.resumeMb * MB,
-            c.resumeFile.isEmpty() ? null : folder.resolve(c.resumeFile), named);
+        c.chains.forEach(chain -> named.put(
+                chain.name,
+                new Named(
+                        chain.aimMs * MS,
+                        chain.steps.stream()
+                                .map(s -> new NamedStep(
+                                        s.id,
+                                        s.function,
+                                        s.requestClass,
+                                        List.copyOf(s.input),
+                                        s.memoryMb,
+                                        s.lanes,
+                                        s.loadMs,
+                                        (long) s.costUs))
+                                .toList())));
+        return new ChainConfig(
+                new ChainSettings(
+                        ChainSettings.Clock.ONE,
+                        c.earlyRefusal,
+                        c.letThrough,
+                        c.loadAhead,
+                        c.maxOpen,
+                        c.maxSteps,
+                        c.tenantShare,
+                        c.maxHeldMb * MB,
+                        2 * x.gateway.tickMs * MS),
+                c.giveUpMs * MS,
+                c.resumeWindowMs * MS,
+                c.resumeKeys,
+                c.resumeMb * MB,
+                c.resumeFile.isEmpty() ? null : folder.resolve(c.resumeFile),
+                named);
     }
 }
--- a/config/src/main/java/wharfhinge/config/GatewayConfig.java
+++ b/config/src/main/java/wharfhinge/config/GatewayConfig.java
@@ -28,10 +28,21 @@
  * @param proof    what a call must prove of its tenant; null where it is taken at its word
  * @param peers    addresses of other gateways by their number; empty where they don't talk
  */
-public record GatewayConfig(String name, long seed, Settings settings, Clients clients, Workers workers,
-                            Roster roster, Map<Integer, String> peers, ChainConfig chains, Capture capture, Grpc grpc,
-                            DoorSettings door, Tls tls, Proof proof,
-                            Log log) {
+public record GatewayConfig(
+        String name,
+        long seed,
+        Settings settings,
+        Clients clients,
+        Workers workers,
+        Roster roster,
+        Map<Integer, String> peers,
+        ChainConfig chains,
+        Capture capture,
+        Grpc grpc,
+        DoorSettings door,
+        Tls tls,
+        Proof proof,
+        Log log) {
     private static final long MS = 1_000_000L;
     private static final int KB = 1024;
     private static final double ROUNDING = 1e-6;
@@ -39,23 +50,74 @@
     /** The same with other settings for chains. */
     public GatewayConfig withChains(java.util.function.UnaryOperator<ChainSettings> changed) {
         ChainConfig c = chains;
-        return new GatewayConfig(name, seed, settings, clients, workers, roster, peers, new ChainConfig(
-            changed.apply(c.settings()), c.giveUpNs(), c.resumeWindowNs(), c.resumeKeys(), c.resumeBytes(),
-            c.resumeFile(), c.named()), capture, grpc, door, tls, proof, log);
+        return new GatewayConfig(
+                name,
+                seed,
+                settings,
+                clients,
+                workers,
+                roster,
+                peers,
+                new ChainConfig(
+                        changed.apply(c.settings()),
+                        c.giveUpNs(),
+                        c.resumeWindowNs(),
+                        c.resumeKeys(),
+                        c.resumeBytes(),
+                        c.resumeFile(),
+                        c.named()),
+                capture,
+                grpc,
+                door,
+                tls,
+                proof,
+                log);
     }
 
     /** The same on any free port of loopback, for itself alone. */
     public GatewayConfig onAnyPort() {
         Clients c = clients;
-        return new GatewayConfig(name, seed, settings, new Clients("127.0.0.1", 0, c.maxConnections, c.idleNs, c.maxBodyBytes,
-            c.maxHeaderBytes, c.maxOpen, c.handOver, c.stopWithinNs, false, 0), workers, roster, peers, chains, capture, grpc, null, null,
-            null, log);
+        return new GatewayConfig(
+                name,
+                seed,
+                settings,
+                new Clients(
+                        "127.0.0.1",
+                        0,
+                        c.maxConnections,
+                        c.idleNs,
+                        c.maxBodyBytes,
+                        c.maxHeaderBytes,
+                        c.maxOpen,
+                        c.handOver,
+                        c.stopWithinNs,
+                        false,
+                        0),
+                workers,
+                roster,
+                peers,
+                chains,
+                capture,
+                grpc,
+                null,
+                null,
+                null,
+                log);
     }
 
     /** The clients' side; {@code rehearseNs} is the most that is spent on warming up before the port opens. */
-    public record Clients(String address, int port, int maxConnections, long idleNs, int maxBodyBytes,
-                          int maxHeaderBytes, int maxOpen, int handOver, long stopWithinNs, boolean reusePort,
-                          long rehearseNs) { }
+    public record Clients(
+            String address,
+            int port,
+            int maxConnections,
+            long idleNs,
+            int maxBodyBytes,
+            int maxHeaderBytes,
+            int maxOpen,
+            int handOver,
+            long stopWithinNs,
+            boolean reusePort,
+            long rehearseNs) {}
 
     /**
      * The gateway's certificate (PEM, the chain) and key (PKCS 8), and the authorities that clients' certificates come from.
@@ -64,7 +126,7 @@
      * @param needed  a client without one is turned away
      * @param revoked a list of revoked certificates, or null
      */
-    public record Tls(Path certificates, Path key, Path clients, boolean needed, Path revoked) { }
+    public record Tls(Path certificates, Path key, Path clients, boolean needed, Path revoked) {}
 
     /**
      * How calls prove whose they are.
@@ -72,24 +134,29 @@
      * @param needed   a call that proves none is refused
      * @param tokenKey the key of tokens, or null where none are taken
      */
-    public record Proof(boolean needed, Path tokenKey) { }
+    public record Proof(boolean needed, Path tokenKey) {}
 
     /** The clients' side over gRPC. */
-    public record Grpc(String address, int port, boolean reflection) { }
+    public record Grpc(String address, int port, boolean reflection) {}
 
     /** The workers' side. */
-    public record Workers(long dialTimeoutNs, long idleNs, long probeTimeoutNs, int streamsPerConnection,
-                          int maxConnections, int maxAnswerBytes) { }
+    public record Workers(
+            long dialTimeoutNs,
+            long idleNs,
+            long probeTimeoutNs,
+            int streamsPerConnection,
+            int maxConnections,
+            int maxAnswerBytes) {}
 
     /** The source of the list. */
-    public record Roster(String host, int port, Path remembered, long silentAfterNs, long reconnectLeastNs,
-                         long reconnectMostNs) { }
+    public record Roster(
+            String host, int port, Path remembered, long silentAfterNs, long reconnectLeastNs, long reconnectMostNs) {}
 
     /** Where what the decisions are told and decide is captured, and the key that names are hashed with, or null. */
-    public record Capture(Path folder, Path hashKey, long segmentBytes, long mostBytes, long mostAgeMs) { }
+    public record Capture(Path folder, Path hashKey, long segmentBytes, long mostBytes, long mostAgeMs) {}
 
     /** Logs. */
-    public record Log(boolean json, String level, int remarksPerS) { }
+    public record Log(boolean json, String level, int remarksPerS) {}
 
     /**
      * Loads and checks a settings file.
@@ -97,29 +164,39 @@
      * @throws InvalidFileException with every fault of the file
      */
     public static GatewayConfig load(Path file) throws InvalidFileException {
-        return of(XmlFile.load(file, GatewayConfig.class.getResource("settings.xsd"), SettingsXml.class,
-            GatewayConfig::check), file);
+        return of(
+                XmlFile.load(
+                        file, GatewayConfig.class.getResource("settings.xsd"), SettingsXml.class, GatewayConfig::check),
+                file);
     }
 
     /** What no schema says: fields that must fit each other. */
     private static void check(SettingsXml x, XmlFile.Faults faults) {
         for (SettingsXml.CallClass c : x.classes.classes) {
             if (c.aimMs > c.giveUpMs) {
-                faults.accept(c, "class " + c.name + ": found aim-ms " + c.aimMs + ", allowed: at most give-up-ms, "
-                    + c.giveUpMs);
+                faults.accept(
+                        c,
+                        "class " + c.name + ": found aim-ms " + c.aimMs + ", allowed: at most give-up-ms, "
+                                + c.giveUpMs);
             }
             if (x.workers.dialTimeoutMs >= c.aimMs) {
-                faults.accept(x.workers, "found dial-timeout-ms " + x.workers.dialTimeoutMs
-                    + ", allowed: less than the aim of class " + c.name + ", " + c.aimMs);
+                faults.accept(
+                        x.workers,
+                        "found dial-timeout-ms " + x.workers.dialTimeoutMs + ", allowed: less than the aim of class "
+                                + c.name + ", " + c.aimMs);
             }
             boolean keyed = c.effect.equals("deduplicated");
             if (keyed && c.windowMs == 0 || !keyed && c.windowMs != 0) {
-                faults.accept(c, "class " + c.name + ": found effect " + c.effect + " and window-ms " + c.windowMs
-                    + ", allowed: a window with deduplicated, and only there");
+                faults.accept(
+                        c,
+                        "class " + c.name + ": found effect " + c.effect + " and window-ms " + c.windowMs
+                                + ", allowed: a window with deduplicated, and only there");
             }
             if (c.giveUpMs <= 4 * x.gateway.tickMs) {
-                faults.accept(c, "class " + c.name + ": found give-up-ms " + c.giveUpMs
-                    + ", allowed: over four times tick-ms, " + x.gateway.tickMs);
+                faults.accept(
+                        c,
+                        "class " + c.name + ": found give-up-ms " + c.giveUpMs + ", allowed: over four times tick-ms, "
+                                + x.gateway.tickMs);
             }
         }
         unique(x.classes.classes, c -> c.name, "class", faults);
@@ -146,16 +223,23 @@
             faults.accept(x.gateway, "found number " + x.gateway.number + ", allowed: 0 to " + (x.gateway.group - 1));
         }
         if (x.workers.loading.notLoaded.equals("miss") && !x.workers.loading.orders) {
-            faults.accept(x.workers.loading, "found not-loaded miss without orders, allowed: miss with orders only, "
-                + "for nothing else would ever load");
+            faults.accept(
+                    x.workers.loading,
+                    "found not-loaded miss without orders, allowed: miss with orders only, "
+                            + "for nothing else would ever load");
         }
-        if (x.clients.maxRetryAfterMs > x.classes.classes.stream().mapToLong(c -> c.giveUpMs).max().orElse(0)) {
-            faults.accept(x.clients, "found max-retry-after-ms " + x.clients.maxRetryAfterMs
-                + ", allowed: at most the longest give-up-ms");
+        if (x.clients.maxRetryAfterMs
+                > x.classes.classes.stream().mapToLong(c -> c.giveUpMs).max().orElse(0)) {
+            faults.accept(
+                    x.clients,
+                    "found max-retry-after-ms " + x.clients.maxRetryAfterMs
+                            + ", allowed: at most the longest give-up-ms");
         }
         if (x.roster.reconnectLeastMs > x.roster.reconnectMostMs) {
-            faults.accept(x.roster, "found reconnect-least-ms " + x.roster.reconnectLeastMs
-                + ", allowed: at most reconnect-most-ms, " + x.roster.reconnectMostMs);
+            faults.accept(
+                    x.roster,
+                    "found reconnect-least-ms " + x.roster.reconnectLeastMs + ", allowed: at most reconnect-most-ms, "
+                            + x.roster.reconnectMostMs);
         }
         URI url = URI.create(x.roster.url);
         if (url.getPort() < 1 || url.getPort() > 65_535) {
@@ -163,8 +247,8 @@
         }
     }
 
-    private static <T> void unique(List<T> all, java.util.function.Function<T, String> name, String what,
-                                   XmlFile.Faults faults) {
+    private static <T> void unique(
+            List<T> all, java.util.function.Function<T, String> name, String what, XmlFile.Faults faults) {
         Set<String> seen = new HashSet<>();
         for (T one : all) {
             if (!seen.add(name.apply(one))) {
@@ -180,23 +264,55 @@
         Path folder = file.toAbsolutePath().getParent();
         Map<Integer, String> peers = new TreeMap<>();
         x.peers.peers.forEach(p -> peers.put(p.number, p.address));
-        return new GatewayConfig(x.gateway.name, x.gateway.seed, settings(x),
-            new Clients(c.address, c.port, c.maxConnections, c.idleMs * MS, c.maxBodyKb * KB, c.maxHeaderKb * KB,
-                c.maxOpen, c.handOver, c.stopWithinMs * MS, x.clients.reusePort, c.rehearseMs * MS),
-            new Workers(w.dialTimeoutMs * MS, w.idleMs * MS, w.probeTimeoutMs * MS, w.streamsPerConnection,
-                w.maxConnections, w.maxAnswerKb * KB),
-            new Roster(url.getHost(), url.getPort(), folder.resolve(x.roster.remembered), x.roster.silentAfterMs * MS,
-                x.roster.reconnectLeastMs * MS, x.roster.reconnectMostMs * MS),
-            peers, ChainConfig.of(x, folder), capture(x.capture, folder),
-            x.grpc == null ? null : new Grpc(x.grpc.address, x.grpc.port, x.grpc.reflection),
-            door(x.door), tls(x.tls, folder), x.proof == null ? null : new Proof(x.proof.needed,
-                path(folder, x.proof.tokenKeyFile)),
-            new Log(x.log.format.equals("json"), x.log.level, x.log.remarksPerS));
+        return new GatewayConfig(
+                x.gateway.name,
+                x.gateway.seed,
+                settings(x),
+                new Clients(
+                        c.address,
+                        c.port,
+                        c.maxConnections,
+                        c.idleMs * MS,
+                        c.maxBodyKb * KB,
+                        c.maxHeaderKb * KB,
+                        c.maxOpen,
+                        c.handOver,
+                        c.stopWithinMs * MS,
+                        x.clients.reusePort,
+                        c.rehearseMs * MS),
+                new Workers(
+                        w.dialTimeoutMs * MS,
+                        w.idleMs * MS,
+                        w.probeTimeoutMs * MS,
+                        w.streamsPerConnection,
+                        w.maxConnections,
+                        w.maxAnswerKb * KB),
+                new Roster(
+                        url.getHost(),
+                        url.getPort(),
+                        folder.resolve(x.roster.remembered),
+                        x.roster.silentAfterMs * MS,
+                        x.roster.reconnectLeastMs * MS,
+                        x.roster.reconnectMostMs * MS),
+                peers,
+                ChainConfig.of(x, folder),
+                capture(x.capture, folder),
+                x.grpc == null ? null : new Grpc(x.grpc.address, x.grpc.port, x.grpc.reflection),
+                door(x.door),
+                tls(x.tls, folder),
+                x.proof == null ? null : new Proof(x.proof.needed, path(folder, x.proof.tokenKeyFile)),
+                new Log(x.log.format.equals("json"), x.log.level, x.log.remarksPerS));
     }
 
     private static Tls tls(SettingsXml.Tls t, Path folder) {
-        return t == null ? null : new Tls(folder.resolve(t.certificates), folder.resolve(t.key), path(folder, t.clients),
-            t.clientsNeeded, path(folder, t.revoked));
+        return t == null
+                ? null
+                : new Tls(
+                        folder.resolve(t.certificates),
+                        folder.resolve(t.key),
+                        path(folder, t.clients),
+                        t.clientsNeeded,
+                        path(folder, t.revoked));
     }
 
     private static Path path(Path folder, String name) {
@@ -218,9 +334,14 @@
     }
 
     private static Capture capture(SettingsXml.Capture c, Path folder) {
-        return c == null ? null : new Capture(folder.resolve(c.folder), c.hashKeyFile.isEmpty() ? null
-            : folder.resolve(c.hashKeyFile), (long) c.segmentMb << 20, (long) c.mostMb << 20,
-            c.mostHours * 3_600_000L);
+        return c == null
+                ? null
+                : new Capture(
+                        folder.resolve(c.folder),
+                        c.hashKeyFile.isEmpty() ? null : folder.resolve(c.hashKeyFile),
+                        (long) c.segmentMb << 20,
+                        (long) c.mostMb << 20,
+                        c.mostHours * 3_600_000L);
     }
 
     private static Settings settings(SettingsXml x) {
@@ -229,28 +350,82 @@
         SettingsXml.Ration ration = l.ration == null ? new SettingsXml.Ration() : l.ration;
         List<Dispatcher.RequestClass> classes = new ArrayList<>();
         for (SettingsXml.CallClass c : x.classes.classes) {
-            classes.add(new Dispatcher.RequestClass(c.name, word(Dispatcher.Effect.class, c.effect),
-                word(Dispatcher.Group.class, c.group), c.windowMs * MS, c.aimMs * MS, c.giveUpMs * MS, c.worth,
-                c.lateWorth, c.stream, c.aimStretch));
+            classes.add(new Dispatcher.RequestClass(
+                    c.name,
+                    word(Dispatcher.Effect.class, c.effect),
+                    word(Dispatcher.Group.class, c.group),
+                    c.windowMs * MS,
+                    c.aimMs * MS,
+                    c.giveUpMs * MS,
+                    c.worth,
+                    c.lateWorth,
+                    c.stream,
+                    c.aimStretch));
         }
-        Dispatcher.FamilyInfo family = new Dispatcher.FamilyInfo(l.keepMs * MS, l.orders,
-            word(Dispatcher.NotLoaded.class, l.notLoaded), l.waitMs * MS, ration.periodMs * MS, ration.ratio,
-            ration.anyway, l.priceOfIdle, w.kinds.stream().map(k -> k.memoryMb).toList(), "", "", l.company, l.notes);
-        Dispatcher.Limits limits = new Dispatcher.Limits(w.cancelling, !x.peers.peers.isEmpty(), w.probes,
-            w.secondCopies, x.clients.retryAfter, w.maxAttempts, x.clients.maxOpen, x.clients.maxRetryAfterMs * MS,
-            w.dialTimeoutMs * MS, w.idleMs * MS, w.streamsPerConnection, 0, 0);
+        Dispatcher.FamilyInfo family = new Dispatcher.FamilyInfo(
+                l.keepMs * MS,
+                l.orders,
+                word(Dispatcher.NotLoaded.class, l.notLoaded),
+                l.waitMs * MS,
+                ration.periodMs * MS,
+                ration.ratio,
+                ration.anyway,
+                l.priceOfIdle,
+                w.kinds.stream().map(k -> k.memoryMb).toList(),
+                "",
+                "",
+                l.company,
+                l.notes);
+        Dispatcher.Limits limits = new Dispatcher.Limits(
+                w.cancelling,
+                !x.peers.peers.isEmpty(),
+                w.probes,
+                w.secondCopies,
+                x.clients.retryAfter,
+                w.maxAttempts,
+                x.clients.maxOpen,
+                x.clients.maxRetryAfterMs * MS,
+                w.dialTimeoutMs * MS,
+                w.idleMs * MS,
+                w.streamsPerConnection,
+                0,
+                0);
         SettingsXml.Rules r = x.rules;
-        return new Settings(x.gateway.group, x.gateway.number, x.gateway.tickMs * MS, x.gateway.zone, x.zones.names,
-            w.kinds.stream().map(k -> k.name).toList(), word(Dispatcher.Discovery.class, x.roster.discovery),
-            word(Dispatcher.Weights.class, w.weights), word(Dispatcher.WorthBy.class, x.classes.worthBy),
-            x.tenants.overShareWorth, classes, x.tenants.tenants.stream()
-            .map(t -> new Dispatcher.Realm(t.name, t.share, t.quotaPerS)).toList(), family,
-            new Dispatcher.Feedback(word(Dispatcher.Reports.class, w.reports), w.reportNames),
-            new Dispatcher.Goal(x.goal.whole, x.goal.worstWindow, x.goal.worstClass, x.goal.worstTenant), limits,
-            new Dispatcher.Obligations(r.askWithinMs * MS, r.coldFrom, r.warmAfterMs * MS, r.overloadFactor,
-                r.tipAfterMs * MS, r.stopSendingWithinMs * MS, r.graceToAnswerMs * MS),
-            new Dispatcher.Prices(x.prices.crossZone, x.prices.waste, x.prices.origin, x.prices.probe, x.prices.peer,
-                x.prices.lateFail), new Dispatcher.Callers(x.clients.marksRetry));
+        return new Settings(
+                x.gateway.group,
+                x.gateway.number,
+                x.gateway.tickMs * MS,
+                x.gateway.zone,
+                x.zones.names,
+                w.kinds.stream().map(k -> k.name).toList(),
+                word(Dispatcher.Discovery.class, x.roster.discovery),
+                word(Dispatcher.Weights.class, w.weights),
+                word(Dispatcher.WorthBy.class, x.classes.worthBy),
+                x.tenants.overShareWorth,
+                classes,
+                x.tenants.tenants.stream()
+                        .map(t -> new Dispatcher.Realm(t.name, t.share, t.quotaPerS))
+                        .toList(),
+                family,
+                new Dispatcher.Feedback(word(Dispatcher.Reports.class, w.reports), w.reportNames),
+                new Dispatcher.Goal(x.goal.whole, x.goal.worstWindow, x.goal.worstClass, x.goal.worstTenant),
+                limits,
+                new Dispatcher.Obligations(
+                        r.askWithinMs * MS,
+                        r.coldFrom,
+                        r.warmAfterMs * MS,
+                        r.overloadFactor,
+                        r.tipAfterMs * MS,
+                        r.stopSendingWithinMs * MS,
+                        r.graceToAnswerMs * MS),
+                new Dispatcher.Prices(
+                        x.prices.crossZone,
+                        x.prices.waste,
+                        x.prices.origin,
+                        x.prices.probe,
+                        x.prices.peer,
+                        x.prices.lateFail),
+                new Dispatcher.Callers(x.clients.marksRetry));
     }
 
     private static <E extends Enum<E>> E word(Class<E> type, String word) {
--- a/config/src/main/java/wharfhinge/config/SettingsXml.java
+++ b/config/src/main/java/wharfhinge/config/SettingsXml.java
@@ -18,38 +18,55 @@
 final class SettingsXml {
     @XmlElement
     Gateway gateway;
+
     @XmlElement
     Clients clients;
+
     @XmlElement
     Workers workers;
+
     @XmlElement
     Zones zones;
+
     @XmlElement
     Classes classes;
+
     @XmlElement
     Tenants tenants = new Tenants();
+
     @XmlElement
     Rules rules;
+
     @XmlElement
     GoalShares goal = new GoalShares();
+
     @XmlElement
     PriceList prices = new PriceList();
+
     @XmlElement
     Roster roster;
+
     @XmlElement
     Peers peers = new Peers();
+
     @XmlElement
     Chains chains = new Chains();
+
     @XmlElement
     Capture capture;
+
     @XmlElement
     Grpc grpc;
+
     @XmlElement
     Door door;
+
     @XmlElement
     Tls tls;
+
     @XmlElement
     Proof proof;
+
     @XmlElement
     Log log = new Log();
 
@@ -57,14 +74,19 @@
     static final class Gateway {
         @XmlAttribute(name = "name")
         String name;
+
         @XmlAttribute(name = "zone")
         String zone;
+
         @XmlAttribute(name = "number")
         int number;
+
         @XmlAttribute(name = "group")
         int group = 1;
+
         @XmlAttribute(name = "seed")
         long seed;
+
         @XmlAttribute(name = "tick-ms")
         long tickMs = 2;
     }
@@ -73,30 +95,43 @@
     static final class Clients {
         @XmlAttribute(name = "address")
         String address = "127.0.0.1";
+
         @XmlAttribute(name = "port")
         int port;
+
         @XmlAttribute(name = "reuse-port")
         boolean reusePort;
+
         @XmlAttribute(name = "max-connections")
         int maxConnections = 10000;
+
         @XmlAttribute(name = "idle-ms")
         long idleMs = 60000;
+
         @XmlAttribute(name = "max-body-kb")
         int maxBodyKb = 1024;
+
         @XmlAttribute(name = "max-header-kb")
         int maxHeaderKb = 16;
+
         @XmlAttribute(name = "max-open")
         int maxOpen = 20000;
+
         @XmlAttribute(name = "hand-over")
         int handOver = 4096;
+
         @XmlAttribute(name = "stop-within-ms")
         long stopWithinMs = 5000;
+
         @XmlAttribute(name = "rehearse-ms")
         long rehearseMs = 3000;
+
         @XmlAttribute(name = "retry-after")
         boolean retryAfter = true;
+
         @XmlAttribute(name = "max-retry-after-ms")
         long maxRetryAfterMs = 2000;
+
         @XmlAttribute(name = "marks-retry")
         boolean marksRetry = true;
     }
@@ -105,6 +140,7 @@
     static final class Kind {
         @XmlAttribute(name = "name")
         String name;
+
         @XmlAttribute(name = "memory-mb")
         double memoryMb;
     }
@@ -113,8 +149,10 @@
     static final class Ration {
         @XmlAttribute(name = "period-ms")
         long periodMs;
+
         @XmlAttribute(name = "anyway")
         double anyway;
+
         @XmlAttribute(name = "ratio")
         double ratio;
     }
@@ -123,18 +161,25 @@
     static final class Loading {
         @XmlAttribute(name = "not-loaded")
         String notLoaded;
+
         @XmlAttribute(name = "keep-ms")
         long keepMs;
+
         @XmlAttribute(name = "orders")
         boolean orders = true;
+
         @XmlAttribute(name = "wait-ms")
         long waitMs = 10000;
+
         @XmlAttribute(name = "price-of-idle")
         double priceOfIdle;
+
         @XmlAttribute(name = "notes")
         boolean notes = true;
+
         @XmlAttribute(name = "company")
         boolean company;
+
         @XmlElement
         Ration ration;
     }
@@ -143,33 +188,47 @@
     static final class Workers {
         @XmlAttribute(name = "weights")
         String weights = "nominal";
+
         @XmlAttribute(name = "reports")
         String reports = "piggyback";
+
         @XmlList
         @XmlAttribute(name = "report-names")
         List<String> reportNames = new ArrayList<>(List.of("rif", "x0"));
+
         @XmlAttribute(name = "probes")
         boolean probes = true;
+
         @XmlAttribute(name = "probe-timeout-ms")
         long probeTimeoutMs = 250;
+
         @XmlAttribute(name = "dial-timeout-ms")
         long dialTimeoutMs = 250;
+
         @XmlAttribute(name = "idle-ms")
         long idleMs = 15000;
+
         @XmlAttribute(name = "streams-per-connection")
         int streamsPerConnection = 100;
+
         @XmlAttribute(name = "max-connections")
         int maxConnections = 8;
+
         @XmlAttribute(name = "max-answer-kb")
         int maxAnswerKb = 16384;
+
         @XmlAttribute(name = "max-attempts")
         int maxAttempts = 3;
+
         @XmlAttribute(name = "second-copies")
         boolean secondCopies;
+
         @XmlAttribute(name = "cancelling")
         boolean cancelling = true;
+
         @XmlElement(name = "kind")
         List<Kind> kinds = new ArrayList<>();
+
         @XmlElement
         Loading loading;
     }
@@ -185,22 +244,31 @@
     static final class CallClass {
         @XmlAttribute(name = "name")
         String name;
+
         @XmlAttribute(name = "effect")
         String effect;
+
         @XmlAttribute(name = "group")
         String group = "all";
+
         @XmlAttribute(name = "window-ms")
         long windowMs;
+
         @XmlAttribute(name = "aim-ms")
         long aimMs;
+
         @XmlAttribute(name = "give-up-ms")
         long giveUpMs;
+
         @XmlAttribute(name = "worth")
         double worth = 1;
+
         @XmlAttribute(name = "late-worth")
         double lateWorth;
+
         @XmlAttribute(name = "stream")
         boolean stream;
+
         @XmlAttribute(name = "aim-stretch")
         double aimStretch;
     }
@@ -209,6 +277,7 @@
     static final class Classes {
         @XmlAttribute(name = "worth-by")
         String worthBy = "request";
+
         @XmlElement(name = "class")
         List<CallClass> classes = new ArrayList<>();
     }
@@ -217,8 +286,10 @@
     static final class Tenant {
         @XmlAttribute(name = "name")
         String name;
+
         @XmlAttribute(name = "share")
         double share;
+
         @XmlAttribute(name = "quota-per-s")
         double quotaPerS;
     }
@@ -227,6 +298,7 @@
     static final class Tenants {
         @XmlAttribute(name = "over-share-worth")
         double overShareWorth = 0.1;
+
         @XmlElement(name = "tenant")
         List<Tenant> tenants = new ArrayList<>();
     }
@@ -235,16 +307,22 @@
     static final class Rules {
         @XmlAttribute(name = "stop-sending-within-ms")
         long stopSendingWithinMs;
+
         @XmlAttribute(name = "cold-from")
         double coldFrom;
+
         @XmlAttribute(name = "warm-after-ms")
         long warmAfterMs;
+
         @XmlAttribute(name = "overload-factor")
         double overloadFactor;
+
         @XmlAttribute(name = "tip-after-ms")
         long tipAfterMs;
+
         @XmlAttribute(name = "grace-to-answer-ms")
         long graceToAnswerMs = 16;
+
         @XmlAttribute(name = "ask-within-ms")
         long askWithinMs = 10000;
     }
@@ -253,10 +331,13 @@
     static final class GoalShares {
         @XmlAttribute(name = "whole")
         double whole = 0.7;
+
         @XmlAttribute(name = "worst-window")
         double worstWindow = 0.3;
+
         @XmlAttribute(name = "worst-class")
         double worstClass;
+
         @XmlAttribute(name = "worst-tenant")
         double worstTenant;
     }
@@ -265,14 +346,19 @@
     static final class PriceList {
         @XmlAttribute(name = "cross-zone")
         double crossZone;
+
         @XmlAttribute(name = "waste")
         double waste;
+
         @XmlAttribute(name = "origin")
         double origin;
+
         @XmlAttribute(name = "probe")
         double probe;
+
         @XmlAttribute(name = "peer")
         double peer;
+
         @XmlAttribute(name = "late-fail")
         double lateFail;
     }
@@ -281,14 +367,19 @@
     static final class Roster {
         @XmlAttribute(name = "url")
         String url;
+
         @XmlAttribute(name = "remembered")
         String remembered;
+
         @XmlAttribute(name = "discovery")
         String discovery = "pushed";
+
         @XmlAttribute(name = "silent-after-ms")
         long silentAfterMs = 5000;
+
         @XmlAttribute(name = "reconnect-least-ms")
         long reconnectLeastMs = 100;
+
         @XmlAttribute(name = "reconnect-most-ms")
         long reconnectMostMs = 5000;
     }
@@ -297,6 +388,7 @@
     static final class Peer {
         @XmlAttribute(name = "number")
         int number;
+
         @XmlAttribute(name = "address")
         String address;
     }
@@ -311,8 +403,10 @@
     static final class Log {
         @XmlAttribute(name = "format")
         String format = "plain";
+
         @XmlAttribute(name = "level")
         String level = "info";
+
         @XmlAttribute(name = "remarks-per-s")
         int remarksPerS = 20;
     }
@@ -321,10 +415,13 @@
     static class Limits {
         @XmlAttribute(name = "weight")
         double weight = 1;
+
         @XmlAttribute(name = "rate-per-s")
         double ratePerS;
+
         @XmlAttribute(name = "burst")
         double burst = 1;
+
         @XmlAttribute(name = "most-open")
         int mostOpen;
     }
@@ -339,8 +436,10 @@
     static final class Door {
         @XmlAttribute(name = "full-at")
         double fullAt = 0.7;
+
         @XmlElement(name = "others")
         Limits others = new Limits();
+
         @XmlElement(name = "tenant")
         List<DoorTenant> tenants = new ArrayList<>();
     }
@@ -349,12 +448,16 @@
     static final class Tls {
         @XmlAttribute(name = "certificates")
         String certificates;
+
         @XmlAttribute(name = "key")
         String key;
+
         @XmlAttribute(name = "clients")
         String clients = "";
+
         @XmlAttribute(name = "clients-needed")
         boolean clientsNeeded;
+
         @XmlAttribute(name = "revoked")
         String revoked = "";
     }
@@ -363,6 +466,7 @@
     static final class Proof {
         @XmlAttribute(name = "needed")
         boolean needed = true;
+
         @XmlAttribute(name = "token-key-file")
         String tokenKeyFile = "";
     }
@@ -371,8 +475,10 @@
     static final class Grpc {
         @XmlAttribute(name = "address")
         String address = "127.0.0.1";
+
         @XmlAttribute(name = "port")
         int port;
+
         @XmlAttribute(name = "reflection")
         boolean reflection;
     }
@@ -381,12 +487,16 @@
     static final class Capture {
         @XmlAttribute(name = "folder")
         String folder;
+
         @XmlAttribute(name = "hash-key-file")
         String hashKeyFile = "";
+
         @XmlAttribute(name = "segment-mb")
         int segmentMb = 16;
+
         @XmlAttribute(name = "most-mb")
         int mostMb = 512;
+
         @XmlAttribute(name = "most-hours")
         int mostHours = 48;
     }
@@ -395,28 +505,40 @@
     static final class Chains {
         @XmlElement(name = "chain")
         List<Chain> chains = new ArrayList<>();
+
         @XmlAttribute(name = "max-open")
         int maxOpen = 2000;
+
         @XmlAttribute(name = "max-steps")
         int maxSteps = 4000;
+
         @XmlAttribute(name = "tenant-share")
         double tenantShare = 0.5;
+
         @XmlAttribute(name = "max-held-mb")
         int maxHeldMb = 64;
+
         @XmlAttribute(name = "give-up-ms")
         long giveUpMs = 2500;
+
         @XmlAttribute(name = "early-refusal")
         boolean earlyRefusal = true;
+
         @XmlAttribute(name = "let-through")
         int letThrough = 50;
+
         @XmlAttribute(name = "load-ahead")
         boolean loadAhead = true;
+
         @XmlAttribute(name = "resume-window-ms")
         long resumeWindowMs = 30_000;
+
         @XmlAttribute(name = "resume-keys")
         int resumeKeys = 1000;
+
         @XmlAttribute(name = "resume-mb")
         int resumeMb = 16;
+
         @XmlAttribute(name = "resume-file")
         String resumeFile = "";
     }
@@ -425,8 +547,10 @@
     static final class Chain {
         @XmlAttribute(name = "name")
         String name;
+
         @XmlAttribute(name = "aim-ms")
         long aimMs;
+
         @XmlElement(name = "step")
         List<ChainStep> steps = new ArrayList<>();
     }
@@ -435,21 +559,29 @@
     static final class ChainStep {
         @XmlAttribute(name = "id")
         String id;
+
         @XmlAttribute(name = "function")
         String function;
+
         @XmlAttribute(name = "class")
         String requestClass;
+
         @XmlList
         @XmlAttribute(name = "input")
         List<String> input = new ArrayList<>(List.of("client"));
+
         @XmlAttribute(name = "least-ms")
         long leastMs;
+
         @XmlAttribute(name = "memory-mb")
         double memoryMb;
+
         @XmlAttribute(name = "lanes")
         int lanes;
+
         @XmlAttribute(name = "load-ms")
         double loadMs;
+
         @XmlAttribute(name = "cost-us")
         double costUs;
     }
--- a/config/src/main/java/wharfhinge/config/XmlFile.java
+++ b/config/src/main/java/wharfhinge/config/XmlFile.java
@@ -34,10 +34,10 @@
 public final class XmlFile {
     private static final long MOST_BYTES = 4L << 20;
 
-    private XmlFile() { }
+    private XmlFile() {}
 
     /** Collects what a check across fields finds, at the place of the element that holds the field. */
-    public interface Faults extends BiConsumer<Object, String> { }
+    public interface Faults extends BiConsumer<Object, String> {}
 
     /** A check across the fields of what was read. */
     public interface Check<T> {
@@ -76,8 +76,10 @@
         }
         check.check(root, (element, text) -> {
             Location place = places.get(element);
-            faults.add(place == null ? new Fault(0, 0, text)
-                : new Fault(place.getLineNumber(), place.getColumnNumber(), text));
+            faults.add(
+                    place == null
+                            ? new Fault(0, 0, text)
+                            : new Fault(place.getLineNumber(), place.getColumnNumber(), text));
         });
         if (!faults.isEmpty()) {
             throw new InvalidFileException(file, faults);
@@ -88,8 +90,8 @@
     private static byte[] read(Path file) throws InvalidFileException {
         try {
             if (Files.size(file) > MOST_BYTES) {
-                throw new InvalidFileException(file, List.of(new Fault(0, 0, "found " + Files.size(file)
-                    + " bytes, allowed: " + MOST_BYTES)));
+                throw new InvalidFileException(
+                        file, List.of(new Fault(0, 0, "found " + Files.size(file) + " bytes, allowed: " + MOST_BYTES)));
             }
             return Files.readAllBytes(file);
         } catch (IOException e) {
@@ -107,7 +109,7 @@
     private static List<Fault> validate(byte[] bytes, URL schemaUrl) {
         List<Fault> faults = new ArrayList<>();
         try {
-            for (XMLStreamReader whole = reader(bytes); whole.hasNext();) {
+            for (XMLStreamReader whole = reader(bytes); whole.hasNext(); ) {
                 whole.next(); // to the end first: the validator would hide where a file is broken
             }
             SchemaFactory factory = SchemaFactory.newDefaultInstance();
@@ -121,8 +123,10 @@
             validator.validate(new StAXSource(reader(bytes)));
         } catch (XMLStreamException e) {
             Location at = e.getLocation();
-            faults.add(new Fault(at == null ? 0 : at.getLineNumber(), at == null ? 0 : at.getColumnNumber(),
-                "not well formed: " + firstLine(e.getMessage())));
+            faults.add(new Fault(
+                    at == null ? 0 : at.getLineNumber(),
+                    at == null ? 0 : at.getColumnNumber(),
+                    "not well formed: " + firstLine(e.getMessage())));
         } catch (SAXException | IOException e) {
             if (faults.isEmpty()) {
                 faults.add(new Fault(0, 0, e.getMessage()));
@@ -141,8 +145,9 @@
             @Override
             public void error(SAXParseException e) {
                 Fault fault = SchemaFault.of(e);
-                boolean second = faults.stream().anyMatch(f -> f.line() == fault.line()
-                    && f.column() == fault.column() && SchemaFault.saysTheSame(e));
+                boolean second = faults.stream()
+                        .anyMatch(f ->
+                                f.line() == fault.line() && f.column() == fault.column() && SchemaFault.saysTheSame(e));
                 if (!second) {
                     faults.add(fault);
                 }
--- a/decisions/src/main/java/wharfhinge/decisions/chain/ChainDecisions.java
+++ b/decisions/src/main/java/wharfhinge/decisions/chain/ChainDecisions.java
@@ -32,6 +32,7 @@
     static final double LEAST_CHANCE = 0.1;
     /** What is asked for beyond that where the fleet turns away or loses this share of steps: work is scarce there. */
     static final double CHANCE_UNDER_PRESSURE = 0.2;
+
     static final double FULL_PRESSURE = 0.1;
     /**
      * Chains open at once follow how they end: a served one raises the bound, one that is lost cuts it by the part of it that
@@ -40,6 +41,7 @@
      * that single calls would not. It hurts where chains are lost for reasons of their own.
      */
     private static final double OPEN_START = 32;
+
     private static final double OPEN_RAISE = 0.01;
     private static final double OPEN_CUT = 0.045;
     private static final double OPEN_LEAST = 2;
@@ -69,13 +71,31 @@
     }
 
     /** How a step's call ended. */
-    public enum StepEnd { SERVED, REFUSED, FAILED }
+    public enum StepEnd {
+        SERVED,
+        REFUSED,
+        FAILED
+    }
 
     /** What is counted from the start on. */
     public enum Count {
-        CHAINS, SERVED, REFUSED, FAILED, LEFT, REFUSED_FULL, REFUSED_AT_START, REFUSED_LATER, LET_THROUGH,
-        LET_THROUGH_SERVED, AHEAD_ORDERED, AHEAD_USED, AHEAD_UNUSED, AHEAD_LATE, AHEAD_FOR_NEXT,
-        STEPS, STEPS_CANCELLED
+        CHAINS,
+        SERVED,
+        REFUSED,
+        FAILED,
+        LEFT,
+        REFUSED_FULL,
+        REFUSED_AT_START,
+        REFUSED_LATER,
+        LET_THROUGH,
+        LET_THROUGH_SERVED,
+        AHEAD_ORDERED,
+        AHEAD_USED,
+        AHEAD_UNUSED,
+        AHEAD_LATE,
+        AHEAD_FOR_NEXT,
+        STEPS,
+        STEPS_CANCELLED
     }
 
     private static final class Chain {
@@ -113,7 +133,7 @@
         }
     }
 
-    private record Ready(Chain chain, int step) { }
+    private record Ready(Chain chain, int step) {}
 
     private final ChainSettings settings;
     private final Actions actions;
@@ -285,8 +305,8 @@
     }
 
     private boolean mayOpen(String tenant) {
-        return stepsOpen < settings.mostSteps() && stepsOf.getOrDefault(tenant, 0)
-            < Math.max(1, settings.tenantShare() * settings.mostSteps());
+        return stepsOpen < settings.mostSteps()
+                && stepsOf.getOrDefault(tenant, 0) < Math.max(1, settings.tenantShare() * settings.mostSteps());
     }
 
     /** Tenants whose steps wait take turns. */
@@ -297,7 +317,7 @@
             for (String tenant : List.copyOf(waiting.keySet())) {
                 ArrayDeque<Ready> line = waiting.get(tenant);
                 while (!line.isEmpty() && !ready(line.peek().chain, line.peek().step)
-                    || !line.isEmpty() && !chains.containsKey(line.peek().chain.id)) {
+                        || !line.isEmpty() && !chains.containsKey(line.peek().chain.id)) {
                     line.poll();
                 }
                 if (line.isEmpty()) {
@@ -384,8 +404,9 @@
 
     private Spread estimate(Chain c, int step, boolean believed) {
         Step s = c.plan.steps().get(step);
-        return believed ? times.warm(s.function(), s.costNs(), c.untoldNs)
-            : times.unsure(s.function(), s.costNs(), s.loadNs(), c.untoldNs);
+        return believed
+                ? times.warm(s.function(), s.costNs(), c.untoldNs)
+                : times.unsure(s.function(), s.costNs(), s.loadNs(), c.untoldNs);
     }
 
     /** The longest path of what is not yet served, by medians. */
@@ -401,9 +422,14 @@
             }
             from[step] = switch (c.states[step]) {
                 case SERVED -> rest;
-                case RUNNING -> estimate(c, step, c.believed[step]).after(now - c.startedAt[step]).then(rest);
-                default -> estimate(c, step, fleet.believedWarm(c.plan.steps().get(step).function())).then(rest);
-            };
+                case RUNNING -> estimate(c, step, c.believed[step])
+                        .after(now - c.startedAt[step])
+                        .then(rest);
+                default -> estimate(
+                                c,
+                                step,
+                                fleet.believedWarm(c.plan.steps().get(step).function()))
+                        .then(rest);};
             longest = from[step].median() >= longest.median() ? from[step] : longest;
         }
         return longest;
@@ -458,8 +484,9 @@
     private void endEarly(Chain c, String reason) {
         boolean harmless = true;
         for (int i = 0; i < c.states.length; i++) {
-            boolean exposed = c.states[i] == StepState.SERVED || c.states[i] == StepState.RUNNING
-                || c.states[i] == StepState.MAY_HAVE_RUN;
+            boolean exposed = c.states[i] == StepState.SERVED
+                    || c.states[i] == StepState.RUNNING
+                    || c.states[i] == StepState.MAY_HAVE_RUN;
             harmless &= !exposed || c.plan.steps().get(i).effect() == Effect.IDEMPOTENT;
         }
         end(c, harmless ? Kind.REFUSED : Kind.FAILED, reason);
@@ -483,7 +510,9 @@
 
     /** Of a chain that is lost, the steps on which work was spent. */
     private static double partLost(Chain c) {
-        long spent = Arrays.stream(c.states).filter(s -> s != StepState.NOT_STARTED && s != StepState.REFUSED).count();
+        long spent = Arrays.stream(c.states)
+                .filter(s -> s != StepState.NOT_STARTED && s != StepState.REFUSED)
+                .count();
         return spent / (double) c.states.length;
     }
 
--- a/decisions/src/main/java/wharfhinge/decisions/chain/ChainPlan.java
+++ b/decisions/src/main/java/wharfhinge/decisions/chain/ChainPlan.java
@@ -20,8 +20,14 @@
      * @param costNs expected work, 0 untold
      * @param loadNs usual time of a load, 0 untold
      */
-    public record Step(String id, String function, String requestClass, Effect effect, List<String> needs, long costNs,
-                       long loadNs) { }
+    public record Step(
+            String id,
+            String function,
+            String requestClass,
+            Effect effect,
+            List<String> needs,
+            long costNs,
+            long loadNs) {}
 
     /** A plan that is no chain; names the place, what was found and what is allowed. */
     public static final class InvalidPlanException extends Exception {
@@ -53,7 +59,8 @@
         Map<String, Integer> byId = new HashMap<>();
         for (int i = 0; i < n; i++) {
             if (byId.put(steps.get(i).id(), i) != null) {
-                throw new InvalidPlanException("steps[" + i + "].id", "'" + steps.get(i).id() + "' twice", "once");
+                throw new InvalidPlanException(
+                        "steps[" + i + "].id", "'" + steps.get(i).id() + "' twice", "once");
             }
         }
         int[][] needs = new int[n][];
@@ -65,14 +72,16 @@
             for (int k = 0; k < names.size(); k++) {
                 Integer need = byId.get(names.get(k));
                 if (need == null) {
-                    throw new InvalidPlanException("steps[" + i + "].input", "'" + names.get(k) + "'",
-                        "client or the id of a step");
+                    throw new InvalidPlanException(
+                            "steps[" + i + "].input", "'" + names.get(k) + "'", "client or the id of a step");
                 }
                 needs[i][k] = need;
                 dependents.get(need).add(i);
             }
         }
-        int[][] after = dependents.stream().map(d -> d.stream().mapToInt(x -> x).toArray()).toArray(int[][]::new);
+        int[][] after = dependents.stream()
+                .map(d -> d.stream().mapToInt(x -> x).toArray())
+                .toArray(int[][]::new);
         return new ChainPlan(List.copyOf(steps), needs, after, order(steps, needs, after));
     }
 
@@ -93,8 +102,8 @@
             for (int next : dependents[order[at]]) {
                 depth[next] = Math.max(depth[next], depth[order[at]] + 1);
                 if (depth[next] > MOST_DEPTH) {
-                    throw new InvalidPlanException("steps[" + next + "]", "over " + MOST_DEPTH + " steps in a row",
-                        "at most " + MOST_DEPTH);
+                    throw new InvalidPlanException(
+                            "steps[" + next + "]", "over " + MOST_DEPTH + " steps in a row", "at most " + MOST_DEPTH);
                 }
                 if (--missing[next] == 0) {
                     order[done++] = next;
@@ -106,8 +115,10 @@
             while (missing[stuck] == 0) {
                 stuck++;
             }
-            throw new InvalidPlanException("steps[" + stuck + "].input", "'" + steps.get(stuck).id()
-                + "' waiting for itself", "steps without a cycle");
+            throw new InvalidPlanException(
+                    "steps[" + stuck + "].input",
+                    "'" + steps.get(stuck).id() + "' waiting for itself",
+                    "steps without a cycle");
         }
         return order;
     }
--- a/decisions/src/main/java/wharfhinge/decisions/chain/ChainSettings.java
+++ b/decisions/src/main/java/wharfhinge/decisions/chain/ChainSettings.java
@@ -13,8 +13,19 @@
  * @param mostBytes     bytes of answers held between steps, of all chains
  * @param reserveNs     kept back at a deadline for the answer's way
  */
-public record ChainSettings(Clock clock, boolean earlyRefusal, int letThrough, boolean loadAhead, int mostChains,
-                            int mostSteps, double tenantShare, long mostBytes, long reserveNs) {
+public record ChainSettings(
+        Clock clock,
+        boolean earlyRefusal,
+        int letThrough,
+        boolean loadAhead,
+        int mostChains,
+        int mostSteps,
+        double tenantShare,
+        long mostBytes,
+        long reserveNs) {
     /** What the time of a step is cut from. */
-    public enum Clock { ONE, EACH_STEP }
+    public enum Clock {
+        ONE,
+        EACH_STEP
+    }
 }
--- a/decisions/src/main/java/wharfhinge/decisions/chain/FinishedSteps.java
+++ b/decisions/src/main/java/wharfhinge/decisions/chain/FinishedSteps.java
@@ -12,7 +12,7 @@
  */
 public final class FinishedSteps {
     /** What a step answered. */
-    public record Answer(byte[] body, String contentType) { }
+    public record Answer(byte[] body, String contentType) {}
 
     private static final class Entry {
         private final String digest;
@@ -54,7 +54,8 @@
         entry.bytes += answer.body().length;
         entry.expires = now + windowNs;
         keys.put(key, entry);
-        while (keys.size() > mostKeys || keys.values().stream().mapToLong(e -> e.bytes).sum() > mostBytes) {
+        while (keys.size() > mostKeys
+                || keys.values().stream().mapToLong(e -> e.bytes).sum() > mostBytes) {
             keys.remove(keys.keySet().iterator().next());
         }
         return true;
@@ -68,8 +69,9 @@
         }
         forget(now, keys);
         Entry entry = keys.get(key);
-        return entry == null || !entry.digest.equals(digest) || entry.answers.length != steps ? Optional.empty()
-            : Optional.of(entry.answers.clone());
+        return entry == null || !entry.digest.equals(digest) || entry.answers.length != steps
+                ? Optional.empty()
+                : Optional.of(entry.answers.clone());
     }
 
     private static void forget(long now, LinkedHashMap<String, Entry> keys) {
--- a/decisions/src/main/java/wharfhinge/decisions/chain/LearnedTimes.java
+++ b/decisions/src/main/java/wharfhinge/decisions/chain/LearnedTimes.java
@@ -44,8 +44,12 @@
             IntCountsHistogram both = new IntCountsHistogram(LONGEST, 1);
             both.add(recent);
             both.add(former);
-            return both.getTotalCount() < ENOUGH ? null : new Spread(both.getValueAtPercentile(10) * UNIT,
-                both.getValueAtPercentile(50) * UNIT, both.getValueAtPercentile(90) * UNIT);
+            return both.getTotalCount() < ENOUGH
+                    ? null
+                    : new Spread(
+                            both.getValueAtPercentile(10) * UNIT,
+                            both.getValueAtPercentile(50) * UNIT,
+                            both.getValueAtPercentile(90) * UNIT);
         }
     }
 
@@ -102,8 +106,9 @@
         if (loadNs > 0) {
             return warm(function, costNs, untoldNs).then(new Spread(loadNs * 3 / 4, loadNs, 2 * loadNs));
         }
-        return anyLoaded.read != null ? anyLoaded.read
-            : warm(function, costNs, untoldNs).then(new Spread(0, untoldNs / 8, untoldNs)); // unknown: worth a try
+        return anyLoaded.read != null
+                ? anyLoaded.read
+                : warm(function, costNs, untoldNs).then(new Spread(0, untoldNs / 8, untoldNs)); // unknown: worth a try
     }
 
     /** A call that may load or not: where others keep functions warm, not believing in a copy does not mean a load. */
@@ -111,7 +116,9 @@
         Spread stands = warm(function, costNs, untoldNs);
         Spread loads = load(function, costNs, loadNs, untoldNs);
         double chance = loadsUnbelieved;
-        return new Spread(chance > 0.9 ? loads.low() : stands.low(), chance > 0.5 ? loads.median() : stands.median(),
-            Math.max(stands.high(), chance > 0.1 ? loads.high() : stands.high()));
+        return new Spread(
+                chance > 0.9 ? loads.low() : stands.low(),
+                chance > 0.5 ? loads.median() : stands.median(),
+                Math.max(stands.high(), chance > 0.1 ? loads.high() : stands.high()));
     }
 }
--- a/decisions/src/main/java/wharfhinge/decisions/copies/CopyDecisions.java
+++ b/decisions/src/main/java/wharfhinge/decisions/copies/CopyDecisions.java
@@ -24,13 +24,27 @@
     private static final int REMEMBERED = 4096;
 
     /** How a call is answered. */
-    public enum Answer { SERVED, ERROR, FULL, MISS, MISS_LOAD_FAILED }
+    public enum Answer {
+        SERVED,
+        ERROR,
+        FULL,
+        MISS,
+        MISS_LOAD_FAILED
+    }
 
     /** What copy a call met. */
-    public enum Met { FOUND, BEGAN, WAITED }
+    public enum Met {
+        FOUND,
+        BEGAN,
+        WAITED
+    }
 
     /** How an order is answered. */
-    public enum OrderAnswer { SERVED, FULL, ERROR }
+    public enum OrderAnswer {
+        SERVED,
+        FULL,
+        ERROR
+    }
 
     /** How a call ended in its copy. */
     public enum CallEnd {
@@ -80,7 +94,13 @@
         void drained();
     }
 
-    private enum State { LINED, LOADING, READY, LEAVING, STUCK }
+    private enum State {
+        LINED,
+        LOADING,
+        READY,
+        LEAVING,
+        STUCK
+    }
 
     private static final class Copy {
         private final long id;
@@ -306,8 +326,11 @@
             copy.spoiled = true;
         }
         if (!call.cancelled) {
-            actions.answer(id, how == CallEnd.SERVED ? Answer.SERVED : Answer.ERROR, how == CallEnd.SERVED ? call.met : null,
-                call.company);
+            actions.answer(
+                    id,
+                    how == CallEnd.SERVED ? Answer.SERVED : Answer.ERROR,
+                    how == CallEnd.SERVED ? call.met : null,
+                    call.company);
         }
         rest(now, copy);
         serve(now, copy.fn);
@@ -389,8 +412,9 @@
             return;
         }
         boolean room = ledger.free() + ledger.in(Part.LEAVING) - lined >= needed(fn, Figures.UNKNOWN);
-        boolean comes = !fn.any(State.LINED, State.LOADING) && (room || !fn.waiting.isEmpty())
-            && admit(fn, Figures.UNKNOWN, false);
+        boolean comes = !fn.any(State.LINED, State.LOADING)
+                && (room || !fn.waiting.isEmpty())
+                && admit(fn, Figures.UNKNOWN, false);
         if (!comes && !fn.live()) {
             turnAway(fn, Answer.FULL);
         }
@@ -459,7 +483,7 @@
     }
 
     private void settleOrders(Fn fn, boolean failed) {
-        for (Iterator<Order> i = fn.orders.iterator(); i.hasNext();) {
+        for (Iterator<Order> i = fn.orders.iterator(); i.hasNext(); ) {
             Order order = i.next();
             boolean over = answered(fn, order);
             if (!over && failed) {
--- a/decisions/src/main/java/wharfhinge/decisions/copies/CopySettings.java
+++ b/decisions/src/main/java/wharfhinge/decisions/copies/CopySettings.java
@@ -12,5 +12,12 @@
  * @param loadsOnCall   whether a call for a function that is not loaded begins its load; else it is a miss
  * @param ownFurther    whether a call that finds all lanes taken begins a further copy; else only orders do
  */
-public record CopySettings(long totalKb, long usualKb, int queue, int loadsAtOnce, int loadLine, long keepNs,
-                           boolean loadsOnCall, boolean ownFurther) { }
+public record CopySettings(
+        long totalKb,
+        long usualKb,
+        int queue,
+        int loadsAtOnce,
+        int loadLine,
+        long keepNs,
+        boolean loadsOnCall,
+        boolean ownFurther) {}
--- a/decisions/src/main/java/wharfhinge/decisions/copies/Evictions.java
+++ b/decisions/src/main/java/wharfhinge/decisions/copies/Evictions.java
@@ -11,9 +11,9 @@
      *
      * @param since when it went idle, nanoseconds
      */
-    public record Idle(long copy, long kb, long since) { }
+    public record Idle(long copy, long kb, long since) {}
 
-    private Evictions() { }
+    private Evictions() {}
 
     /**
      * Those idle longest go first, and none goes whose memory is not needed: where a later one was large enough by itself,
--- a/decisions/src/main/java/wharfhinge/decisions/copies/Ledger.java
+++ b/decisions/src/main/java/wharfhinge/decisions/copies/Ledger.java
@@ -30,7 +30,7 @@
         }
     }
 
-    private record Entry(long kb, Part part) { }
+    private record Entry(long kb, Part part) {}
 
     private final long total;
     private final Map<Long, Entry> entries = new HashMap<>();
--- a/decisions/src/main/java/wharfhinge/decisions/door/DoorDecisions.java
+++ b/decisions/src/main/java/wharfhinge/decisions/door/DoorDecisions.java
@@ -21,7 +21,12 @@
     public static final String OTHERS = "";
 
     /** What is said to a call. */
-    public enum Answer { ADMITTED, RATE, OPEN, SHARE }
+    public enum Answer {
+        ADMITTED,
+        RATE,
+        OPEN,
+        SHARE
+    }
 
     /** How a call ended. */
     public enum Ending {
@@ -34,10 +39,10 @@
     }
 
     /** An answer with when to come back, nanoseconds; 0 where it was admitted. */
-    public record Verdict(Answer answer, long comeBackNs) { }
+    public record Verdict(Answer answer, long comeBackNs) {}
 
     /** A tenant's figures. */
-    public record Figures(String tenant, int open, long admitted, long rate, long mostOpen, long share) { }
+    public record Figures(String tenant, int open, long admitted, long rate, long mostOpen, long share) {}
 
     private static final Verdict ADMITTED = new Verdict(Answer.ADMITTED, 0);
     private static final double LIMIT_START = 16;
@@ -183,7 +188,9 @@
     /** What was counted, by tenant. */
     public List<Figures> figures() {
         List<Figures> all = new ArrayList<>();
-        tenants.values().forEach(t -> all.add(new Figures(t.name, t.open, t.admitted, t.refusedRate, t.refusedOpen, t.refusedShare)));
+        tenants.values()
+                .forEach(t ->
+                        all.add(new Figures(t.name, t.open, t.admitted, t.refusedRate, t.refusedOpen, t.refusedShare)));
         return all;
     }
 }
--- a/decisions/src/main/java/wharfhinge/decisions/door/TenantLimit.java
+++ b/decisions/src/main/java/wharfhinge/decisions/door/TenantLimit.java
@@ -12,8 +12,9 @@
     /** Checks it. */
     public TenantLimit {
         if (!(weight > 0) || perS < 0 || perS > 0 && burst < 1 || mostOpen < 0) {
-            throw new IllegalArgumentException("tenant: found weight " + weight + ", " + perS + " a second with burst " + burst
-                + ", most open " + mostOpen + ", allowed: weight above 0, the others 0 or more, burst 1 or more with a rate");
+            throw new IllegalArgumentException("tenant: found weight " + weight + ", " + perS + " a second with burst "
+                    + burst + ", most open " + mostOpen
+                    + ", allowed: weight above 0, the others 0 or more, burst 1 or more with a rate");
         }
     }
 }
--- a/decisions/src/main/java/wharfhinge/decisions/watch/WatchBackoff.java
+++ b/decisions/src/main/java/wharfhinge/decisions/watch/WatchBackoff.java
@@ -10,7 +10,8 @@
 public final class WatchBackoff {
     private static final long MS = 1_000_000L;
     private static final long LEAST_NS = 20 * MS;
-    private static final long MOST_NS = 500 * MS; // a list may be told as late as some seconds, so a source that is back is asked soon
+    private static final long MOST_NS =
+            500 * MS; // a list may be told as late as some seconds, so a source that is back is asked soon
     private static final long LASTED_NS = 1000 * MS; // a source that lives says something each second
 
     private final Random random;
--- a/gateway/src/main/java/wharfhinge/gateway/CapturedDecisions.java
+++ b/gateway/src/main/java/wharfhinge/gateway/CapturedDecisions.java
@@ -26,11 +26,16 @@
         try {
             this.key = settings.hashKey() == null ? null : Files.readAllBytes(settings.hashKey());
             if (key != null && key.length < LEAST_KEY) {
-                throw new IOException(settings.hashKey() + ": found a key of " + key.length + " bytes, allowed: " + LEAST_KEY
-                    + " or more");
+                throw new IOException(settings.hashKey() + ": found a key of " + key.length + " bytes, allowed: "
+                        + LEAST_KEY + " or more");
             }
-            this.writer = new CaptureWriter(settings.folder(), gateway, settings.segmentBytes(), settings.mostBytes(),
-                settings.mostAgeMs(), key != null);
+            this.writer = new CaptureWriter(
+                    settings.folder(),
+                    gateway,
+                    settings.segmentBytes(),
+                    settings.mostBytes(),
+                    settings.mostAgeMs(),
+                    key != null);
         } catch (IOException e) {
             throw new UncheckedIOException("capture into " + settings.folder() + ": " + e.getMessage(), e);
         }
--- a/gateway/src/main/java/wharfhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/wharfhinge/gateway/Gateway.java
@@ -82,9 +82,11 @@
      *
      * @param sourceOf makes the source from an I/O group and its channel type; null for the roster of the settings
      */
-    public Gateway(GatewayConfig config, DispatcherFactory decisions,
-                   BiFunction<EventLoopGroup, Class<? extends Channel>, FleetSource> sourceOf)
-        throws InterruptedException {
+    public Gateway(
+            GatewayConfig config,
+            DispatcherFactory decisions,
+            BiFunction<EventLoopGroup, Class<? extends Channel>, FleetSource> sourceOf)
+            throws InterruptedException {
         this.config = config;
         boolean epoll = Epoll.isAvailable();
         channel = epoll ? EpollSocketChannel.class : NioSocketChannel.class;
@@ -96,15 +98,25 @@
         remembered = new RememberedList(config.roster().remembered(), System::currentTimeMillis);
         log = new Slf4jAnswerLog(config.log().remarksPerS());
         AtomicReference<PeerLink> link = new AtomicReference<>(PeerLink.NONE);
-        journal = config.chains().resumeFile() == null ? StepJournal.NONE : new MvStepJournal(
-            config.chains().resumeFile(), config.chains().resumeWindowNs(), System::currentTimeMillis);
+        journal = config.chains().resumeFile() == null
+                ? StepJournal.NONE
+                : new MvStepJournal(
+                        config.chains().resumeFile(), config.chains().resumeWindowNs(), System::currentTimeMillis);
         captured = config.capture() == null ? null : new CapturedDecisions(decisions, config.name(), config.capture());
-        loop = new DecisionLoop(config, captured == null ? decisions : captured, workers, source,
-            (peer, payload) -> link.get().publish(peer, payload), journal, log, System::nanoTime);
+        loop = new DecisionLoop(
+                config,
+                captured == null ? decisions : captured,
+                workers,
+                source,
+                (peer, payload) -> link.get().publish(peer, payload),
+                journal,
+                log,
+                System::nanoTime);
         BiConsumer<Integer, byte[]> inbox = loop::inbox;
         Class<? extends DatagramChannel> datagrams = epoll ? EpollDatagramChannel.class : NioDatagramChannel.class;
-        peers = config.peers().isEmpty() ? null
-            : new UdpPeers(config.settings().myNumber(), config.peers(), group, datagrams, inbox);
+        peers = config.peers().isEmpty()
+                ? null
+                : new UdpPeers(config.settings().myNumber(), config.peers(), group, datagrams, inbox);
         if (peers != null) {
             link.set(peers);
         }
@@ -112,19 +124,27 @@
         try {
             tls = config.tls() == null ? null : new Tls(config.tls());
             GatewayConfig.Proof proof = config.proof();
-            intake = new Intake(config, loop, new Identity(proof == null || proof.tokenKey() == null ? null
-                : new Tokens(proof.tokenKey(), System::currentTimeMillis), proof != null && proof.needed()));
+            intake = new Intake(
+                    config,
+                    loop,
+                    new Identity(
+                            proof == null || proof.tokenKey() == null
+                                    ? null
+                                    : new Tokens(proof.tokenKey(), System::currentTimeMillis),
+                            proof != null && proof.needed()));
         } catch (IOException e) {
             throw new UncheckedIOException(e.getMessage(), e);
         }
         front = new Front(config, intake, new StatusPage(this::figures), tls == null ? null : tls.context());
-        grpc = config.grpc() == null ? null : new GrpcFront(config, intake, tls == null ? null : tls.context(), acceptor, group,
-            server);
+        grpc = config.grpc() == null
+                ? null
+                : new GrpcFront(config, intake, tls == null ? null : tls.context(), acceptor, group, server);
         thread = new Thread(loop, "decisions");
     }
 
     private static EventLoopGroup group(boolean epoll, int threads) {
-        return new MultiThreadIoEventLoopGroup(threads, epoll ? EpollIoHandler.newFactory() : NioIoHandler.newFactory());
+        return new MultiThreadIoEventLoopGroup(
+                threads, epoll ? EpollIoHandler.newFactory() : NioIoHandler.newFactory());
     }
 
     /** Warms up, for at most as long as the settings say; to be called before {@link #start}, or not at all. A stop ends it. */
@@ -133,10 +153,15 @@
             if (stopping.get()) {
                 return;
             }
-            rehearsed = Rehearsal.play(config, config.clients().rehearseNs(), acceptor, group, channel, server, stopping::get);
+            rehearsed = Rehearsal.play(
+                    config, config.clients().rehearseNs(), acceptor, group, channel, server, stopping::get);
         }
-        LOG.info("gateway {} rehearsed {} calls in {} ms, {} us each at last", config.name(), rehearsed.calls(), rehearsed.tookMs(),
-            rehearsed.quickestUs());
+        LOG.info(
+                "gateway {} rehearsed {} calls in {} ms, {} us each at last",
+                config.name(),
+                rehearsed.calls(),
+                rehearsed.tookMs(),
+                rehearsed.quickestUs());
     }
 
     /** What came of the rehearsal. */
@@ -153,7 +178,10 @@
 
     private InetSocketAddress begin() throws InterruptedException {
         remembered.read().ifPresent(list -> {
-            LOG.info("remembered list of revision {} with {} workers", list.revision(), list.entries().size());
+            LOG.info(
+                    "remembered list of revision {} with {} workers",
+                    list.revision(),
+                    list.entries().size());
             loop.fleet(list);
         });
         thread.start();
@@ -166,7 +194,10 @@
             try {
                 grpcAddress = grpc.listen();
             } catch (IOException e) {
-                throw new UncheckedIOException("grpc on " + config.grpc().address() + ":" + config.grpc().port() + ": " + e.getMessage(), e);
+                throw new UncheckedIOException(
+                        "grpc on " + config.grpc().address() + ":"
+                                + config.grpc().port() + ": " + e.getMessage(),
+                        e);
             }
             LOG.info("gateway {} takes gRPC on {}", config.name(), grpcAddress);
         }
--- a/gateway/src/main/java/wharfhinge/gateway/MvStepJournal.java
+++ b/gateway/src/main/java/wharfhinge/gateway/MvStepJournal.java
@@ -29,7 +29,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(MvStepJournal.class);
     private static final int WAITING = 4096;
 
-    private record Kept(String name, byte[] value, Runnable kept) { }
+    private record Kept(String name, byte[] value, Runnable kept) {}
 
     private final MVStore store;
     private final MVMap<String, byte[]> steps;
@@ -55,7 +55,10 @@
             if (file.getParent() != null) {
                 Files.createDirectories(file.getParent());
             }
-            return new MVStore.Builder().fileName(file.toString()).autoCommitDisabled().open();
+            return new MVStore.Builder()
+                    .fileName(file.toString())
+                    .autoCommitDisabled()
+                    .open();
         } catch (MVStoreException e) {
             Path aside = file.resolveSibling(file.getFileName() + ".damaged");
             LOG.warn("the step journal {} is damaged and set aside as {}: {}", file, aside, e.getMessage());
@@ -64,15 +67,18 @@
             } catch (IOException moved) {
                 throw new IllegalStateException("step journal " + file + ": " + moved, moved);
             }
-            return new MVStore.Builder().fileName(file.toString()).autoCommitDisabled().open();
+            return new MVStore.Builder()
+                    .fileName(file.toString())
+                    .autoCommitDisabled()
+                    .open();
         } catch (IOException e) {
             throw new IllegalStateException("step journal " + file + ": " + e, e);
         }
     }
 
     @Override
-    public boolean finished(String tenant, String key, String digest, int count, int step, FinishedSteps.Answer answer,
-                            Runnable kept) {
+    public boolean finished(
+            String tenant, String key, String digest, int count, int step, FinishedSteps.Answer answer, Runnable kept) {
         if (over) {
             return false;
         }
@@ -144,8 +150,14 @@
                 String type = in.readUTF();
                 byte[] body = new byte[in.readInt()];
                 in.readFully(body);
-                to.step(age * 1_000_000, tenant, key, digest, count, step, new FinishedSteps.Answer(body,
-                    type.isEmpty() ? null : type));
+                to.step(
+                        age * 1_000_000,
+                        tenant,
+                        key,
+                        digest,
+                        count,
+                        step,
+                        new FinishedSteps.Answer(body, type.isEmpty() ? null : type));
             } catch (IOException e) {
                 LOG.warn("a step in the journal can't be read and is left out", e);
             }
--- a/gateway/src/main/java/wharfhinge/gateway/Rehearsal.java
+++ b/gateway/src/main/java/wharfhinge/gateway/Rehearsal.java
@@ -70,7 +70,7 @@
     private static final long WITHIN_S = 5;
 
     /** How many calls it took, how long, and the time between two answers in the quickest thousand, microseconds. */
-    record Played(long calls, long tookMs, long quickestUs) { }
+    record Played(long calls, long tookMs, long quickestUs) {}
 
     private final GatewayConfig config;
     private final EventLoopGroup group;
@@ -89,32 +89,49 @@
     }
 
     /** Plays for at most so long, and no longer than until {@code stopped}; 0: not at all. The groups are the gateway's and go on. */
-    static Played play(GatewayConfig config, long mostNs, EventLoopGroup acceptor, EventLoopGroup group, Class<? extends Channel> channel,
-                       Class<? extends ServerChannel> server, BooleanSupplier stopped) throws InterruptedException {
+    static Played play(
+            GatewayConfig config,
+            long mostNs,
+            EventLoopGroup acceptor,
+            EventLoopGroup group,
+            Class<? extends Channel> channel,
+            Class<? extends ServerChannel> server,
+            BooleanSupplier stopped)
+            throws InterruptedException {
         long begin = System.nanoTime();
         if (mostNs <= 0) {
             return new Played(0, 0, 0);
         }
         Rehearsal it = new Rehearsal(config, group, begin + mostNs, stopped);
         it.play(acceptor, channel, server);
-        return new Played(it.calls.get(), (System.nanoTime() - begin) / 1_000_000, it.quickest == Long.MAX_VALUE ? 0
-            : it.quickest / CHUNK / 1000);
+        return new Played(
+                it.calls.get(),
+                (System.nanoTime() - begin) / 1_000_000,
+                it.quickest == Long.MAX_VALUE ? 0 : it.quickest / CHUNK / 1000);
     }
 
     private void play(EventLoopGroup acceptor, Class<? extends Channel> channel, Class<? extends ServerChannel> server)
-        throws InterruptedException {
+            throws InterruptedException {
         List<Channel> stage = new ArrayList<>();
         try (HttpWorkers workers = new HttpWorkers(config, group, channel, System::nanoTime)) {
             for (int i = 0; i < WORKERS; i++) {
                 stage.add(worker(acceptor, server));
             }
-            DecisionLoop loop = new DecisionLoop(config, DispatcherFactory.CHOICE, workers, FleetSource.pushedBy(updates -> { }), PeerLink.NONE, StepJournal.NONE,
-                AnswerLog.NONE, System::nanoTime);
+            DecisionLoop loop = new DecisionLoop(
+                    config,
+                    DispatcherFactory.CHOICE,
+                    workers,
+                    FleetSource.pushedBy(updates -> {}),
+                    PeerLink.NONE,
+                    StepJournal.NONE,
+                    AnswerLog.NONE,
+                    System::nanoTime);
             Thread thread = new Thread(loop, "rehearsal");
             thread.setDaemon(true);
             thread.start();
             loop.fleet(new FleetUpdate(ListMode.ALL, 1, fleet(stage)));
-            Front front = new Front(config, new Intake(config, loop, new Identity(null, false)), new StatusPage(Map::of), null);
+            Front front = new Front(
+                    config, new Intake(config, loop, new Identity(null, false)), new StatusPage(Map::of), null);
             clients(front.listen(acceptor, group, server));
             front.finish();
             try {
@@ -131,8 +148,17 @@
 
     private List<RosterEntry> fleet(List<Channel> stage) {
         Settings settings = config.settings();
-        return stage.stream().map(c -> new RosterEntry("127.0.0.1:" + ((InetSocketAddress) c.localAddress()).getPort(), settings.zone(),
-            settings.kinds().get(0), 0, RosterEntry.State.UP, 1, RosterEntry.UNTOLD, RosterEntry.NO_BOOT)).toList();
+        return stage.stream()
+                .map(c -> new RosterEntry(
+                        "127.0.0.1:" + ((InetSocketAddress) c.localAddress()).getPort(),
+                        settings.zone(),
+                        settings.kinds().get(0),
+                        0,
+                        RosterEntry.State.UP,
+                        1,
+                        RosterEntry.UNTOLD,
+                        RosterEntry.NO_BOOT))
+                .toList();
     }
 
     // ---- Clients ----------------------------------------------------------------------------
@@ -157,11 +183,13 @@
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
             socket.setTcpNoDelay(true);
             socket.setSoTimeout(ANSWER_MS);
-            BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+            BufferedReader in =
+                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
             for (long number = calls.getAndIncrement(); goesOn(number); number = calls.getAndIncrement()) {
-                String head = "POST /v1/call/r" + number * number % FUNCTIONS + " HTTP/1.1\r\nhost: gateway\r\nwh-class: "
-                    + classes.get((int) (number % classes.size())).name() + "\r\nwh-deadline-ms: " + ANSWER_MS
-                    + "\r\nwh-memory-mb: 1\r\nwh-lanes: 8\r\ncontent-length: 0\r\n\r\n";
+                String head = "POST /v1/call/r" + number * number % FUNCTIONS
+                        + " HTTP/1.1\r\nhost: gateway\r\nwh-class: "
+                        + classes.get((int) (number % classes.size())).name() + "\r\nwh-deadline-ms: " + ANSWER_MS
+                        + "\r\nwh-memory-mb: 1\r\nwh-lanes: 8\r\ncontent-length: 0\r\n\r\n";
                 socket.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
                 answer(in);
             }
@@ -197,19 +225,30 @@
 
     private Channel worker(EventLoopGroup acceptor, Class<? extends ServerChannel> server) throws InterruptedException {
         try {
-            return new ServerBootstrap().group(acceptor, group).channel(server).childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(Http2FrameCodecBuilder.forServer().build(), new Http2MultiplexHandler(
-                        new ChannelInitializer<Channel>() {
-                            @Override
-                            protected void initChannel(Channel stream) {
-                                stream.pipeline().addLast(new Http2StreamFrameToHttpObjectCodec(true), new HttpObjectAggregator(MOST_BODY),
-                                    new Answers());
-                            }
-                        }));
-                }
-            }).bind(InetAddress.getLoopbackAddress(), 0).sync().channel();
+            return new ServerBootstrap()
+                    .group(acceptor, group)
+                    .channel(server)
+                    .childHandler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel channel) {
+                            channel.pipeline()
+                                    .addLast(
+                                            Http2FrameCodecBuilder.forServer().build(),
+                                            new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
+                                                @Override
+                                                protected void initChannel(Channel stream) {
+                                                    stream.pipeline()
+                                                            .addLast(
+                                                                    new Http2StreamFrameToHttpObjectCodec(true),
+                                                                    new HttpObjectAggregator(MOST_BODY),
+                                                                    new Answers());
+                                                }
+                                            }));
+                        }
+                    })
+                    .bind(InetAddress.getLoopbackAddress(), 0)
+                    .sync()
+                    .channel();
         } catch (RuntimeException e) {
             throw new UncheckedIOException(new IOException("no port for the rehearsal: " + e.getMessage(), e));
         }
@@ -219,9 +258,13 @@
     private static final class Answers extends SimpleChannelInboundHandler<FullHttpRequest> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.EMPTY_BUFFER);
-            response.headers().set(WorkerProtocol.OUTCOME, AnswerCode.SERVED.word()).set(WorkerProtocol.NOTE, CopyNote.FOUND.word())
-                .setInt(WorkerProtocol.COUNT, 1).setInt("content-length", 0);
+            FullHttpResponse response =
+                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.EMPTY_BUFFER);
+            response.headers()
+                    .set(WorkerProtocol.OUTCOME, AnswerCode.SERVED.word())
+                    .set(WorkerProtocol.NOTE, CopyNote.FOUND.word())
+                    .setInt(WorkerProtocol.COUNT, 1)
+                    .setInt("content-length", 0);
             ctx.writeAndFlush(response);
         }
 
--- a/gateway/src/main/java/wharfhinge/gateway/Slf4jAnswerLog.java
+++ b/gateway/src/main/java/wharfhinge/gateway/Slf4jAnswerLog.java
@@ -34,10 +34,15 @@
 
     @Override
     public void answered(Line line) {
-        ANSWERS.atInfo().addKeyValue("call", line.call()).addKeyValue("function", line.function())
-            .addKeyValue("class", line.requestClass()).addKeyValue("tenant", line.tenant())
-            .addKeyValue("answer", line.answer()).addKeyValue("took_us", line.tookNs() / 1000)
-            .addKeyValue("attempts", line.trail()).log("answer");
+        ANSWERS.atInfo()
+                .addKeyValue("call", line.call())
+                .addKeyValue("function", line.function())
+                .addKeyValue("class", line.requestClass())
+                .addKeyValue("tenant", line.tenant())
+                .addKeyValue("answer", line.answer())
+                .addKeyValue("took_us", line.tookNs() / 1000)
+                .addKeyValue("attempts", line.trail())
+                .log("answer");
     }
 
     @Override
--- a/gateway/src/main/java/wharfhinge/gateway/UdpPeers.java
+++ b/gateway/src/main/java/wharfhinge/gateway/UdpPeers.java
@@ -28,29 +28,40 @@
     private final Channel channel;
 
     /** Listens on the address that the list gives for {@code own}. */
-    UdpPeers(int own, Map<Integer, String> peers, EventLoopGroup group, Class<? extends DatagramChannel> type,
-             BiConsumer<Integer, byte[]> inbox) throws InterruptedException {
+    UdpPeers(
+            int own,
+            Map<Integer, String> peers,
+            EventLoopGroup group,
+            Class<? extends DatagramChannel> type,
+            BiConsumer<Integer, byte[]> inbox)
+            throws InterruptedException {
         this.own = own;
         peers.forEach((number, address) -> {
             int colon = address.lastIndexOf(':');
-            addresses.put(number, new InetSocketAddress(address.substring(0, colon),
-                Integer.parseInt(address.substring(colon + 1))));
+            addresses.put(
+                    number,
+                    new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))));
         });
-        this.channel = new Bootstrap().group(group).channel(type)
-            .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
-                @Override
-                protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
-                    ByteBuf in = packet.content();
-                    if (in.readableBytes() >= 8 && in.readableBytes() <= 8 + MOST_BYTES && in.readInt() == MAGIC) {
-                        int from = in.readInt();
-                        if (addresses.containsKey(from) && from != own) {
-                            byte[] payload = new byte[in.readableBytes()];
-                            in.readBytes(payload);
-                            inbox.accept(from, payload);
+        this.channel = new Bootstrap()
+                .group(group)
+                .channel(type)
+                .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
+                    @Override
+                    protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+                        ByteBuf in = packet.content();
+                        if (in.readableBytes() >= 8 && in.readableBytes() <= 8 + MOST_BYTES && in.readInt() == MAGIC) {
+                            int from = in.readInt();
+                            if (addresses.containsKey(from) && from != own) {
+                                byte[] payload = new byte[in.readableBytes()];
+                                in.readBytes(payload);
+                                inbox.accept(from, payload);
+                            }
                         }
                     }
-                }
-            }).bind(addresses.getOrDefault(own, new InetSocketAddress("127.0.0.1", 0))).sync().channel();
+                })
+                .bind(addresses.getOrDefault(own, new InetSocketAddress("127.0.0.1", 0)))
+                .sync()
+                .channel();
     }
 
     @Override
@@ -60,8 +71,12 @@
         }
         addresses.forEach((number, address) -> {
             if (number != own && (peer == -1 || peer == number)) {
-                channel.writeAndFlush(new DatagramPacket(Unpooled.buffer(8 + payload.length).writeInt(MAGIC)
-                    .writeInt(own).writeBytes(payload), address));
+                channel.writeAndFlush(new DatagramPacket(
+                        Unpooled.buffer(8 + payload.length)
+                                .writeInt(MAGIC)
+                                .writeInt(own)
+                                .writeBytes(payload),
+                        address));
             }
         });
     }
--- a/gateway/src/main/java/wharfhinge/gateway/front/Binding.java
+++ b/gateway/src/main/java/wharfhinge/gateway/front/Binding.java
@@ -10,7 +10,7 @@
 final class Binding {
     private static final long PAUSE_MS = 50;
 
-    private Binding() { }
+    private Binding() {}
 
     /** The channel; tries again for so long. The last try's exception is thrown as it is. */
     static Channel within(long ns, Supplier<ChannelFuture> bind) throws InterruptedException {
@@ -29,6 +29,7 @@
 
     /** The native transport has an exception of its own for it. */
     private static boolean taken(Throwable cause) {
-        return cause instanceof BindException || String.valueOf(cause.getMessage()).contains("Address already in use");
+        return cause instanceof BindException
+                || String.valueOf(cause.getMessage()).contains("Address already in use");
     }
 }
--- a/gateway/src/main/java/wharfhinge/gateway/front/BodyKeeper.java
+++ b/gateway/src/main/java/wharfhinge/gateway/front/BodyKeeper.java
@@ -24,12 +24,16 @@
 
     @Override
     protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-            HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, Unpooled.copiedBuffer("body: found over " + most
-            + " bytes, allowed: at most " + most + '\n', StandardCharsets.UTF_8));
-        response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN)
-            .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-            .setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+        FullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
+                Unpooled.copiedBuffer(
+                        "body: found over " + most + " bytes, allowed: at most " + most + '\n',
+                        StandardCharsets.UTF_8));
+        response.headers()
+                .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN)
+                .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+                .setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
         ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
     }
 }
