--- a/gateway/src/main/java/wharfhinge/gateway/front/CallHandler.java
+++ b/gateway/src/main/java/wharfhinge/gateway/front/CallHandler.java
@@ -93,11 +93,18 @@
         if (path.equals(ClientProtocol.STATUS_PATH) && request.method().equals(HttpMethod.GET)) {
             reply(ctx, HttpResponseStatus.OK, status.text(), true);
         } else if (call || chain || path.equals(ClientProtocol.STATUS_PATH)) {
-            reply(ctx, HttpResponseStatus.METHOD_NOT_ALLOWED, "method: found '" + request.method() + "', allowed: "
-                + (call || chain ? "POST" : "GET"), true);
+            reply(
+                    ctx,
+                    HttpResponseStatus.METHOD_NOT_ALLOWED,
+                    "method: found '" + request.method() + "', allowed: " + (call || chain ? "POST" : "GET"),
+                    true);
         } else {
-            reply(ctx, HttpResponseStatus.NOT_FOUND, "path: found nothing there, allowed: " + ClientProtocol.CALL_PATH
-                + "{function}, " + ClientProtocol.CHAIN_PATH + ", " + ClientProtocol.STATUS_PATH, true);
+            reply(
+                    ctx,
+                    HttpResponseStatus.NOT_FOUND,
+                    "path: found nothing there, allowed: " + ClientProtocol.CALL_PATH + "{function}, "
+                            + ClientProtocol.CHAIN_PATH + ", " + ClientProtocol.STATUS_PATH,
+                    true);
         }
         request.release();
     }
@@ -120,11 +127,17 @@
             return;
         }
         head = head.of(who.tenant());
-        long deadline = head.deadlineMs() == 0 ? type.hardLimitNs() : Math.min(head.deadlineMs() * MS,
-            type.hardLimitNs());
+        long deadline =
+                head.deadlineMs() == 0 ? type.hardLimitNs() : Math.min(head.deadlineMs() * MS, type.hardLimitNs());
         Responder responder = new HttpResponder(ctx, () -> answered(ctx), () -> closing && !http2);
-        open = new ClientCall(head, type.name(), deadline, System.nanoTime(), request.content(),
-            request.headers().get(HttpHeaderNames.CONTENT_TYPE), responder);
+        open = new ClientCall(
+                head,
+                type.name(),
+                deadline,
+                System.nanoTime(),
+                request.content(),
+                request.headers().get(HttpHeaderNames.CONTENT_TYPE),
+                responder);
         DecisionLoop.Offered offered = intake.loop().offer(open);
         if (offered.taken() != DecisionLoop.Taken.TAKEN) {
             request.release();
@@ -135,8 +148,10 @@
     private Identity.Checked identity(ChannelHandlerContext ctx, FullHttpRequest request, String claimed) {
         Channel connection = http2 ? ctx.channel().parent() : ctx.channel();
         SslHandler tls = connection.pipeline().get(SslHandler.class);
-        return intake.tenant(tls == null ? null : tls.engine().getSession(),
-            request.headers().get(HttpHeaderNames.AUTHORIZATION), claimed);
+        return intake.tenant(
+                tls == null ? null : tls.engine().getSession(),
+                request.headers().get(HttpHeaderNames.AUTHORIZATION),
+                claimed);
     }
 
     private static HttpResponseStatus status(Identity.Fault fault) {
@@ -149,9 +164,12 @@
         HttpResponder responder = new HttpResponder(ctx, () -> answered(ctx), () -> closing && !http2);
         ChainCall[] self = new ChainCall[1];
         try {
-            self[0] = intake.chains().read(body, "x" + Long.toString(System.nanoTime(), Character.MAX_RADIX),
-                System.nanoTime(), (end, answers) -> responder.chainEnded(end,
-                    ChainJson.write(self[0].plan(), end, answers)));
+            self[0] = intake.chains()
+                    .read(
+                            body,
+                            "x" + Long.toString(System.nanoTime(), Character.MAX_RADIX),
+                            System.nanoTime(),
+                            (end, answers) -> responder.chainEnded(end, ChainJson.write(self[0].plan(), end, answers)));
         } catch (ChainJson.BadChainException e) {
             reply(ctx, HttpResponseStatus.BAD_REQUEST, e.getMessage(), true);
             return;
@@ -193,17 +211,20 @@
 
     private void broken(ChannelHandlerContext ctx, Throwable cause) {
         boolean headers = cause instanceof TooLongHttpHeaderException;
-        HttpResponseStatus status = headers ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-            : cause instanceof TooLongFrameException ? HttpResponseStatus.REQUEST_URI_TOO_LONG
-            : HttpResponseStatus.BAD_REQUEST;
+        HttpResponseStatus status = headers
+                ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+                : cause instanceof TooLongFrameException
+                        ? HttpResponseStatus.REQUEST_URI_TOO_LONG
+                        : HttpResponseStatus.BAD_REQUEST;
         reply(ctx, status, (headers ? "headers" : "request") + ": " + cause.getMessage(), false);
     }
 
     private void reply(ChannelHandlerContext ctx, HttpResponseStatus status, String text, boolean keep) {
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-            Unpooled.copiedBuffer(text + '\n', StandardCharsets.UTF_8));
-        response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN)
-            .setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+        FullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, status, Unpooled.copiedBuffer(text + '\n', StandardCharsets.UTF_8));
+        response.headers()
+                .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN)
+                .setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
         if (keep) {
             ctx.writeAndFlush(response);
             answered(ctx);
@@ -247,5 +268,7 @@
     }
 
     /** Asks a connection to end. */
-    enum Finish { NOW }
+    enum Finish {
+        NOW
+    }
 }
--- a/gateway/src/main/java/wharfhinge/gateway/front/ChainJson.java
+++ b/gateway/src/main/java/wharfhinge/gateway/front/ChainJson.java
@@ -39,11 +39,15 @@
     private static final long MS = 1_000_000L;
     private static final int MOST_NESTING = 16;
     private static final ObjectMapper MAPPER = JsonMapper.builder(com.fasterxml.jackson.core.JsonFactory.builder()
-        .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(MOST_NESTING).build()).build())
-        .enable(com.fasterxml.jackson.databind.DeserializationFeature.FAIL_ON_READING_DUP_TREE_KEY)
-        .enable(com.fasterxml.jackson.databind.DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
+                    .streamReadConstraints(StreamReadConstraints.builder()
+                            .maxNestingDepth(MOST_NESTING)
+                            .build())
+                    .build())
+            .enable(com.fasterxml.jackson.databind.DeserializationFeature.FAIL_ON_READING_DUP_TREE_KEY)
+            .enable(com.fasterxml.jackson.databind.DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .build();
     private static final JsonSchema SCHEMA = JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012)
-        .getSchema(ChainJson.class.getResourceAsStream("chain.schema.json"));
+            .getSchema(ChainJson.class.getResourceAsStream("chain.schema.json"));
 
     private final Map<String, RequestClass> classes;
     private final RequestClass only;
@@ -66,20 +70,22 @@
 
     /** Reads a chain. */
     public ChainCall read(byte[] body, String gatewayId, long receivedAt, ChainCall.Listener listener)
-        throws BadChainException {
+            throws BadChainException {
         JsonNode root;
         try {
             root = MAPPER.readTree(body);
         } catch (JsonProcessingException e) {
-            throw new BadChainException("body, line " + (e.getLocation() == null ? 0 : e.getLocation().getLineNr())
-                + ": " + e.getOriginalMessage());
+            throw new BadChainException("body, line "
+                    + (e.getLocation() == null ? 0 : e.getLocation().getLineNr()) + ": " + e.getOriginalMessage());
         } catch (IOException e) {
             throw new BadChainException("body: " + e.getMessage());
         }
         Set<ValidationMessage> faults = SCHEMA.validate(root);
         if (!faults.isEmpty()) {
-            throw new BadChainException(faults.stream().map(f -> f.getInstanceLocation() + ": "
-                + f.getMessage().replaceFirst("^[^:]*: ", "")).sorted().collect(Collectors.joining("\n")));
+            throw new BadChainException(faults.stream()
+                    .map(f -> f.getInstanceLocation() + ": " + f.getMessage().replaceFirst("^[^:]*: ", ""))
+                    .sorted()
+                    .collect(Collectors.joining("\n")));
         }
         String tenant = text(root, "tenant", null);
         String id = text(root, "id", gatewayId);
@@ -90,13 +96,30 @@
         if (root.has("chain")) {
             ChainConfig.Named named = config.named().get(root.get("chain").asText());
             if (named == null) {
-                throw new BadChainException("$.chain: found '" + root.get("chain").asText() + "', allowed: one of "
-                    + config.named().keySet());
+                throw new BadChainException(
+                        "$.chain: found '" + root.get("chain").asText() + "', allowed: one of "
+                                + config.named().keySet());
             }
             deadline = deadline == 0 ? named.aimNs() : deadline;
             for (ChainConfig.NamedStep s : named.steps()) {
-                add(heads, inputs, steps, new CallHead(s.function(), id + '.' + s.id(), s.requestClass(), tenant, 0,
-                    s.costUs(), s.memoryMb(), s.lanes(), s.loadMs(), false, false), s.id(), s.input());
+                add(
+                        heads,
+                        inputs,
+                        steps,
+                        new CallHead(
+                                s.function(),
+                                id + '.' + s.id(),
+                                s.requestClass(),
+                                tenant,
+                                0,
+                                s.costUs(),
+                                s.memoryMb(),
+                                s.lanes(),
+                                s.loadMs(),
+                                false,
+                                false),
+                        s.id(),
+                        s.input());
             }
         } else {
             int i = 0;
@@ -106,33 +129,66 @@
                 s.path("input").forEach(name -> input.add(name.asText()));
                 if (!classes.containsKey(type) || classes.get(type).stream()) {
                     throw new BadChainException("$.steps[" + i + "].class: found "
-                        + (type == null ? "nothing" : "'" + type + "'") + ", allowed: one of " + classes.keySet()
-                        + " that does not stream");
+                            + (type == null ? "nothing" : "'" + type + "'") + ", allowed: one of " + classes.keySet()
+                            + " that does not stream");
                 }
-                add(heads, inputs, steps, new CallHead(s.get("function").asText(), id + '.' + s.get("id").asText(), type,
-                    tenant, 0, s.path("cost_us").asLong(0), s.path("memory_mb").asDouble(0), s.path("lanes").asInt(0),
-                    s.path("load_ms").asDouble(0), false, s.path("write").asBoolean(false)), s.get("id").asText(),
-                    input.isEmpty() ? List.of(ChainCall.CLIENT) : input);
+                add(
+                        heads,
+                        inputs,
+                        steps,
+                        new CallHead(
+                                s.get("function").asText(),
+                                id + '.' + s.get("id").asText(),
+                                type,
+                                tenant,
+                                0,
+                                s.path("cost_us").asLong(0),
+                                s.path("memory_mb").asDouble(0),
+                                s.path("lanes").asInt(0),
+                                s.path("load_ms").asDouble(0),
+                                false,
+                                s.path("write").asBoolean(false)),
+                        s.get("id").asText(),
+                        input.isEmpty() ? List.of(ChainCall.CLIENT) : input);
                 i++;
             }
         }
         try {
-            return new ChainCall(ChainPlan.of(steps), heads, inputs, text(root, "input", "")
-                .getBytes(StandardCharsets.UTF_8), id, tenant, text(root, "key", null), digest(heads, inputs, root),
-                deadline == 0 ? config.giveUpNs() : Math.min(deadline, config.giveUpNs()), receivedAt, ChainJson::join,
-                listener);
+            return new ChainCall(
+                    ChainPlan.of(steps),
+                    heads,
+                    inputs,
+                    text(root, "input", "").getBytes(StandardCharsets.UTF_8),
+                    id,
+                    tenant,
+                    text(root, "key", null),
+                    digest(heads, inputs, root),
+                    deadline == 0 ? config.giveUpNs() : Math.min(deadline, config.giveUpNs()),
+                    receivedAt,
+                    ChainJson::join,
+                    listener);
         } catch (InvalidPlanException e) {
             throw new BadChainException("$." + e.getMessage());
         }
     }
 
-    private void add(List<CallHead> heads, List<List<String>> inputs, List<ChainPlan.Step> steps, CallHead head, String id,
-                     List<String> input) {
+    private void add(
+            List<CallHead> heads,
+            List<List<String>> inputs,
+            List<ChainPlan.Step> steps,
+            CallHead head,
+            String id,
+            List<String> input) {
         heads.add(head);
         inputs.add(List.copyOf(input));
-        steps.add(new ChainPlan.Step(id, head.function(), head.requestClass(), classes.get(head.requestClass()).effect(),
-            input.stream().filter(name -> !name.equals(ChainCall.CLIENT)).toList(), head.costUs() * 1000,
-            (long) (head.loadMs() * MS)));
+        steps.add(new ChainPlan.Step(
+                id,
+                head.function(),
+                head.requestClass(),
+                classes.get(head.requestClass()).effect(),
+                input.stream().filter(name -> !name.equals(ChainCall.CLIENT)).toList(),
+                head.costUs() * 1000,
+                (long) (head.loadMs() * MS)));
     }
 
     private static String text(JsonNode node, String name, String otherwise) {
@@ -145,8 +201,14 @@
             MessageDigest sha = MessageDigest.getInstance("SHA-256");
             for (int i = 0; i < heads.size(); i++) {
                 CallHead h = heads.get(i);
-                String step = h.id().substring(h.id().indexOf('.')) + '\n' + h.function() + '\n' + h.requestClass() + '\n'
-                    + inputs.get(i) + '\n';
+                String step = h.id().substring(h.id().indexOf('.'))
+                        + '\n'
+                        + h.function()
+                        + '\n'
+                        + h.requestClass()
+                        + '\n'
+                        + inputs.get(i)
+                        + '\n';
                 sha.update(step.getBytes(StandardCharsets.UTF_8));
             }
             sha.update(text(root, "input", "").getBytes(StandardCharsets.UTF_8));
@@ -172,7 +234,12 @@
     /** Text as it is; bytes that are none in Base64, under a name that says so. */
     private static void put(ObjectNode object, String name, byte[] bytes) {
         try {
-            object.put(name, StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString());
+            object.put(
+                    name,
+                    StandardCharsets.UTF_8
+                            .newDecoder()
+                            .decode(ByteBuffer.wrap(bytes))
+                            .toString());
         } catch (CharacterCodingException e) {
             object.put(name + "_base64", Base64.getEncoder().encodeToString(bytes));
         }
--- a/gateway/src/main/java/wharfhinge/gateway/front/Front.java
+++ b/gateway/src/main/java/wharfhinge/gateway/front/Front.java
@@ -21,8 +21,8 @@
 import io.netty.handler.codec.http2.Http2MultiplexHandler;
 import io.netty.handler.codec.http2.Http2Settings;
 import io.netty.handler.codec.http2.Http2StreamFrameToHttpObjectCodec;
-import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.handler.ssl.SslContext;
+import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
@@ -54,22 +54,27 @@
     }
 
     /** Begins to listen; the address tells the port where any was asked for. */
-    public InetSocketAddress listen(EventLoopGroup acceptor, EventLoopGroup group,
-                                    Class<? extends ServerChannel> type) throws InterruptedException {
-        ServerBootstrap bootstrap = new ServerBootstrap().group(acceptor, group).channel(type)
-            .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    accepted(channel);
-                }
-            });
+    public InetSocketAddress listen(EventLoopGroup acceptor, EventLoopGroup group, Class<? extends ServerChannel> type)
+            throws InterruptedException {
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(acceptor, group)
+                .channel(type)
+                .option(ChannelOption.SO_BACKLOG, 1024)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        accepted(channel);
+                    }
+                });
         if (config.clients().reusePort() && EpollServerSocketChannel.class.isAssignableFrom(type)) {
             bootstrap.option(EpollChannelOption.SO_REUSEPORT, true); // beside the process that this one takes over from
         }
-        listening = Binding.within(config.clients().reusePort() ? config.clients().stopWithinNs() + TAKE_OVER_NS : 0,
-            () -> bootstrap.bind(config.clients().address(), config.clients().port()));
+        listening = Binding.within(
+                config.clients().reusePort() ? config.clients().stopWithinNs() + TAKE_OVER_NS : 0,
+                () -> bootstrap.bind(
+                        config.clients().address(), config.clients().port()));
         return (InetSocketAddress) listening.localAddress();
     }
 
@@ -95,27 +100,42 @@
         if (tls != null) {
             channel.pipeline().addLast(tls.newHandler(channel.alloc()), new Handshakes());
         }
-        channel.pipeline().addLast(new IdleStateHandler(0, 0, config.clients().idleNs(), TimeUnit.NANOSECONDS),
-            new ProtocolDetector(this::http1, this::http2));
+        channel.pipeline()
+                .addLast(
+                        new IdleStateHandler(0, 0, config.clients().idleNs(), TimeUnit.NANOSECONDS),
+                        new ProtocolDetector(this::http1, this::http2));
     }
 
     private void http1(ChannelHandlerContext ctx) {
-        ctx.pipeline().addLast(new HttpServerCodec(new HttpDecoderConfig().setMaxInitialLineLength(FIRST_LINE)
-                .setMaxHeaderSize(config.clients().maxHeaderBytes())), new HttpServerKeepAliveHandler(),
-            new BodyKeeper(config.clients().maxBodyBytes()), new CallHandler(intake, status, false));
+        ctx.pipeline()
+                .addLast(
+                        new HttpServerCodec(new HttpDecoderConfig()
+                                .setMaxInitialLineLength(FIRST_LINE)
+                                .setMaxHeaderSize(config.clients().maxHeaderBytes())),
+                        new HttpServerKeepAliveHandler(),
+                        new BodyKeeper(config.clients().maxBodyBytes()),
+                        new CallHandler(intake, status, false));
     }
 
     private void http2(ChannelHandlerContext ctx) {
         ChannelPipeline pipeline = ctx.pipeline();
-        pipeline.addLast(Http2FrameCodecBuilder.forServer().initialSettings(Http2Settings.defaultSettings()
-                .maxConcurrentStreams(STREAMS).maxHeaderListSize(config.clients().maxHeaderBytes())).build(),
-            new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel stream) {
-                    stream.pipeline().addLast(new Http2StreamFrameToHttpObjectCodec(true),
-                        new BodyKeeper(config.clients().maxBodyBytes()), new CallHandler(intake, status, true));
-                }
-            }), new IdleCloser());
+        pipeline.addLast(
+                Http2FrameCodecBuilder.forServer()
+                        .initialSettings(Http2Settings.defaultSettings()
+                                .maxConcurrentStreams(STREAMS)
+                                .maxHeaderListSize(config.clients().maxHeaderBytes()))
+                        .build(),
+                new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel stream) {
+                        stream.pipeline()
+                                .addLast(
+                                        new Http2StreamFrameToHttpObjectCodec(true),
+                                        new BodyKeeper(config.clients().maxBodyBytes()),
+                                        new CallHandler(intake, status, true));
+                    }
+                }),
+                new IdleCloser());
     }
 
     /** Takes no new connection, tells HTTP/2 clients to go elsewhere, and ends HTTP/1.1 ones after their answers. */
--- a/gateway/src/main/java/wharfhinge/gateway/front/HttpResponder.java
+++ b/gateway/src/main/java/wharfhinge/gateway/front/HttpResponder.java
@@ -42,8 +42,8 @@
     @Override
     public void served(ByteBuf body, CharSequence contentType, Facts facts) {
         ctx.executor().execute(() -> {
-            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
-                body == null ? Unpooled.EMPTY_BUFFER : body);
+            FullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.OK, body == null ? Unpooled.EMPTY_BUFFER : body);
             head(response.headers(), FinalAnswer.SERVED, contentType, facts);
             write(response);
         });
@@ -53,13 +53,16 @@
     public void ended(FinalAnswer answer, long coolDownNs, Facts facts) {
         ctx.executor().execute(() -> {
             String text = answer.word() + ": " + String.join(", ", facts.trail()) + '\n';
-            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(answer.status()), Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+            FullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.valueOf(answer.status()),
+                    Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
             head(response.headers(), answer, HttpHeaderValues.TEXT_PLAIN, facts);
             if (coolDownNs > 0) {
                 long ms = Math.max(1, coolDownNs / MS);
-                response.headers().set(ClientProtocol.RETRY_AFTER_MS, ms)
-                    .set(HttpHeaderNames.RETRY_AFTER, (ms + 999) / 1000);
+                response.headers()
+                        .set(ClientProtocol.RETRY_AFTER_MS, ms)
+                        .set(HttpHeaderNames.RETRY_AFTER, (ms + 999) / 1000);
             }
             write(response);
         });
@@ -68,16 +71,25 @@
     /** Ends a chain; the body tells of its steps. */
     void chainEnded(ChainEnd end, byte[] body) {
         ctx.executor().execute(() -> {
-            FinalAnswer answer = switch (end.kind()) {
-                case SERVED -> FinalAnswer.SERVED;
-                case REFUSED -> FinalAnswer.REFUSED;
-                case FAILED -> FinalAnswer.FAILED;
-            };
-            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(answer.status()), Unpooled.wrappedBuffer(body));
-            head(response.headers(), answer, HttpHeaderValues.APPLICATION_JSON, new Facts(null,
-                end.reason().isEmpty() ? List.of() : List.of(end.reason()), (int) end.steps().stream()
-                .filter(s -> s != ChainEnd.StepState.NOT_STARTED).count(), false));
+            FinalAnswer answer =
+                    switch (end.kind()) {
+                        case SERVED -> FinalAnswer.SERVED;
+                        case REFUSED -> FinalAnswer.REFUSED;
+                        case FAILED -> FinalAnswer.FAILED;
+                    };
+            FullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status()), Unpooled.wrappedBuffer(body));
+            head(
+                    response.headers(),
+                    answer,
+                    HttpHeaderValues.APPLICATION_JSON,
+                    new Facts(
+                            null,
+                            end.reason().isEmpty() ? List.of() : List.of(end.reason()),
+                            (int) end.steps().stream()
+                                    .filter(s -> s != ChainEnd.StepState.NOT_STARTED)
+                                    .count(),
+                            false));
             write(response);
         });
     }
@@ -99,7 +111,8 @@
     }
 
     private void write(FullHttpResponse response) {
-        response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+        response.headers()
+                .setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
         ctx.writeAndFlush(response);
         written.run();
     }
--- a/gateway/src/main/java/wharfhinge/gateway/front/Intake.java
+++ b/gateway/src/main/java/wharfhinge/gateway/front/Intake.java
@@ -46,7 +46,8 @@
     public RequestClass type(CallHead head) throws ProtocolException {
         RequestClass type = head.requestClass() == null ? only : classes.get(head.requestClass());
         if (type == null) {
-            throw new ProtocolException(ClientProtocol.CLASS.toString(), head.requestClass(), "one of " + classes.keySet());
+            throw new ProtocolException(
+                    ClientProtocol.CLASS.toString(), head.requestClass(), "one of " + classes.keySet());
         }
         return type;
     }
@@ -58,7 +59,11 @@
 
     /** What a client is told of a call that was not taken. */
     public static Responder.Facts notTaken(DecisionLoop.Offered offered) {
-        return new Responder.Facts(null, List.of("not-taken:" + offered.taken().name().toLowerCase(Locale.ROOT).replace('_', '-')), 0,
-            false);
+        return new Responder.Facts(
+                null,
+                List.of("not-taken:"
+                        + offered.taken().name().toLowerCase(Locale.ROOT).replace('_', '-')),
+                0,
+                false);
     }
 }
--- a/gateway/src/main/java/wharfhinge/gateway/front/StatusPage.java
+++ b/gateway/src/main/java/wharfhinge/gateway/front/StatusPage.java
@@ -14,7 +14,9 @@
 
     String text() {
         StringBuilder text = new StringBuilder();
-        figures.get().forEach((name, value) -> text.append(name).append(' ').append(value).append('\n'));
+        figures.get()
+                .forEach((name, value) ->
+                        text.append(name).append(' ').append(value).append('\n'));
         return text.toString().stripTrailing();
     }
 }
--- a/gateway/src/main/java/wharfhinge/gateway/grpc/Callers.java
+++ b/gateway/src/main/java/wharfhinge/gateway/grpc/Callers.java
@@ -16,9 +16,11 @@
     static final Context.Key<String> AUTHORIZATION = Context.key("authorization");
 
     @Override
-    public <Q, R> ServerCall.Listener<Q> interceptCall(ServerCall<Q, R> call, Metadata headers, ServerCallHandler<Q, R> next) {
-        Context with = Context.current().withValue(SESSION, call.getAttributes().get(Grpc.TRANSPORT_ATTR_SSL_SESSION))
-            .withValue(AUTHORIZATION, headers.get(GrpcProtocol.AUTHORIZATION));
+    public <Q, R> ServerCall.Listener<Q> interceptCall(
+            ServerCall<Q, R> call, Metadata headers, ServerCallHandler<Q, R> next) {
+        Context with = Context.current()
+                .withValue(SESSION, call.getAttributes().get(Grpc.TRANSPORT_ATTR_SSL_SESSION))
+                .withValue(AUTHORIZATION, headers.get(GrpcProtocol.AUTHORIZATION));
         return Contexts.interceptCall(with, call, headers, next);
     }
 }
--- a/gateway/src/main/java/wharfhinge/gateway/grpc/GatewayService.java
+++ b/gateway/src/main/java/wharfhinge/gateway/grpc/GatewayService.java
@@ -63,8 +63,10 @@
             head = head(request);
             type = intake.type(head);
             if (type.stream() != streams) {
-                throw new ProtocolException(ClientProtocol.CLASS.toString(), type.name(), "Call for classes that are answered whole, Stream for those "
-                    + "that stream");
+                throw new ProtocolException(
+                        ClientProtocol.CLASS.toString(),
+                        type.name(),
+                        "Call for classes that are answered whole, Stream for those " + "that stream");
             }
         } catch (ProtocolException e) {
             to.onError(Status.INVALID_ARGUMENT.withDescription(e.getMessage()).asRuntimeException());
@@ -77,13 +79,21 @@
         }
         head = head.of(who.tenant());
         Deadline told = Context.current().getDeadline();
-        long left = told == null ? type.hardLimitNs() : Math.min(type.hardLimitNs(), told.timeRemaining(TimeUnit.NANOSECONDS));
+        long left = told == null
+                ? type.hardLimitNs()
+                : Math.min(type.hardLimitNs(), told.timeRemaining(TimeUnit.NANOSECONDS));
         left = head.deadlineMs() > 0 ? Math.min(left, head.deadlineMs() * MS) : left;
         ByteBuf body = Unpooled.wrappedBuffer(request.getBody().asReadOnlyByteBuffer());
         Answer answer = new Answer(to);
         to.setOnReadyHandler(answer::ready);
-        ClientCall call = new ClientCall(head, type.name(), Math.max(1, left), System.nanoTime(), body,
-            request.getContentType().isEmpty() ? null : request.getContentType(), answer);
+        ClientCall call = new ClientCall(
+                head,
+                type.name(),
+                Math.max(1, left),
+                System.nanoTime(),
+                body,
+                request.getContentType().isEmpty() ? null : request.getContentType(),
+                answer);
         to.setOnCancelHandler(() -> intake.loop().clientLeft(call));
         DecisionLoop.Offered offered = intake.loop().offer(call);
         if (offered.taken() != DecisionLoop.Taken.TAKEN) {
@@ -115,7 +125,8 @@
     }
 
     private static Status status(Identity.Checked who) {
-        return (who.fault() == Identity.Fault.OTHER_TENANT ? Status.PERMISSION_DENIED : Status.UNAUTHENTICATED).withDescription(who.why());
+        return (who.fault() == Identity.Fault.OTHER_TENANT ? Status.PERMISSION_DENIED : Status.UNAUTHENTICATED)
+                .withDescription(who.why());
     }
 
     /** Refused: a repeat is harmless, which UNAVAILABLE says. Failed: it may have run, which UNKNOWN says. */
@@ -141,8 +152,12 @@
         ServerCallStreamObserver<ChainReply> observer = (ServerCallStreamObserver<ChainReply>) to;
         ChainCall[] self = new ChainCall[1];
         try {
-            self[0] = intake.chains().read(request.getJson().toByteArray(), "x" + Long.toString(System.nanoTime(), Character.MAX_RADIX),
-                System.nanoTime(), (end, answers) -> chainEnded(observer, end, ChainJson.write(self[0].plan(), end, answers)));
+            self[0] = intake.chains()
+                    .read(
+                            request.getJson().toByteArray(),
+                            "x" + Long.toString(System.nanoTime(), Character.MAX_RADIX),
+                            System.nanoTime(),
+                            (end, answers) -> chainEnded(observer, end, ChainJson.write(self[0].plan(), end, answers)));
         } catch (ChainJson.BadChainException e) {
             to.onError(Status.INVALID_ARGUMENT.withDescription(e.getMessage()).asRuntimeException());
             return;
@@ -156,8 +171,9 @@
         observer.setOnCancelHandler(() -> intake.loop().clientLeft(self[0]));
         DecisionLoop.Offered offered = intake.loop().offer(self[0]);
         if (offered.taken() != DecisionLoop.Taken.TAKEN) {
-            to.onError(Status.UNAVAILABLE.withDescription("refused").asRuntimeException(trailers(FinalAnswer.REFUSED,
-                offered.comeBackNs(), Intake.notTaken(offered))));
+            to.onError(Status.UNAVAILABLE
+                    .withDescription("refused")
+                    .asRuntimeException(trailers(FinalAnswer.REFUSED, offered.comeBackNs(), Intake.notTaken(offered))));
         }
     }
 
@@ -171,8 +187,10 @@
             return;
         }
         FinalAnswer answer = end.kind() == ChainEnd.Kind.REFUSED ? FinalAnswer.REFUSED : FinalAnswer.FAILED;
-        Metadata trailers = trailers(answer, 0, new Responder.Facts(null, end.reason().isEmpty() ? List.of() : List.of(end.reason()),
-            0, false));
+        Metadata trailers = trailers(
+                answer,
+                0,
+                new Responder.Facts(null, end.reason().isEmpty() ? List.of() : List.of(end.reason()), 0, false));
         trailers.put(GrpcProtocol.CHAIN, json);
         to.onError(status(answer).withDescription(answer.word()).asRuntimeException(trailers));
     }
@@ -229,8 +247,9 @@
         @Override
         public void ended(FinalAnswer answer, long coolDownNs, Facts facts) {
             if (!to.isCancelled()) {
-                to.onError(status(answer).withDescription(answer.word() + ": " + String.join(", ", facts.trail()))
-                    .asRuntimeException(trailers(answer, coolDownNs, facts)));
+                to.onError(status(answer)
+                        .withDescription(answer.word() + ": " + String.join(", ", facts.trail()))
+                        .asRuntimeException(trailers(answer, coolDownNs, facts)));
             }
         }
 
@@ -244,7 +263,9 @@
                         if (to.isCancelled()) {
                             return;
                         }
-                        to.onNext(CallReply.newBuilder().setBody(ByteString.copyFrom(ByteBufUtil.getBytes(part))).build());
+                        to.onNext(CallReply.newBuilder()
+                                .setBody(ByteString.copyFrom(ByteBufUtil.getBytes(part)))
+                                .build());
                     } finally {
                         ReferenceCountUtil.release(part);
                     }
@@ -262,7 +283,9 @@
                     if (whole) {
                         to.onCompleted();
                     } else {
-                        to.onError(Status.DATA_LOSS.withDescription("the worker broke off").asRuntimeException());
+                        to.onError(Status.DATA_LOSS
+                                .withDescription("the worker broke off")
+                                .asRuntimeException());
                     }
                 }
             });
--- a/gateway/src/main/java/wharfhinge/gateway/grpc/GrpcFront.java
+++ b/gateway/src/main/java/wharfhinge/gateway/grpc/GrpcFront.java
@@ -2,13 +2,13 @@
 
 import io.grpc.Server;
 import io.grpc.netty.NettyServerBuilder;
+import io.grpc.protobuf.services.HealthStatusManager;
+import io.grpc.protobuf.services.ProtoReflectionServiceV1;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.epoll.EpollChannelOption;
 import io.netty.channel.epoll.EpollServerSocketChannel;
 import io.netty.handler.ssl.SslContext;
-import io.grpc.protobuf.services.HealthStatusManager;
-import io.grpc.protobuf.services.ProtoReflectionServiceV1;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
@@ -24,16 +24,25 @@
     private final HealthStatusManager health = new HealthStatusManager();
 
     /** {@code tls} is null where calls come in the clear. */
-    public GrpcFront(GatewayConfig config, Intake intake, SslContext tls, EventLoopGroup acceptor,
-                     EventLoopGroup group, Class<? extends ServerChannel> type) {
+    public GrpcFront(
+            GatewayConfig config,
+            Intake intake,
+            SslContext tls,
+            EventLoopGroup acceptor,
+            EventLoopGroup group,
+            Class<? extends ServerChannel> type) {
         GatewayConfig.Grpc own = config.grpc();
-        NettyServerBuilder builder = NettyServerBuilder.forAddress(new InetSocketAddress(own.address(), own.port())).directExecutor()
-            .bossEventLoopGroup(acceptor).workerEventLoopGroup(group).channelType(type)
-            .maxConcurrentCallsPerConnection(CALLS_EACH).maxInboundMessageSize(config.clients().maxBodyBytes() + OVERHEAD)
-            .maxInboundMetadataSize(config.clients().maxHeaderBytes())
-            .maxConnectionIdle(config.clients().idleNs(), TimeUnit.NANOSECONDS)
-            .addService(new GatewayService(intake))
-            .addService(health.getHealthService());
+        NettyServerBuilder builder = NettyServerBuilder.forAddress(new InetSocketAddress(own.address(), own.port()))
+                .directExecutor()
+                .bossEventLoopGroup(acceptor)
+                .workerEventLoopGroup(group)
+                .channelType(type)
+                .maxConcurrentCallsPerConnection(CALLS_EACH)
+                .maxInboundMessageSize(config.clients().maxBodyBytes() + OVERHEAD)
+                .maxInboundMetadataSize(config.clients().maxHeaderBytes())
+                .maxConnectionIdle(config.clients().idleNs(), TimeUnit.NANOSECONDS)
+                .addService(new GatewayService(intake))
+                .addService(health.getHealthService());
         builder.intercept(new Callers());
         if (config.clients().reusePort() && EpollServerSocketChannel.class.isAssignableFrom(type)) {
             builder.withOption(EpollChannelOption.SO_REUSEPORT, true);
--- a/gateway/src/main/java/wharfhinge/gateway/loop/AnswerLog.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/AnswerLog.java
@@ -12,13 +12,13 @@
         }
 
         @Override
-        public void answered(Line line) { }
+        public void answered(Line line) {}
 
         @Override
-        public void remark(String text) { }
+        public void remark(String text) {}
 
         @Override
-        public void restarted(String event, Throwable cause, int callsEnded) { }
+        public void restarted(String event, Throwable cause, int callsEnded) {}
     };
 
     /**
@@ -27,8 +27,14 @@
      * @param answer served, refused, failed, or left where the client went first
      * @param trail  for each attempt its worker, how it ended and how long it took
      */
-    record Line(String call, String function, String requestClass, String tenant, String answer, long tookNs,
-                List<String> trail) { }
+    record Line(
+            String call,
+            String function,
+            String requestClass,
+            String tenant,
+            String answer,
+            long tookNs,
+            List<String> trail) {}
 
     /** Whether {@link #answered} is of use: a line of a call has a price. */
     default boolean wantsAnswers() {
--- a/gateway/src/main/java/wharfhinge/gateway/loop/ChainCall.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/ChainCall.java
@@ -16,15 +16,26 @@
  * @param deadlineNs how long the client waits, counted from {@code receivedAt}
  * @param receivedAt {@link System#nanoTime} when its last byte came
  */
-public record ChainCall(ChainPlan plan, List<CallHead> heads, List<List<String>> inputs, byte[] input, String id,
-                        String tenant, String key, String digest, long deadlineNs, long receivedAt, Joiner joiner,
-                        Listener listener) {
+public record ChainCall(
+        ChainPlan plan,
+        List<CallHead> heads,
+        List<List<String>> inputs,
+        byte[] input,
+        String id,
+        String tenant,
+        String key,
+        String digest,
+        long deadlineNs,
+        long receivedAt,
+        Joiner joiner,
+        Listener listener) {
     /** The client's input among a step's. */
     public static final String CLIENT = "client";
 
     /** The same of another tenant, or of none (null). */
     public ChainCall of(String other) {
-        return new ChainCall(plan, heads, inputs, input, id, other, key, digest, deadlineNs, receivedAt, joiner, listener);
+        return new ChainCall(
+                plan, heads, inputs, input, id, other, key, digest, deadlineNs, receivedAt, joiner, listener);
     }
 
     /** Makes one input of several, by their names. */
@@ -35,7 +46,7 @@
     }
 
     /** What became of one step; {@code body} is null unless it was served. */
-    public record StepAnswer(String worker, long tookNs, boolean loaded, byte[] body, String contentType) { }
+    public record StepAnswer(String worker, long tookNs, boolean loaded, byte[] body, String contentType) {}
 
     /** Told the chain's final answer, once, by the loop's thread. */
     @FunctionalInterface
--- a/gateway/src/main/java/wharfhinge/gateway/loop/ChainRunner.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/ChainRunner.java
@@ -119,8 +119,9 @@
             done = resume(run, c);
         }
         if (config.settings().clock() == ChainSettings.Clock.ONE) {
-            calls.later(deadline - calls.now() - config.settings().reserveNs() / 2, () ->
-                decisions.due(calls.now(), run.id));
+            calls.later(
+                    deadline - calls.now() - config.settings().reserveNs() / 2,
+                    () -> decisions.due(calls.now(), run.id));
         }
         decisions.begin(calls.now(), run.id, c.plan(), tenant(c), deadline, done);
     }
@@ -133,7 +134,9 @@
         }
         joined++;
         run.listeners.add(c);
-        long left = c.deadlineNs() - (calls.nanos(calls.now()) - c.receivedAt()) - config.settings().reserveNs() / 2;
+        long left = c.deadlineNs()
+                - (calls.nanos(calls.now()) - c.receivedAt())
+                - config.settings().reserveNs() / 2;
         calls.later(left, () -> {
             if (run.listeners.remove(c)) {
                 respond(c, new ChainEnd(ChainEnd.Kind.FAILED, "an-earlier-try-still-runs", List.of()), run);
@@ -142,18 +145,21 @@
     }
 
     private boolean[] resume(Run run, ChainCall c) {
-        return finished.resume(calls.now(), tenant(c), c.key(), c.digest(), c.plan().size()).map(kept -> {
-            boolean[] done = new boolean[kept.length];
-            for (int i = 0; i < kept.length; i++) {
-                if (kept[i] != null) {
-                    done[i] = true;
-                    run.answers[i] = new StepAnswer(null, 0, false, kept[i].body(), kept[i].contentType());
-                    hold(run, kept[i].body().length);
-                }
-            }
-            resumed++;
-            return done;
-        }).orElse(null);
+        return finished.resume(
+                        calls.now(), tenant(c), c.key(), c.digest(), c.plan().size())
+                .map(kept -> {
+                    boolean[] done = new boolean[kept.length];
+                    for (int i = 0; i < kept.length; i++) {
+                        if (kept[i] != null) {
+                            done[i] = true;
+                            run.answers[i] = new StepAnswer(null, 0, false, kept[i].body(), kept[i].contentType());
+                            hold(run, kept[i].body().length);
+                        }
+                    }
+                    resumed++;
+                    return done;
+                })
+                .orElse(null);
     }
 
     /** A client that listens went away; the chain goes on while another one listens. */
@@ -189,8 +195,14 @@
             parts.add(name.equals(ChainCall.CLIENT) ? run.call.input() : run.answers[index(run, name)].body());
         }
         byte[] input = parts.size() == 1 ? parts.get(0) : run.call.joiner().join(names, parts);
-        ClientCall call = new ClientCall(head, head.requestClass(), mayTakeNs, calls.nanos(calls.now()),
-            Unpooled.wrappedBuffer(input), null, new StepResponder(run, step, calls.now()));
+        ClientCall call = new ClientCall(
+                head,
+                head.requestClass(),
+                mayTakeNs,
+                calls.nanos(calls.now()),
+                Unpooled.wrappedBuffer(input),
+                null,
+                new StepResponder(run, step, calls.now()));
         run.out[step] = call;
         calls.begin(call);
     }
@@ -217,8 +229,18 @@
     @Override
     public void expect(long chain, int step) {
         CallHead h = runs.get(chain).call.heads().get(step);
-        calls.expect(new Request(h.id(), h.tenant(), runs.get(chain).call.deadlineNs(), h.memoryMb(), h.function(),
-            h.costUs() * 1000, h.lanes(), h.loadMs(), h.requestClass(), h.repeat(), h.write()));
+        calls.expect(new Request(
+                h.id(),
+                h.tenant(),
+                runs.get(chain).call.deadlineNs(),
+                h.memoryMb(),
+                h.function(),
+                h.costUs() * 1000,
+                h.lanes(),
+                h.loadMs(),
+                h.requestClass(),
+                h.repeat(),
+                h.write()));
     }
 
     @Override
@@ -259,10 +281,17 @@
         ChainCall c = run.call;
         if (c.key() != null) {
             FinishedSteps.Answer kept = new FinishedSteps.Answer(answer.body(), answer.contentType());
-            if (finished.finished(calls.now(), tenant(c), c.key(), c.digest(), c.plan().size(), step, kept)) {
+            if (finished.finished(
+                    calls.now(), tenant(c), c.key(), c.digest(), c.plan().size(), step, kept)) {
                 keysKept = finished.size();
-                if (journal.finished(tenant(c), c.key(), c.digest(), c.plan().size(), step, kept,
-                    () -> calls.tell("kept", () -> goOn(run, step, answer)))) {
+                if (journal.finished(
+                        tenant(c),
+                        c.key(),
+                        c.digest(),
+                        c.plan().size(),
+                        step,
+                        kept,
+                        () -> calls.tell("kept", () -> goOn(run, step, answer)))) {
                     return; // what waits for it begins once a retry after a crash would find it
                 }
             }
@@ -283,8 +312,13 @@
     private void stepEnded(Run run, int step, FinalAnswer answer, long tookNs) {
         if (runs.containsKey(run.id)) {
             run.out[step] = null;
-            decisions.stepEnded(calls.now(), run.id, step, answer == FinalAnswer.REFUSED ? StepEnd.REFUSED
-                : StepEnd.FAILED, tookNs, false);
+            decisions.stepEnded(
+                    calls.now(),
+                    run.id,
+                    step,
+                    answer == FinalAnswer.REFUSED ? StepEnd.REFUSED : StepEnd.FAILED,
+                    tookNs,
+                    false);
         }
     }
 
@@ -303,8 +337,17 @@
         public void served(ByteBuf body, CharSequence contentType, Facts facts) {
             byte[] bytes = body == null ? new byte[0] : ByteBufUtil.getBytes(body);
             ReferenceCountUtil.release(body);
-            calls.tell("step", () -> stepServed(run, step, new StepAnswer(facts.worker(), calls.now() - startedAt,
-                facts.loaded(), bytes, contentType == null ? null : contentType.toString())));
+            calls.tell(
+                    "step",
+                    () -> stepServed(
+                            run,
+                            step,
+                            new StepAnswer(
+                                    facts.worker(),
+                                    calls.now() - startedAt,
+                                    facts.loaded(),
+                                    bytes,
+                                    contentType == null ? null : contentType.toString())));
         }
 
         @Override
@@ -321,9 +364,14 @@
 
     /** Figures for the status page; read by other threads, so they may be a moment old. */
     Map<String, Long> figures() {
-        Map<String, Long> figures = Arrays.stream(ChainDecisions.Count.values()).collect(Collectors.toMap(
-            c -> (c == ChainDecisions.Count.CHAINS ? "chains" : "chain_" + c.name().toLowerCase(java.util.Locale.ROOT)),
-            decisions::count, (a, b) -> a, java.util.LinkedHashMap::new));
+        Map<String, Long> figures = Arrays.stream(ChainDecisions.Count.values())
+                .collect(Collectors.toMap(
+                        c -> (c == ChainDecisions.Count.CHAINS
+                                ? "chains"
+                                : "chain_" + c.name().toLowerCase(java.util.Locale.ROOT)),
+                        decisions::count,
+                        (a, b) -> a,
+                        java.util.LinkedHashMap::new));
         figures.put("chains_open", (long) decisions.open());
         figures.put("chain_steps_open", (long) decisions.stepsOpen());
         figures.put("chain_bytes_held", bytesHeld);
--- a/gateway/src/main/java/wharfhinge/gateway/loop/ClientCall.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/ClientCall.java
@@ -13,12 +13,25 @@
  * @param body       kept for a repeat; the loop owns it once the call is taken
  * @param clientGone set once its client was seen to leave, before the loop comes round to it: nothing more is sent for it
  */
-public record ClientCall(CallHead head, String requestClass, long deadlineNs, long receivedAt, ByteBuf body,
-                         CharSequence contentType, Responder responder, AtomicBoolean clientGone) {
+public record ClientCall(
+        CallHead head,
+        String requestClass,
+        long deadlineNs,
+        long receivedAt,
+        ByteBuf body,
+        CharSequence contentType,
+        Responder responder,
+        AtomicBoolean clientGone) {
 
     /** A call whose client is there. */
-    public ClientCall(CallHead head, String requestClass, long deadlineNs, long receivedAt, ByteBuf body, CharSequence contentType,
-                      Responder responder) {
+    public ClientCall(
+            CallHead head,
+            String requestClass,
+            long deadlineNs,
+            long receivedAt,
+            ByteBuf body,
+            CharSequence contentType,
+            Responder responder) {
         this(head, requestClass, deadlineNs, receivedAt, body, contentType, responder, new AtomicBoolean());
     }
 }
--- a/gateway/src/main/java/wharfhinge/gateway/loop/DecisionLoop.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/DecisionLoop.java
@@ -45,7 +45,13 @@
 public final class DecisionLoop implements Runnable {
     /** What became of a call that was handed over. */
     public enum Taken {
-        TAKEN, HAND_OVER_FULL, TOO_MANY_OPEN, CLOSING, TENANT_RATE, TENANT_OPEN, TENANT_SHARE;
+        TAKEN,
+        HAND_OVER_FULL,
+        TOO_MANY_OPEN,
+        CLOSING,
+        TENANT_RATE,
+        TENANT_OPEN,
+        TENANT_SHARE;
 
         private static Taken of(DoorDecisions.Answer answer) {
             return switch (answer) {
@@ -62,14 +68,14 @@
      *
      * @param comeBackNs where it was not taken and somebody can say when to come back
      */
-    public record Offered(Taken taken, long comeBackNs) { }
+    public record Offered(Taken taken, long comeBackNs) {}
 
     private static final long REST_NS = TimeUnit.SECONDS.toNanos(1);
     private static final int FUNCTIONS_KNOWN = 16_384;
 
-    private record Event(String name, long stamp, Runnable what) { }
+    private record Event(String name, long stamp, Runnable what) {}
 
-    private record Timer(long at, long number, String name, Runnable what) { }
+    private record Timer(long at, long number, String name, Runnable what) {}
 
     private final GatewayConfig config;
     private final DispatcherFactory factory;
@@ -85,7 +91,7 @@
     private final AtomicInteger openCalls = new AtomicInteger();
     private final CompletableFuture<Integer> closed = new CompletableFuture<>();
     private final PriorityQueue<Timer> timers =
-        new PriorityQueue<>(Comparator.comparingLong(Timer::at).thenComparingLong(Timer::number));
+            new PriorityQueue<>(Comparator.comparingLong(Timer::at).thenComparingLong(Timer::number));
     private final Map<String, OpenCall> calls = new HashMap<>();
     private final Map<ClientCall, OpenCall> byClient = new java.util.IdentityHashMap<>();
     private final Map<String, WorkerSide.Function> functions = new LinkedHashMap<>(64, 0.75f, true) {
@@ -111,8 +117,15 @@
     private volatile boolean closing;
 
     /** A loop that begins once a thread runs it. */
-    public DecisionLoop(GatewayConfig config, DispatcherFactory factory, WorkerSide workers, FleetSource source,
-                        PeerLink peers, StepJournal journal, AnswerLog log, LongSupplier nanoTime) {
+    public DecisionLoop(
+            GatewayConfig config,
+            DispatcherFactory factory,
+            WorkerSide workers,
+            FleetSource source,
+            PeerLink peers,
+            StepJournal journal,
+            AnswerLog log,
+            LongSupplier nanoTime) {
         this.config = config;
         this.factory = factory;
         this.workers = workers;
@@ -121,12 +134,17 @@
         this.log = log;
         this.nanoTime = nanoTime;
         this.clock = new LoopClock(nanoTime);
-        this.streamed = config.settings().classes().stream().filter(Dispatcher.RequestClass::stream)
-            .map(Dispatcher.RequestClass::name).collect(Collectors.toSet());
+        this.streamed = config.settings().classes().stream()
+                .filter(Dispatcher.RequestClass::stream)
+                .map(Dispatcher.RequestClass::name)
+                .collect(Collectors.toSet());
         this.door = new Door(config.door());
         config.settings().classes().forEach(c -> aims.put(c.name(), c.onTimeNs()));
-        this.chains = new ChainRunner(new StepCalls(), config.chains(), config.settings().realms().stream()
-            .map(Dispatcher.Realm::name).collect(Collectors.toSet()), journal);
+        this.chains = new ChainRunner(
+                new StepCalls(),
+                config.chains(),
+                config.settings().realms().stream().map(Dispatcher.Realm::name).collect(Collectors.toSet()),
+                journal);
     }
 
     /** What the loop counts. */
@@ -273,7 +291,9 @@
         guarded("begin", this::begin);
         try {
             while (!stopped) {
-                long wait = timers.isEmpty() ? REST_NS : Math.min(REST_NS, timers.peek().at() - clock.now());
+                long wait = timers.isEmpty()
+                        ? REST_NS
+                        : Math.min(REST_NS, timers.peek().at() - clock.now());
                 Event event = wait <= 0 ? events.poll() : events.poll(wait, TimeUnit.NANOSECONDS);
                 if (event != null) {
                     now = clock.now();
@@ -369,7 +389,10 @@
     }
 
     private void stopIfEmpty() {
-        if (closing && !ending && openCalls.get() == 0 && calls.values().stream().noneMatch(OpenCall::streams)) {
+        if (closing
+                && !ending
+                && openCalls.get() == 0
+                && calls.values().stream().noneMatch(OpenCall::streams)) {
             stop(0);
         }
     }
@@ -388,11 +411,24 @@
         calls.put(c.id, c);
         byClient.put(call, c);
         var head = call.head();
-        functions.put(head.function(), new WorkerSide.Function(head.function(), head.memoryMb(), head.lanes(),
-            head.loadMs()));
+        functions.put(
+                head.function(),
+                new WorkerSide.Function(head.function(), head.memoryMb(), head.lanes(), head.loadMs()));
         factory.named(now, c.id, c.outerId());
-        dispatcher.query(now, new Request(c.id, head.tenant(), deadline - now, head.memoryMb(), head.function(),
-            head.costUs() * 1000, head.lanes(), head.loadMs(), call.requestClass(), head.repeat(), head.write()));
+        dispatcher.query(
+                now,
+                new Request(
+                        c.id,
+                        head.tenant(),
+                        deadline - now,
+                        head.memoryMb(),
+                        head.function(),
+                        head.costUs() * 1000,
+                        head.lanes(),
+                        head.loadMs(),
+                        call.requestClass(),
+                        head.repeat(),
+                        head.write()));
     }
 
     private void members(FleetUpdate update) {
@@ -440,8 +476,18 @@
     }
 
     private void completed(LiveAttempt a, Result result) {
-        dispatcher.completed(now, new Completion(a.call.id, result.outcome(), a.index, result.tookNs(), a.worker,
-            result.note(), result.company(), a.call.answered, result.report()));
+        dispatcher.completed(
+                now,
+                new Completion(
+                        a.call.id,
+                        result.outcome(),
+                        a.index,
+                        result.tookNs(),
+                        a.worker,
+                        result.note(),
+                        result.company(),
+                        a.call.answered,
+                        result.report()));
         forget(a.call);
     }
 
@@ -477,16 +523,27 @@
         stats.add(as);
         openCalls.decrementAndGet();
         if (c.throughDoor) {
-            DoorDecisions.Ending how = as == Count.SERVED ? DoorDecisions.Ending.ANSWERED : as == Count.REFUSED
-                ? DoorDecisions.Ending.REFUSED : DoorDecisions.Ending.OTHERWISE;
-            door.ended(nanoTime.getAsLong(), c.call.head().tenant(), how, now - c.takenAt, aims.get(c.call.requestClass()));
+            DoorDecisions.Ending how = as == Count.SERVED
+                    ? DoorDecisions.Ending.ANSWERED
+                    : as == Count.REFUSED ? DoorDecisions.Ending.REFUSED : DoorDecisions.Ending.OTHERWISE;
+            door.ended(
+                    nanoTime.getAsLong(),
+                    c.call.head().tenant(),
+                    how,
+                    now - c.takenAt,
+                    aims.get(c.call.requestClass()));
         }
         ReferenceCountUtil.release(c.call.body());
         if (log.wantsAnswers()) {
             List<String> trail = c.trail();
-            log.answered(new AnswerLog.Line(c.outerId(), c.call.head().function(), c.call.requestClass(),
-                c.call.head().tenant(), answer, now - clock.at(c.call.receivedAt()),
-                why == null || !trail.isEmpty() ? trail : List.of(why)));
+            log.answered(new AnswerLog.Line(
+                    c.outerId(),
+                    c.call.head().function(),
+                    c.call.requestClass(),
+                    c.call.head().tenant(),
+                    answer,
+                    now - clock.at(c.call.receivedAt()),
+                    why == null || !trail.isEmpty() ? trail : List.of(why)));
         }
         stopIfEmpty();
     }
@@ -526,8 +583,9 @@
 
         @Override
         public void expect(Request request) {
-            functions.put(request.function(), new WorkerSide.Function(request.function(), request.memoryMb(),
-                request.lanes(), request.loadMs()));
+            functions.put(
+                    request.function(),
+                    new WorkerSide.Function(request.function(), request.memoryMb(), request.lanes(), request.loadMs()));
             dispatcher.expected(now, request);
         }
 
@@ -582,7 +640,10 @@
             c.attempts.add(a);
             c.live++;
             long left = c.deadline - now;
-            if (c.answered || left <= 0 || timeoutNs < 0 || a.index >= config.settings().limits().maxAttempts()) {
+            if (c.answered
+                    || left <= 0
+                    || timeoutNs < 0
+                    || a.index >= config.settings().limits().maxAttempts()) {
                 stats.add(Count.MOOT);
                 a.sent = WorkerSide.Sent.NONE;
                 tellThisLife("moot", () -> end(a, Outcome.MOOT));
@@ -592,20 +653,32 @@
             long wait = timeoutNs == 0 ? left : Math.min(timeoutNs, left);
             var head = c.call.head();
             boolean streams = streamed.contains(c.call.requestClass());
-            a.sent = workers.attempt(new WorkerSide.Order(worker, c.outerId(), a.index, functions.get(head.function()),
-                c.call.requestClass(), head.tenant(), clock.nanos(now + wait), head.costUs(), c.call.body(), c.call.contentType(), streams,
-                head.idempotencyKey(), c.call.clientGone()::get),
-                new WorkerSide.AttemptListener() {
-                    @Override
-                    public void ended(Result result) {
-                        tellThisLife("completed", () -> attemptEnded(a, result));
-                    }
-
-                    @Override
-                    public void began(WorkerSide.Stream stream) {
-                        tellThisLife("established", () -> streamBegan(a, stream));
-                    }
-                });
+            a.sent = workers.attempt(
+                    new WorkerSide.Order(
+                            worker,
+                            c.outerId(),
+                            a.index,
+                            functions.get(head.function()),
+                            c.call.requestClass(),
+                            head.tenant(),
+                            clock.nanos(now + wait),
+                            head.costUs(),
+                            c.call.body(),
+                            c.call.contentType(),
+                            streams,
+                            head.idempotencyKey(),
+                            c.call.clientGone()::get),
+                    new WorkerSide.AttemptListener() {
+                        @Override
+                        public void ended(Result result) {
+                            tellThisLife("completed", () -> attemptEnded(a, result));
+                        }
+
+                        @Override
+                        public void began(WorkerSide.Stream stream) {
+                            tellThisLife("established", () -> streamBegan(a, stream));
+                        }
+                    });
             DecisionLoop.this.timer(wait, "timeout", () -> {
                 if (a.stream == null) {
                     end(a, Outcome.TIMEOUT);
@@ -647,8 +720,10 @@
             WorkerSide.Function known = functions.getOrDefault(function, new WorkerSide.Function(function, 0, 0, 0));
             workers.hold(worker, known, count, config.settings().familyInfo().loadWaitNs(), result -> {
                 ReferenceCountUtil.release(result.body());
-                tellThisLife("resident", () -> dispatcher.resident(now, worker, function, result.count(),
-                    result.outcome(), result.tookNs()));
+                tellThisLife(
+                        "resident",
+                        () -> dispatcher.resident(
+                                now, worker, function, result.count(), result.outcome(), result.tookNs()));
             });
         }
 
@@ -663,8 +738,9 @@
             stats.add(Count.PROBES);
             workers.probe(worker, result -> {
                 ReferenceCountUtil.release(result.body());
-                tellThisLife("probed", () -> dispatcher.probed(now, worker, result.outcome(), result.tookNs(),
-                    result.report()));
+                tellThisLife(
+                        "probed",
+                        () -> dispatcher.probed(now, worker, result.outcome(), result.tookNs(), result.report()));
             });
         }
 
--- a/gateway/src/main/java/wharfhinge/gateway/loop/DispatcherFactory.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/DispatcherFactory.java
@@ -13,5 +13,5 @@
     Dispatcher create(long now, long seed, Dispatcher.Settings settings, Dispatcher.Actions actions);
 
     /** The client's name of a call that the dispatcher is told of next. */
-    default void named(long now, String id, String outer) { }
+    default void named(long now, String id, String outer) {}
 }
--- a/gateway/src/main/java/wharfhinge/gateway/loop/Fleet.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/Fleet.java
@@ -16,13 +16,13 @@
 final class Fleet {
     private static final long MS = 1_000_000L;
 
-    private record Known(Worker worker, String boot) { }
+    private record Known(Worker worker, String boot) {}
 
     private final Map<String, Known> known = new LinkedHashMap<>();
     private long revision;
 
     /** Workers that an update brings, processes by worker that may be sent to, and workers that may get nothing new. */
-    record Change(List<Worker> told, Map<String, String> listed, List<String> leaving) { }
+    record Change(List<Worker> told, Map<String, String> listed, List<String> leaving) {}
 
     Change apply(FleetUpdate update, long now) {
         List<Worker> told = new ArrayList<>();
@@ -61,13 +61,20 @@
     }
 
     private Worker worker(RosterEntry entry, long now) {
-        Availability availability = switch (entry.state()) {
-            case UP -> Availability.UP;
-            case DRAINING -> Availability.DRAINING;
-            case GONE -> Availability.WITHDRAWN;
-        };
-        return new Worker(entry.id(), entry.zone(), entry.kind(), entry.cell(), availability, entry.weight(),
-            startedAt(entry, now));
+        Availability availability =
+                switch (entry.state()) {
+                    case UP -> Availability.UP;
+                    case DRAINING -> Availability.DRAINING;
+                    case GONE -> Availability.WITHDRAWN;
+                };
+        return new Worker(
+                entry.id(),
+                entry.zone(),
+                entry.kind(),
+                entry.cell(),
+                availability,
+                entry.weight(),
+                startedAt(entry, now));
     }
 
     /** Ages come late and jitter; the process names itself, so its start is settled when it is first heard of. */
--- a/gateway/src/main/java/wharfhinge/gateway/loop/LoopStats.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/LoopStats.java
@@ -12,8 +12,24 @@
 
     /** Things counted from the start on. */
     public enum Count {
-        TAKEN, SERVED, REFUSED, FAILED, LEFT, ATTEMPTS, LATE_ANSWERS, MOOT, PROBES, HOLDS, UNLOADS, TURNED_AWAY_HAND_OVER,
-        TURNED_AWAY_OPEN, TURNED_AWAY_CLOSING, RESTARTS, LISTS, STREAMS, REMARKS_DROPPED
+        TAKEN,
+        SERVED,
+        REFUSED,
+        FAILED,
+        LEFT,
+        ATTEMPTS,
+        LATE_ANSWERS,
+        MOOT,
+        PROBES,
+        HOLDS,
+        UNLOADS,
+        TURNED_AWAY_HAND_OVER,
+        TURNED_AWAY_OPEN,
+        TURNED_AWAY_CLOSING,
+        RESTARTS,
+        LISTS,
+        STREAMS,
+        REMARKS_DROPPED
     }
 
     private final Map<Count, LongAdder> counts = new LinkedHashMap<>();
--- a/gateway/src/main/java/wharfhinge/gateway/loop/NoDecisions.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/NoDecisions.java
@@ -12,7 +12,7 @@
     }
 
     @Override
-    public void members(long now, ListMode mode, long revision, List<Worker> entries) { }
+    public void members(long now, ListMode mode, long revision, List<Worker> entries) {}
 
     @Override
     public void query(long now, Request request) {
@@ -20,17 +20,17 @@
     }
 
     @Override
-    public void clientLeft(long now, String request) { }
+    public void clientLeft(long now, String request) {}
 
     @Override
-    public void established(long now, String request, int attempt, String worker) { }
+    public void established(long now, String request, int attempt, String worker) {}
 
     @Override
-    public void due(long now, String token) { }
+    public void due(long now, String token) {}
 
     @Override
-    public void completed(long now, Completion completion) { }
+    public void completed(long now, Completion completion) {}
 
     @Override
-    public void resident(long now, String worker, String function, int count, Outcome outcome, long tookNs) { }
+    public void resident(long now, String worker, String function, int count, Outcome outcome, long tookNs) {}
 }
--- a/gateway/src/main/java/wharfhinge/gateway/loop/PeerLink.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/PeerLink.java
@@ -4,7 +4,7 @@
 @FunctionalInterface
 public interface PeerLink {
     /** No peers. */
-    PeerLink NONE = (peer, payload) -> { };
+    PeerLink NONE = (peer, payload) -> {};
 
     /** Sends to the gateway of that number, or to all with -1. */
     void publish(int peer, byte[] payload);
--- a/gateway/src/main/java/wharfhinge/gateway/loop/Responder.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/Responder.java
@@ -15,7 +15,7 @@
      * @param attempts how many there were
      * @param loaded   whether the one that served loaded, or waited for a load
      */
-    record Facts(String worker, List<String> trail, int attempts, boolean loaded) { }
+    record Facts(String worker, List<String> trail, int attempts, boolean loaded) {}
 
     /** Hands on a worker's answer; takes over {@code body}, which may be null. */
     void served(ByteBuf body, CharSequence contentType, Facts facts);
--- a/gateway/src/main/java/wharfhinge/gateway/loop/StepJournal.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/StepJournal.java
@@ -7,24 +7,30 @@
     /** Keeps nothing. */
     StepJournal NONE = new StepJournal() {
         @Override
-        public boolean finished(String tenant, String key, String digest, int steps, int step,
-                                FinishedSteps.Answer answer, Runnable kept) {
+        public boolean finished(
+                String tenant,
+                String key,
+                String digest,
+                int steps,
+                int step,
+                FinishedSteps.Answer answer,
+                Runnable kept) {
             return false;
         }
 
         @Override
-        public void restore(Restored to) { }
+        public void restore(Restored to) {}
 
         @Override
-        public void close() { }
+        public void close() {}
     };
 
     /** Takes what was kept. */
     @FunctionalInterface
     interface Restored {
         /** A step that was finished {@code ageNs} ago. */
-        void step(long ageNs, String tenant, String key, String digest, int steps, int step,
-                  FinishedSteps.Answer answer);
+        void step(
+                long ageNs, String tenant, String key, String digest, int steps, int step, FinishedSteps.Answer answer);
     }
 
     /**
@@ -33,7 +39,8 @@
      * @param kept run on another thread once a killed process would not lose it, or once it is known that it can't be kept
      * @return false where it is not kept; {@code kept} is then never run
      */
-    boolean finished(String tenant, String key, String digest, int steps, int step, FinishedSteps.Answer answer, Runnable kept);
+    boolean finished(
+            String tenant, String key, String digest, int steps, int step, FinishedSteps.Answer answer, Runnable kept);
 
     /** Tells all that is kept, before the first chain. */
     void restore(Restored to);
--- a/gateway/src/main/java/wharfhinge/gateway/loop/WorkerSide.java
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/WorkerSide.java
@@ -16,7 +16,7 @@
      *
      * @param loadMs the usual time of a load; 0 where untold, as are the others
      */
-    record Function(String name, double memoryMb, int lanes, double loadMs) { }
+    record Function(String name, double memoryMb, int lanes, double loadMs) {}
 
     /**
      * One attempt to be sent; {@code body} is not released by the receiver, which takes a reference of its own.
@@ -26,9 +26,20 @@
      * @param idempotencyKey the client's, passed on unchanged; null where there is none
      * @param clientGone whether the client was seen to have left, by now; asked on I/O threads before a byte is written
      */
-    record Order(String worker, String call, int attempt, Function function, String requestClass, String tenant,
-                 long giveUpAt, long costUs, ByteBuf body, CharSequence contentType, boolean stream,
-                 String idempotencyKey, BooleanSupplier clientGone) { }
+    record Order(
+            String worker,
+            String call,
+            int attempt,
+            Function function,
+            String requestClass,
+            String tenant,
+            long giveUpAt,
+            long costUs,
+            ByteBuf body,
+            CharSequence contentType,
+            boolean stream,
+            String idempotencyKey,
+            BooleanSupplier clientGone) {}
 
     /**
      * How an exchange with a worker ended.
@@ -37,8 +48,16 @@
      * @param count copies that stand, for orders
      * @param body  the receiver releases it; may be null
      */
-    record Result(Outcome outcome, Note note, int company, Map<String, Double> report, int count, long tookNs,
-                  ByteBuf body, CharSequence contentType, String how) { }
+    record Result(
+            Outcome outcome,
+            Note note,
+            int company,
+            Map<String, Double> report,
+            int count,
+            long tookNs,
+            ByteBuf body,
+            CharSequence contentType,
+            String how) {}
 
     /** An attempt under way. */
     interface Sent {
@@ -53,10 +72,10 @@
         /** Of an attempt that was never begun. */
         Sent NONE = new Sent() {
             @Override
-            public void cancel() { }
+            public void cancel() {}
 
             @Override
-            public void withdraw() { }
+            public void withdraw() {}
         };
     }
 
--- a/gateway/src/main/java/wharfhinge/gateway/roster/FleetSource.java
+++ b/gateway/src/main/java/wharfhinge/gateway/roster/FleetSource.java
@@ -14,13 +14,13 @@
             }
 
             @Override
-            public void listen(boolean on) { }
+            public void listen(boolean on) {}
 
             @Override
-            public void reload() { }
+            public void reload() {}
 
             @Override
-            public void close() { }
+            public void close() {}
         };
     }
 
--- a/gateway/src/main/java/wharfhinge/gateway/roster/FleetUpdate.java
+++ b/gateway/src/main/java/wharfhinge/gateway/roster/FleetUpdate.java
@@ -5,4 +5,4 @@
 import wharfhinge.protocol.RosterEntry;
 
 /** News of the fleet, in the words of the decisions' interface; {@code entries} is empty where it was refused. */
-public record FleetUpdate(ListMode mode, long revision, List<RosterEntry> entries) { }
+public record FleetUpdate(ListMode mode, long revision, List<RosterEntry> entries) {}
--- a/gateway/src/main/java/wharfhinge/gateway/roster/HttpRoster.java
+++ b/gateway/src/main/java/wharfhinge/gateway/roster/HttpRoster.java
@@ -45,7 +45,7 @@
     private final Bootstrap bootstrap;
     private final Random random;
     private final RosterView view = new RosterView();
-    private Consumer<FleetUpdate> updates = update -> { };
+    private Consumer<FleetUpdate> updates = update -> {};
     private Channel channel;
     private boolean wanted;
     private boolean whole = true;
@@ -57,9 +57,11 @@
         this.config = config;
         this.loop = group.next();
         this.random = new Random(config.seed());
-        this.bootstrap = new Bootstrap().group(loop).channel(type)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000)
-            .remoteAddress(config.roster().host(), config.roster().port());
+        this.bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(type)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000)
+                .remoteAddress(config.roster().host(), config.roster().port());
     }
 
     @Override
@@ -106,19 +108,30 @@
             return;
         }
         whole = all || view.held() < 0;
-        channel = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel c) {
-                c.pipeline().addLast(new HttpClientCodec(),
-                    new ReadTimeoutHandler(config.roster().silentAfterNs(), TimeUnit.NANOSECONDS), new Frames());
-            }
-        }).connect().addListener((io.netty.channel.ChannelFuture done) -> {
-            if (!done.isSuccess()) {
-                LOG.warn("roster {}:{} not reached: {}", config.roster().host(), config.roster().port(),
-                    done.cause().getMessage());
-                ended();
-            }
-        }).channel();
+        channel = bootstrap
+                .clone()
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel c) {
+                        c.pipeline()
+                                .addLast(
+                                        new HttpClientCodec(),
+                                        new ReadTimeoutHandler(config.roster().silentAfterNs(), TimeUnit.NANOSECONDS),
+                                        new Frames());
+                    }
+                })
+                .connect()
+                .addListener((io.netty.channel.ChannelFuture done) -> {
+                    if (!done.isSuccess()) {
+                        LOG.warn(
+                                "roster {}:{} not reached: {}",
+                                config.roster().host(),
+                                config.roster().port(),
+                                done.cause().getMessage());
+                        ended();
+                    }
+                })
+                .channel();
     }
 
     private long pause() {
@@ -136,11 +149,14 @@
             updates.accept(new FleetUpdate(ListMode.REFUSED, Math.max(0, view.held()), List.of()));
         } else if (wanted) {
             boolean all = whole;
-            loop.schedule(() -> {
-                if (wanted) {
-                    connect(all);
-                }
-            }, pause(), TimeUnit.NANOSECONDS);
+            loop.schedule(
+                    () -> {
+                        if (wanted) {
+                            connect(all);
+                        }
+                    },
+                    pause(),
+                    TimeUnit.NANOSECONDS);
         }
     }
 
@@ -162,8 +178,9 @@
         public void channelActive(ChannelHandlerContext ctx) {
             String path = RosterProtocol.WATCH_PATH + (whole ? "" : RosterProtocol.FROM_PARAMETER + view.held());
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
-            request.headers().set(HttpHeaderNames.HOST, config.roster().host())
-                .set(RosterProtocol.GATEWAY, config.name());
+            request.headers()
+                    .set(HttpHeaderNames.HOST, config.roster().host())
+                    .set(RosterProtocol.GATEWAY, config.name());
             ctx.writeAndFlush(request);
         }
 
--- a/gateway/src/main/java/wharfhinge/gateway/roster/RememberedList.java
+++ b/gateway/src/main/java/wharfhinge/gateway/roster/RememberedList.java
@@ -82,8 +82,10 @@
             if (frames.size() != 1) {
                 throw new IOException("it holds " + frames.size() + " lists");
             }
-            List<RosterEntry> aged = frames.get(0).entries().stream().map(e -> aged(e, passed)).toList();
-            FleetUpdate update = new FleetUpdate(ListMode.REMEMBERED, frames.get(0).revision(), aged);
+            List<RosterEntry> aged =
+                    frames.get(0).entries().stream().map(e -> aged(e, passed)).toList();
+            FleetUpdate update =
+                    new FleetUpdate(ListMode.REMEMBERED, frames.get(0).revision(), aged);
             take(update);
             return Optional.of(update);
         } catch (IOException | ProtocolException | NumberFormatException e) {
@@ -128,14 +130,19 @@
     private synchronized byte[] bytes() {
         due.set(false);
         long now = wallMs.getAsLong();
-        List<RosterEntry> aged = entries.values().stream().map(e -> aged(e, Math.max(0, now - toldAt.get(e.id()))))
-            .toList();
-        byte[] list = new RosterFrame(RosterFrame.Kind.ALL, 0, revision, aged).text().getBytes(StandardCharsets.UTF_8);
+        List<RosterEntry> aged = entries.values().stream()
+                .map(e -> aged(e, Math.max(0, now - toldAt.get(e.id()))))
+                .toList();
+        byte[] list =
+                new RosterFrame(RosterFrame.Kind.ALL, 0, revision, aged).text().getBytes(StandardCharsets.UTF_8);
         CRC32C sum = new CRC32C();
         sum.update(list);
-        byte[] head = (MAGIC + ' ' + now + ' ' + Long.toHexString(sum.getValue()) + '\n')
-            .getBytes(StandardCharsets.UTF_8);
-        return ByteBuffer.allocate(head.length + list.length).put(head).put(list).array();
+        byte[] head =
+                (MAGIC + ' ' + now + ' ' + Long.toHexString(sum.getValue()) + '\n').getBytes(StandardCharsets.UTF_8);
+        return ByteBuffer.allocate(head.length + list.length)
+                .put(head)
+                .put(list)
+                .array();
     }
 
     private void write() {
@@ -145,8 +152,11 @@
             if (file.getParent() != null) {
                 Files.createDirectories(file.getParent());
             }
-            try (FileChannel channel = FileChannel.open(beside, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-                StandardOpenOption.TRUNCATE_EXISTING)) {
+            try (FileChannel channel = FileChannel.open(
+                    beside,
+                    StandardOpenOption.CREATE,
+                    StandardOpenOption.WRITE,
+                    StandardOpenOption.TRUNCATE_EXISTING)) {
                 ByteBuffer all = ByteBuffer.wrap(bytes);
                 while (all.hasRemaining()) {
                     channel.write(all);
--- a/gateway/src/main/java/wharfhinge/gateway/roster/RosterView.java
+++ b/gateway/src/main/java/wharfhinge/gateway/roster/RosterView.java
@@ -25,8 +25,9 @@
         return switch (frame.kind()) {
             case BEAT -> frame.revision() > held ? Step.ASK : Step.NOTHING;
             case ALL -> frame.revision() > held ? tell(ListMode.ALL, frame) : Step.NOTHING;
-            case CHANGES -> frame.revision() <= held ? Step.NOTHING
-                : held == NONE || frame.from() > held ? Step.ASK : tell(ListMode.CHANGES, frame);
+            case CHANGES -> frame.revision() <= held
+                    ? Step.NOTHING
+                    : held == NONE || frame.from() > held ? Step.ASK : tell(ListMode.CHANGES, frame);
         };
     }
 
--- a/gateway/src/main/java/wharfhinge/gateway/tls/Identity.java
+++ b/gateway/src/main/java/wharfhinge/gateway/tls/Identity.java
@@ -17,10 +17,15 @@
     }
 
     /** What came of a check. */
-    public enum Fault { NONE, NO_PROOF, BAD_TOKEN, OTHER_TENANT }
+    public enum Fault {
+        NONE,
+        NO_PROOF,
+        BAD_TOKEN,
+        OTHER_TENANT
+    }
 
     /** The tenant that a call is of, or what is wrong. */
-    public record Checked(String tenant, Fault fault, String why) { }
+    public record Checked(String tenant, Fault fault, String why) {}
 
     /**
      * Checks a call.
@@ -32,15 +37,20 @@
     public Checked check(SSLSession session, String authorization, String claimed) {
         String proven = session == null ? null : Tls.tenant(session);
         if (proven != null && !NAME.matcher(proven).matches()) {
-            return new Checked(null, Fault.NO_PROOF, "certificate: found the name '" + proven + "', allowed: 1 to 64 letters, digits, "
-                + "'.', '_', '-'");
+            return new Checked(
+                    null,
+                    Fault.NO_PROOF,
+                    "certificate: found the name '" + proven + "', allowed: 1 to 64 letters, digits, "
+                            + "'.', '_', '-'");
         }
         if (tokens != null && authorization != null) {
             try {
                 String told = tokens.tenant(authorization);
                 if (proven != null && !proven.equals(told)) {
-                    return new Checked(null, Fault.OTHER_TENANT, "authorization: found a token of '" + told + "' on a connection of '"
-                        + proven + "'");
+                    return new Checked(
+                            null,
+                            Fault.OTHER_TENANT,
+                            "authorization: found a token of '" + told + "' on a connection of '" + proven + "'");
                 }
                 proven = told;
             } catch (Tokens.BadTokenException e) {
@@ -48,11 +58,14 @@
             }
         }
         if (proven == null) {
-            return needed ? new Checked(null, Fault.NO_PROOF, "tenant: found no proof, allowed: a client certificate or a token")
-                : new Checked(claimed, Fault.NONE, "");
+            return needed
+                    ? new Checked(
+                            null, Fault.NO_PROOF, "tenant: found no proof, allowed: a client certificate or a token")
+                    : new Checked(claimed, Fault.NONE, "");
         }
         if (claimed != null && !claimed.equals(proven)) {
-            return new Checked(null, Fault.OTHER_TENANT, "wh-tenant: found '" + claimed + "', allowed: '" + proven + "'");
+            return new Checked(
+                    null, Fault.OTHER_TENANT, "wh-tenant: found '" + claimed + "', allowed: '" + proven + "'");
         }
         return new Checked(proven, Fault.NONE, "");
     }
--- a/gateway/src/main/java/wharfhinge/gateway/tls/Revoked.java
+++ b/gateway/src/main/java/wharfhinge/gateway/tls/Revoked.java
@@ -46,12 +46,14 @@
     }
 
     @Override
-    public void verifyPeerCertificate(X509Certificate[] chain, String authType, Socket socket) throws CertificateException {
+    public void verifyPeerCertificate(X509Certificate[] chain, String authType, Socket socket)
+            throws CertificateException {
         check(chain);
     }
 
     @Override
-    public void verifyPeerCertificate(X509Certificate[] chain, String authType, SSLEngine engine) throws CertificateException {
+    public void verifyPeerCertificate(X509Certificate[] chain, String authType, SSLEngine engine)
+            throws CertificateException {
         check(chain);
     }
 
@@ -64,7 +66,7 @@
             X509CRLEntry entry = list.getRevokedCertificate(chain[0]);
             if (entry != null) {
                 throw new CertificateException("certificate " + chain[0].getSubjectX500Principal() + " was revoked on "
-                    + entry.getRevocationDate().toInstant());
+                        + entry.getRevocationDate().toInstant());
             }
         }
     }
@@ -85,7 +87,8 @@
     private List<X509CRL> read() throws IOException, GeneralSecurityException {
         X509Certificate[] trusted;
         List<X509CRL> found = new ArrayList<>();
-        try (InputStream in = Files.newInputStream(file); InputStream from = Files.newInputStream(authorities)) {
+        try (InputStream in = Files.newInputStream(file);
+                InputStream from = Files.newInputStream(authorities)) {
             trusted = CertificateUtils.getX509Certificates(from);
             CertificateFactory.getInstance("X.509").generateCRLs(in).forEach(list -> found.add((X509CRL) list));
         }
@@ -94,10 +97,13 @@
         }
         for (X509CRL list : found) {
             if (Arrays.stream(trusted).noneMatch(authority -> signed(list, authority))) {
-                throw new CRLException(file + ": found a list signed by none of " + authorities + ", which names as its issuer "
-                    + list.getIssuerX500Principal());
+                throw new CRLException(file + ": found a list signed by none of " + authorities
+                        + ", which names as its issuer " + list.getIssuerX500Principal());
             }
-            LOG.info("list of revoked certificates of {} read, issued by {}", list.getThisUpdate().toInstant(), list.getIssuerX500Principal());
+            LOG.info(
+                    "list of revoked certificates of {} read, issued by {}",
+                    list.getThisUpdate().toInstant(),
+                    list.getIssuerX500Principal());
         }
         return found;
     }
--- a/gateway/src/main/java/wharfhinge/gateway/tls/Tls.java
+++ b/gateway/src/main/java/wharfhinge/gateway/tls/Tls.java
@@ -56,23 +56,33 @@
     public Tls(GatewayConfig.Tls settings) throws IOException {
         try {
             AdvancedTlsX509KeyManager keys = new AdvancedTlsX509KeyManager();
-            follow(() -> identity(keys, settings.certificates(), settings.key()),
-                settings.certificates(), settings.key());
-            SslContextBuilder builder = SslContextBuilder.forServer(keys).sslProvider(SslProvider.JDK)
-                .applicationProtocolConfig(new ApplicationProtocolConfig(Protocol.ALPN, SelectorFailureBehavior.NO_ADVERTISE,
-                    SelectedListenerFailureBehavior.ACCEPT, ApplicationProtocolNames.HTTP_2, ApplicationProtocolNames.HTTP_1_1));
+            follow(
+                    () -> identity(keys, settings.certificates(), settings.key()),
+                    settings.certificates(),
+                    settings.key());
+            SslContextBuilder builder = SslContextBuilder.forServer(keys)
+                    .sslProvider(SslProvider.JDK)
+                    .applicationProtocolConfig(new ApplicationProtocolConfig(
+                            Protocol.ALPN,
+                            SelectorFailureBehavior.NO_ADVERTISE,
+                            SelectedListenerFailureBehavior.ACCEPT,
+                            ApplicationProtocolNames.HTTP_2,
+                            ApplicationProtocolNames.HTTP_1_1));
             if (settings.clients() != null) {
                 AdvancedTlsX509TrustManager trust = AdvancedTlsX509TrustManager.newBuilder()
-                    .setVerification(AdvancedTlsX509TrustManager.Verification.CERTIFICATE_ONLY_VERIFICATION)
-                    .setSslSocketAndEnginePeerVerifier(new Revoked(settings.revoked(), settings.clients())).build();
+                        .setVerification(AdvancedTlsX509TrustManager.Verification.CERTIFICATE_ONLY_VERIFICATION)
+                        .setSslSocketAndEnginePeerVerifier(new Revoked(settings.revoked(), settings.clients()))
+                        .build();
                 follow(() -> trust.updateTrustCredentials(settings.clients().toFile()), settings.clients());
                 builder.trustManager(trust).clientAuth(settings.needed() ? ClientAuth.REQUIRE : ClientAuth.OPTIONAL);
             }
             context = builder.build();
         } catch (GeneralSecurityException | IOException | RuntimeException e) {
             looks.shutdownNow();
-            throw new IOException("tls: " + settings.certificates() + ", " + settings.key() + (settings.clients() == null ? ""
-                : ", " + settings.clients()) + ": " + e.getMessage(), e);
+            throw new IOException(
+                    "tls: " + settings.certificates() + ", " + settings.key()
+                            + (settings.clients() == null ? "" : ", " + settings.clients()) + ": " + e.getMessage(),
+                    e);
         }
     }
 
@@ -84,31 +94,37 @@
     private void follow(Load load, Path... files) throws GeneralSecurityException, IOException {
         List<FileTime> read = new ArrayList<>(times(files));
         load.run();
-        looks.scheduleWithFixedDelay(() -> {
-            try {
-                List<FileTime> now = times(files);
-                if (!now.equals(read)) {
-                    load.run();
-                    read.clear();
-                    read.addAll(now);
-                    LOG.info("read again: {}", List.of(files));
-                }
-            } catch (GeneralSecurityException | IOException | RuntimeException e) {
-                LOG.warn("{} can't be used, what was read before holds: {}", List.of(files), e.getMessage());
-            }
-        }, LOOK_S, LOOK_S, TimeUnit.SECONDS);
+        looks.scheduleWithFixedDelay(
+                () -> {
+                    try {
+                        List<FileTime> now = times(files);
+                        if (!now.equals(read)) {
+                            load.run();
+                            read.clear();
+                            read.addAll(now);
+                            LOG.info("read again: {}", List.of(files));
+                        }
+                    } catch (GeneralSecurityException | IOException | RuntimeException e) {
+                        LOG.warn("{} can't be used, what was read before holds: {}", List.of(files), e.getMessage());
+                    }
+                },
+                LOOK_S,
+                LOOK_S,
+                TimeUnit.SECONDS);
     }
 
     /** Takes a certificate and its key; one that is not of the other is left out, for clients would be shown what can't be proven. */
-    private static void identity(AdvancedTlsX509KeyManager keys, Path certificates, Path key) throws GeneralSecurityException,
-        IOException {
+    private static void identity(AdvancedTlsX509KeyManager keys, Path certificates, Path key)
+            throws GeneralSecurityException, IOException {
         X509Certificate[] chain;
         PrivateKey own;
-        try (InputStream c = Files.newInputStream(certificates); InputStream k = Files.newInputStream(key)) {
+        try (InputStream c = Files.newInputStream(certificates);
+                InputStream k = Files.newInputStream(key)) {
             chain = CertificateUtils.getX509Certificates(c);
             own = CertificateUtils.getPrivateKey(k);
         }
-        Signature signing = Signature.getInstance(own.getAlgorithm().equals("EC") ? "SHA256withECDSA" : "SHA256withRSA");
+        Signature signing =
+                Signature.getInstance(own.getAlgorithm().equals("EC") ? "SHA256withECDSA" : "SHA256withRSA");
         signing.initSign(own);
         signing.update(PROBE);
         byte[] signed = signing.sign();
--- a/gateway/src/main/java/wharfhinge/gateway/tls/Tokens.java
+++ b/gateway/src/main/java/wharfhinge/gateway/tls/Tokens.java
@@ -20,7 +20,8 @@
  */
 public final class Tokens {
     private static final int LEAST_KEY = 32;
-    private static final Pattern FORM = Pattern.compile("(wh1\\.([A-Za-z0-9._-]{1,64})\\.([0-9]{1,12}))\\.([A-Za-z0-9_-]{1,64})");
+    private static final Pattern FORM =
+            Pattern.compile("(wh1\\.([A-Za-z0-9._-]{1,64})\\.([0-9]{1,12}))\\.([A-Za-z0-9_-]{1,64})");
     private static final int EXPIRES = 3;
     private static final int MAC = 4;
     private static final int MOST = 512;
@@ -42,7 +43,8 @@
         this.key = Files.readAllBytes(keyFile);
         this.wallMs = wallMs;
         if (key.length < LEAST_KEY) {
-            throw new IOException(keyFile + ": found a key of " + key.length + " bytes, allowed: " + LEAST_KEY + " or more");
+            throw new IOException(
+                    keyFile + ": found a key of " + key.length + " bytes, allowed: " + LEAST_KEY + " or more");
         }
     }
 
@@ -62,15 +64,19 @@
         }
         Matcher token = FORM.matcher(authorization.substring("Bearer ".length()));
         if (!token.matches()) {
-            throw new BadTokenException("authorization: found a token of another form, allowed: wh1.TENANT.EXPIRES.MAC");
+            throw new BadTokenException(
+                    "authorization: found a token of another form, allowed: wh1.TENANT.EXPIRES.MAC");
         }
         byte[] wanted = mac(token.group(1)).getBytes(StandardCharsets.US_ASCII);
-        if (!MessageDigest.isEqual(wanted, token.group(MAC).getBytes(StandardCharsets.US_ASCII))) { // first: nothing of a forged one is told
+        if (!MessageDigest.isEqual(
+                wanted,
+                token.group(MAC).getBytes(StandardCharsets.US_ASCII))) { // first: nothing of a forged one is told
             throw new BadTokenException("authorization: found a token whose MAC is wrong");
         }
         long expiresS = Long.parseLong(token.group(EXPIRES));
         if (expiresS * 1000 <= wallMs.getAsLong()) {
-            throw new BadTokenException("authorization: found a token that expired at " + Instant.ofEpochSecond(expiresS));
+            throw new BadTokenException(
+                    "authorization: found a token that expired at " + Instant.ofEpochSecond(expiresS));
         }
         return token.group(2);
     }
@@ -79,7 +85,9 @@
         try {
             Mac mac = Mac.getInstance("HmacSHA256");
             mac.init(new SecretKeySpec(key, "HmacSHA256"));
-            return Base64.getUrlEncoder().withoutPadding().encodeToString(mac.doFinal(text.getBytes(StandardCharsets.UTF_8)));
+            return Base64.getUrlEncoder()
+                    .withoutPadding()
+                    .encodeToString(mac.doFinal(text.getBytes(StandardCharsets.UTF_8)));
         } catch (GeneralSecurityException e) {
             throw new IllegalStateException(e);
         }
--- a/gateway/src/main/java/wharfhinge/gateway/upstream/Exchange.java
+++ b/gateway/src/main/java/wharfhinge/gateway/upstream/Exchange.java
@@ -39,8 +39,13 @@
     Future<?> timeout;
 
     /** Takes over {@code body}, which may be null; {@code streamBegan} may be null where nothing streams. */
-    Exchange(Http2Headers request, ByteBuf body, LongSupplier nanoTime, Consumer<WorkerSide.Result> ended,
-             Consumer<WorkerStream> streamBegan, BooleanSupplier clientGone) {
+    Exchange(
+            Http2Headers request,
+            ByteBuf body,
+            LongSupplier nanoTime,
+            Consumer<WorkerSide.Result> ended,
+            Consumer<WorkerStream> streamBegan,
+            BooleanSupplier clientGone) {
         this.request = request;
         this.body = body;
         this.nanoTime = nanoTime;
@@ -93,9 +98,10 @@
 
     /** Whether the answer that began is one to be handed on as it comes. */
     boolean streamable() {
-        return streams && workerStream == null
-            && Ending.ANSWERED.outcome(status, AnswerCode.of(head.get(WorkerProtocol.OUTCOME)))
-            == wharfhinge.Dispatcher.Outcome.SERVED;
+        return streams
+                && workerStream == null
+                && Ending.ANSWERED.outcome(status, AnswerCode.of(head.get(WorkerProtocol.OUTCOME)))
+                        == wharfhinge.Dispatcher.Outcome.SERVED;
     }
 
     void beginStream() {
@@ -124,15 +130,23 @@
         if (whole != null) {
             answer = null;
         }
-        String how = ending != Ending.ANSWERED ? ending.word()
-            : (code == null ? "status-" + status : code.word()) + (note == CopyNote.NONE ? "" : "/" + note.word());
+        String how = ending != Ending.ANSWERED
+                ? ending.word()
+                : (code == null ? "status-" + status : code.word()) + (note == CopyNote.NONE ? "" : "/" + note.word());
         close();
         if (workerStream != null) {
             workerStream.ended(ending == Ending.ANSWERED);
         }
-        ended.accept(new WorkerSide.Result(ending.outcome(status, code), Ending.note(note),
-            number(WorkerProtocol.COMPANY), report, number(WorkerProtocol.COUNT), nanoTime.getAsLong() - began, whole,
-            head == null ? null : head.get("content-type"), how));
+        ended.accept(new WorkerSide.Result(
+                ending.outcome(status, code),
+                Ending.note(note),
+                number(WorkerProtocol.COMPANY),
+                report,
+                number(WorkerProtocol.COUNT),
+                nanoTime.getAsLong() - began,
+                whole,
+                head == null ? null : head.get("content-type"),
+                how));
     }
 
     /** Drops it without a word: it was cancelled. */
@@ -149,8 +163,10 @@
 
     private int number(CharSequence name) {
         CharSequence text = head == null ? null : head.get(name);
-        if (text == null || text.length() == 0 || text.length() > 6
-            || !text.chars().allMatch(c -> c >= '0' && c <= '9')) {
+        if (text == null
+                || text.length() == 0
+                || text.length() > 6
+                || !text.chars().allMatch(c -> c >= '0' && c <= '9')) {
             return 0;
         }
         return Integer.parseInt(text.toString());
--- a/gateway/src/main/java/wharfhinge/gateway/upstream/HttpWorkers.java
+++ b/gateway/src/main/java/wharfhinge/gateway/upstream/HttpWorkers.java
@@ -30,8 +30,8 @@
     private final Map<String, String> boots = new ConcurrentHashMap<>(); // the process that each request is meant for
 
     /** Uses {@code group}, which stays the caller's. */
-    public HttpWorkers(GatewayConfig config, EventLoopGroup group, Class<? extends Channel> channel,
-                       LongSupplier nanoTime) {
+    public HttpWorkers(
+            GatewayConfig config, EventLoopGroup group, Class<? extends Channel> channel, LongSupplier nanoTime) {
         this.config = config;
         this.group = group;
         this.channel = channel;
@@ -41,8 +41,8 @@
     }
 
     private WorkerPool pool(String worker) {
-        return pools.computeIfAbsent(worker, id -> new WorkerPool(id, group.next(), channel, config.workers(),
-            left.contains(id)));
+        return pools.computeIfAbsent(
+                worker, id -> new WorkerPool(id, group.next(), channel, config.workers(), left.contains(id)));
     }
 
     private void sweep() {
@@ -56,11 +56,14 @@
 
     @Override
     public Sent attempt(Order order, AttemptListener listener) {
-        Http2Headers headers = function(order.worker(), "POST", WorkerProtocol.CALL_PATH + order.function().name(),
-            order.function())
-            .set(WorkerProtocol.CALL, order.call())
-            .setInt(WorkerProtocol.ATTEMPT, order.attempt())
-            .set(WorkerProtocol.CLASS, order.requestClass());
+        Http2Headers headers = function(
+                        order.worker(),
+                        "POST",
+                        WorkerProtocol.CALL_PATH + order.function().name(),
+                        order.function())
+                .set(WorkerProtocol.CALL, order.call())
+                .setInt(WorkerProtocol.ATTEMPT, order.attempt())
+                .set(WorkerProtocol.CLASS, order.requestClass());
         if (order.tenant() != null) {
             headers.set(WorkerProtocol.TENANT, order.tenant());
         }
@@ -71,8 +74,8 @@
             headers.set("content-type", order.contentType());
         }
         ByteBuf body = order.body() == null ? null : order.body().retainedDuplicate();
-        Exchange exchange = new Exchange(headers, body, nanoTime, listener::ended,
-            order.stream() ? listener::began : null, order.clientGone());
+        Exchange exchange = new Exchange(
+                headers, body, nanoTime, listener::ended, order.stream() ? listener::began : null, order.clientGone());
         exchange.giveUpAt(order.giveUpAt());
         WorkerPool pool = start(order.worker(), exchange);
         return new Sent() {
@@ -91,21 +94,36 @@
     @Override
     public void probe(String worker, Consumer<Result> ended) {
         Http2Headers headers = head(worker, "GET", WorkerProtocol.PROBE_PATH);
-        timed(worker, new Exchange(headers, null, nanoTime, ended, null, () -> false), config.workers().probeTimeoutNs());
+        timed(
+                worker,
+                new Exchange(headers, null, nanoTime, ended, null, () -> false),
+                config.workers().probeTimeoutNs());
     }
 
     @Override
     public void hold(String worker, Function function, int count, long waitNs, Consumer<Result> ended) {
-        Http2Headers headers = function(worker, "PUT", WorkerProtocol.COPIES_PATH + function.name()
-            + WorkerProtocol.COUNT_PARAMETER + count, function).setLong(WorkerProtocol.DEADLINE_MS, waitNs / MS);
+        Http2Headers headers = function(
+                        worker,
+                        "PUT",
+                        WorkerProtocol.COPIES_PATH + function.name() + WorkerProtocol.COUNT_PARAMETER + count,
+                        function)
+                .setLong(WorkerProtocol.DEADLINE_MS, waitNs / MS);
         timed(worker, new Exchange(headers, null, nanoTime, ended, null, () -> false), waitNs);
     }
 
     @Override
     public void unload(String worker, String function) {
         Http2Headers headers = head(worker, "DELETE", WorkerProtocol.COPIES_PATH + function);
-        timed(worker, new Exchange(headers, null, nanoTime,
-            result -> io.netty.util.ReferenceCountUtil.release(result.body()), null, () -> false), config.workers().probeTimeoutNs());
+        timed(
+                worker,
+                new Exchange(
+                        headers,
+                        null,
+                        nanoTime,
+                        result -> io.netty.util.ReferenceCountUtil.release(result.body()),
+                        null,
+                        () -> false),
+                config.workers().probeTimeoutNs());
     }
 
     @Override
@@ -152,19 +170,26 @@
         EventLoop loop = pool.loop();
         loop.execute(() -> {
             if (!exchange.done()) {
-                exchange.timeout = loop.schedule(() -> {
-                    if (!exchange.done()) {
-                        exchange.end(Ending.TIMED_OUT);
-                        pool.cancel(exchange);
-                    }
-                }, waitNs, TimeUnit.NANOSECONDS);
+                exchange.timeout = loop.schedule(
+                        () -> {
+                            if (!exchange.done()) {
+                                exchange.end(Ending.TIMED_OUT);
+                                pool.cancel(exchange);
+                            }
+                        },
+                        waitNs,
+                        TimeUnit.NANOSECONDS);
             }
         });
     }
 
     private Http2Headers head(String worker, String method, String path) {
-        Http2Headers headers = new DefaultHttp2Headers(false).method(method).path(path).scheme("http").authority("worker")
-            .set(WorkerProtocol.GATEWAY, config.name());
+        Http2Headers headers = new DefaultHttp2Headers(false)
+                .method(method)
+                .path(path)
+                .scheme("http")
+                .authority("worker")
+                .set(WorkerProtocol.GATEWAY, config.name());
         String boot = boots.getOrDefault(worker, RosterEntry.NO_BOOT);
         return boot.equals(RosterEntry.NO_BOOT) ? headers : headers.set(WorkerProtocol.BOOT, boot);
     }
--- a/gateway/src/main/java/wharfhinge/gateway/upstream/WorkerConnection.java
+++ b/gateway/src/main/java/wharfhinge/gateway/upstream/WorkerConnection.java
@@ -56,8 +56,10 @@
     }
 
     boolean hasRoom() {
-        return established && !leaving && ctx.channel().isActive()
-            && open.size() < Math.min(mostStreams, remoteMostStreams);
+        return established
+                && !leaving
+                && ctx.channel().isActive()
+                && open.size() < Math.min(mostStreams, remoteMostStreams);
     }
 
     int load() {
@@ -85,11 +87,12 @@
         open.put(stream, exchange);
         ByteBuf body = exchange.takeBody();
         boolean bare = body == null || !body.isReadable();
-        ctx.write(new DefaultHttp2HeadersFrame(exchange.request, bare).stream(stream)).addListener(written -> {
-            if (!written.isSuccess()) {
-                ended(exchange, Ending.NOT_WRITTEN);
-            }
-        });
+        ctx.write(new DefaultHttp2HeadersFrame(exchange.request, bare).stream(stream))
+                .addListener(written -> {
+                    if (!written.isSuccess()) {
+                        ended(exchange, Ending.NOT_WRITTEN);
+                    }
+                });
         if (bare) {
             ReferenceCountUtil.release(body);
         } else {
@@ -146,8 +149,11 @@
             } else if (message instanceof Http2ResetFrame frame) {
                 Exchange exchange = open.get(frame.stream());
                 if (exchange != null) {
-                    ended(exchange, frame.errorCode() == Http2Error.REFUSED_STREAM.code() ? Ending.STREAM_REFUSED
-                        : Ending.STREAM_RESET);
+                    ended(
+                            exchange,
+                            frame.errorCode() == Http2Error.REFUSED_STREAM.code()
+                                    ? Ending.STREAM_REFUSED
+                                    : Ending.STREAM_RESET);
                 }
             } else if (message instanceof Http2GoAwayFrame frame) {
                 goAway(frame.lastStreamId());
@@ -213,7 +219,8 @@
         remoteMostStreams = most == null ? remoteMostStreams : most;
         if (!established) {
             established = true;
-            Http2Connection connection = ctx.pipeline().get(Http2FrameCodec.class).connection();
+            Http2Connection connection =
+                    ctx.pipeline().get(Http2FrameCodec.class).connection();
             connection.local().flowController().incrementWindowSize(connection.connectionStream(), CONNECTION_WINDOW);
             ctx.flush();
             pool.established();
@@ -224,8 +231,7 @@
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (event instanceof Http2FrameStreamEvent change && change.type() == Http2FrameStreamEvent.Type.State) {
             Exchange exchange = open.get(change.stream());
-            if (exchange != null && change.stream().state()
-                == io.netty.handler.codec.http2.Http2Stream.State.CLOSED) {
+            if (exchange != null && change.stream().state() == io.netty.handler.codec.http2.Http2Stream.State.CLOSED) {
                 // the frame that closed it is handed on after this event; what still is open then has lost its stream
                 execute(() -> ended(exchange, Ending.STREAM_RESET));
             }
--- a/gateway/src/main/java/wharfhinge/gateway/upstream/WorkerPool.java
+++ b/gateway/src/main/java/wharfhinge/gateway/upstream/WorkerPool.java
@@ -30,16 +30,19 @@
     private int dialing;
     private boolean gone;
 
-    WorkerPool(String id, EventLoop loop, Class<? extends Channel> channel, GatewayConfig.Workers settings,
-               boolean gone) {
+    WorkerPool(
+            String id, EventLoop loop, Class<? extends Channel> channel, GatewayConfig.Workers settings, boolean gone) {
         this.gone = gone;
         this.loop = loop;
         this.settings = settings;
         int colon = id.lastIndexOf(':');
-        this.bootstrap = new Bootstrap().group(loop).channel(channel)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (settings.dialTimeoutNs() / 1_000_000))
-            .remoteAddress(new InetSocketAddress(id.substring(0, colon), Integer.parseInt(id.substring(colon + 1))));
+        this.bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(channel)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (settings.dialTimeoutNs() / 1_000_000))
+                .remoteAddress(
+                        new InetSocketAddress(id.substring(0, colon), Integer.parseInt(id.substring(colon + 1))));
     }
 
     EventLoop loop() {
@@ -100,7 +103,7 @@
             }
         }
         while (waiting.size() > dialing * settings.streamsPerConnection()
-            && connections.size() < settings.maxConnections()) {
+                && connections.size() < settings.maxConnections()) {
             dial();
         }
         if (dialing == 0) {
@@ -111,10 +114,14 @@
     private void dial() {
         dialing++;
         Http2FrameCodec codec = Http2FrameCodecBuilder.forClient()
-            .initialSettings(Http2Settings.defaultSettings().pushEnabled(false).initialWindowSize(STREAM_WINDOW)
-                .maxHeaderListSize(16_384)).encoderEnforceMaxConcurrentStreams(false).build();
-        WorkerConnection connection = new WorkerConnection(this, settings.streamsPerConnection(),
-            settings.maxAnswerBytes());
+                .initialSettings(Http2Settings.defaultSettings()
+                        .pushEnabled(false)
+                        .initialWindowSize(STREAM_WINDOW)
+                        .maxHeaderListSize(16_384))
+                .encoderEnforceMaxConcurrentStreams(false)
+                .build();
+        WorkerConnection connection =
+                new WorkerConnection(this, settings.streamsPerConnection(), settings.maxAnswerBytes());
         connections.add(connection);
         Bootstrap dial = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
             @Override
@@ -127,11 +134,14 @@
                 dialEnded();
             }
         });
-        loop.schedule(() -> {
-            if (!connection.established() && connections.contains(connection)) {
-                connection.close();
-            }
-        }, settings.dialTimeoutNs(), TimeUnit.NANOSECONDS);
+        loop.schedule(
+                () -> {
+                    if (!connection.established() && connections.contains(connection)) {
+                        connection.close();
+                    }
+                },
+                settings.dialTimeoutNs(),
+                TimeUnit.NANOSECONDS);
     }
 
     private void dialEnded() {
--- a/gateway/src/test/java/wharfhinge/gateway/BothClientsTest.java
+++ b/gateway/src/test/java/wharfhinge/gateway/BothClientsTest.java
@@ -38,7 +38,8 @@
 @Timeout(90)
 class BothClientsTest {
     private static final long MS = 1_000_000L;
-    private static final ClientPolicy POLICY = new ClientPolicy(20_000, 0.2, 20, 5 * MS, 50 * MS, 5000 * MS, 3, 500 * MS, 150 * MS);
+    private static final ClientPolicy POLICY =
+            new ClientPolicy(20_000, 0.2, 20, 5 * MS, 50 * MS, 5000 * MS, 3, 500 * MS, 150 * MS);
     private static final int CONNECT_MS = 2000; // the first connection of a cold process may take half a second
 
     private static final List<String> TABLE = new ArrayList<>(List.of("| step | http | grpc |", "| --- | --- | --- |"));
@@ -54,11 +55,13 @@
 
     /** The two ways; both libraries get the same steps. */
     private enum Way {
-        HTTP, GRPC;
+        HTTP,
+        GRPC;
 
         Transport transport() {
-            return this == HTTP ? new HttpTransport(Duration.ofMillis(CONNECT_MS), 16, 1 << 20, null, null)
-                : new GrpcTransport(Duration.ofMillis(CONNECT_MS), 1 << 20, null, null);
+            return this == HTTP
+                    ? new HttpTransport(Duration.ofMillis(CONNECT_MS), 16, 1 << 20, null, null)
+                    : new GrpcTransport(Duration.ofMillis(CONNECT_MS), 1 << 20, null, null);
         }
 
         String of(Gateway gateway) {
@@ -76,7 +79,10 @@
         for (Way way : Way.values()) {
             outcomes.put(way, step.run(way, Files.createDirectory(folder.resolve(way.name()))));
         }
-        String called = StackWalker.getInstance().walk(f -> f.skip(1).findFirst()).orElseThrow().getMethodName();
+        String called = StackWalker.getInstance()
+                .walk(f -> f.skip(1).findFirst())
+                .orElseThrow()
+                .getMethodName();
         TABLE.add("| " + called + " | " + outcomes.get(Way.HTTP) + " | " + outcomes.get(Way.GRPC) + " |");
         assertEquals(outcomes.get(Way.HTTP), outcomes.get(Way.GRPC), "the libraries differ");
         assertEquals(expected, outcomes.get(Way.HTTP));
@@ -122,11 +128,16 @@
     @Test
     void aServedCallAndTheWorkersHeaders() throws Exception {
         both(List.of(List.of("served", "well", 1), "t1"), (way, at) -> {
-            try (ScriptedPeer worker = new ScriptedPeer(in -> in.answer(SERVED, FOUND, "well")); Rig rig = rig(at);
-                 WharfhingeClient client = client(way, way.of(rig.gateway))) {
+            try (ScriptedPeer worker = new ScriptedPeer(in -> in.answer(SERVED, FOUND, "well"));
+                    Rig rig = rig(at);
+                    WharfhingeClient client = client(way, way.of(rig.gateway))) {
                 rig.list(worker.id());
-                List<Object> end = get(client.call(once(2000).body("input".getBytes(), "text/plain").tenant("t1").id("mine")
-                    .copy(64, 2, 100).build()));
+                List<Object> end = get(client.call(once(2000)
+                        .body("input".getBytes(), "text/plain")
+                        .tenant("t1")
+                        .id("mine")
+                        .copy(64, 2, 100)
+                        .build()));
                 ScriptedPeer.In in = worker.next();
                 return List.of(end, String.valueOf(in.headers.get("wh-tenant")));
             }
@@ -136,8 +147,10 @@
     @Test
     void aCallThatIsWrongIsInvalidWithTheSamePlace() throws Exception {
         both(List.of("invalid", "wh-class: found 'none', allowed: one of [safe, once, flow]", 1), (way, at) -> {
-            try (Rig rig = rig(at); WharfhingeClient client = client(way, way.of(rig.gateway))) {
-                return get(client.call(Call.safe("f", "none", Duration.ofMillis(500)).build()));
+            try (Rig rig = rig(at);
+                    WharfhingeClient client = client(way, way.of(rig.gateway))) {
+                return get(client.call(
+                        Call.safe("f", "none", Duration.ofMillis(500)).build()));
             }
         });
     }
@@ -146,8 +159,9 @@
     void aRefusalMeansTheSameAndWithoutABudgetItIsTheAnswer() throws Exception {
         ClientPolicy none = new ClientPolicy(100, 0, 0, 5 * MS, 50 * MS, 400 * MS, 3, 500 * MS, 150 * MS);
         both(List.of("refused", "not-sent (budget-spent)", 1), (way, at) -> {
-            try (Rig rig = rig(at); WharfhingeClient client = new WharfhingeClient(way.transport(), none,
-                List.of(way.of(rig.gateway)))) {
+            try (Rig rig = rig(at);
+                    WharfhingeClient client =
+                            new WharfhingeClient(way.transport(), none, List.of(way.of(rig.gateway)))) {
                 return get(client.call(once(500).build())); // the gateway has no workers
             }
         });
@@ -156,8 +170,9 @@
     @Test
     void theDeadlinePassesWhileTheCallWaitsOnALoad() throws Exception {
         both("no answer, may have run, in time", (way, at) -> {
-            try (ScriptedPeer loads = new ScriptedPeer(in -> { }); Rig rig = rig(at);
-                 WharfhingeClient client = client(way, way.of(rig.gateway))) {
+            try (ScriptedPeer loads = new ScriptedPeer(in -> {});
+                    Rig rig = rig(at);
+                    WharfhingeClient client = client(way, way.of(rig.gateway))) {
                 rig.list(loads.id());
                 long began = System.nanoTime();
                 Result r = client.call(once(300).copy(64, 1, 5000).build()).get(5, TimeUnit.SECONDS);
@@ -172,13 +187,16 @@
     void anUnsafeCallWhoseConnectionBrokeIsFailedAndASafeOneGoesElsewhere() throws Exception {
         both(List.of("failed", 1, List.of("served", "well", 2)), (way, at) -> {
             try (ScriptedPeer breaks = new ScriptedPeer(ScriptedPeer.In::breakConnection);
-                 ScriptedPeer worker = new ScriptedPeer(in -> in.answer(SERVED, FOUND, "well")); Rig rig = rig(at);
-                 WharfhingeClient client = client(way, breaks.id())) {
+                    ScriptedPeer worker = new ScriptedPeer(in -> in.answer(SERVED, FOUND, "well"));
+                    Rig rig = rig(at);
+                    WharfhingeClient client = client(way, breaks.id())) {
                 rig.list(worker.id());
                 Result unsafe = client.call(once(2000).build()).get(5, TimeUnit.SECONDS);
                 client.gateways(List.of(breaks.id(), way.of(rig.gateway)));
                 List<Object> safe = List.of();
-                for (int i = 0; i < 30 && !safe.equals(List.of("served", "well", 2)); i++) { // until the broken one is drawn first
+                for (int i = 0;
+                        i < 30 && !safe.equals(List.of("served", "well", 2));
+                        i++) { // until the broken one is drawn first
                     safe = get(client.call(safe(2000).build()));
                 }
                 return List.of(unsafe instanceof Result.Failed ? "failed" : unsafe.toString(), unsafe.tries(), safe);
@@ -190,8 +208,9 @@
     void aGatewayThatAcceptsAndSaysNothingCostsATryWhateverTheClass() throws Exception {
         both(List.of("served", "well", 2), (way, at) -> {
             try (ServerSocket silent = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-                 ScriptedPeer worker = new ScriptedPeer(in -> in.answer(SERVED, FOUND, "well")); Rig rig = rig(at);
-                 WharfhingeClient client = client(way, "127.0.0.1:" + silent.getLocalPort())) {
+                    ScriptedPeer worker = new ScriptedPeer(in -> in.answer(SERVED, FOUND, "well"));
+                    Rig rig = rig(at);
+                    WharfhingeClient client = client(way, "127.0.0.1:" + silent.getLocalPort())) {
                 rig.list(worker.id());
                 CompletableFuture<Result> call = client.call(once(9000).build());
                 client.gateways(List.of("127.0.0.1:" + silent.getLocalPort(), way.of(rig.gateway)));
@@ -205,9 +224,11 @@
         both(List.of("served", 20L), (way, at) -> {
             Path other = Files.createDirectory(at.resolve("other"));
             try (ScriptedPeer worker = new ScriptedPeer(in -> in.later(150, () -> in.answer(SERVED, FOUND, "well")));
-                 ScriptedPeer second = new ScriptedPeer(in -> in.later(150, () -> in.answer(SERVED, FOUND, "well")));
-                 ScriptedPeer third = new ScriptedPeer(in -> in.later(150, () -> in.answer(SERVED, FOUND, "well")));
-                 Rig stays = rig(other); WharfhingeClient client = client(way, way.of(stays.gateway))) {
+                    ScriptedPeer second =
+                            new ScriptedPeer(in -> in.later(150, () -> in.answer(SERVED, FOUND, "well")));
+                    ScriptedPeer third = new ScriptedPeer(in -> in.later(150, () -> in.answer(SERVED, FOUND, "well")));
+                    Rig stays = rig(other);
+                    WharfhingeClient client = client(way, way.of(stays.gateway))) {
                 stays.list(worker.id(), second.id(), third.id());
                 Rig stops = rig(at);
                 stops.list(worker.id(), second.id(), third.id());
@@ -216,7 +237,9 @@
                 for (int i = 0; i < 10; i++) {
                     calls.add(client.call(once(4000).copy(1, 64, 10).build()));
                 }
-                Rig.await("calls open at the one that stops", () -> stops.gateway.loop().open() > 0);
+                Rig.await(
+                        "calls open at the one that stops",
+                        () -> stops.gateway.loop().open() > 0);
                 stops.close();
                 for (int i = 0; i < 10; i++) {
                     calls.add(client.call(once(4000).copy(1, 64, 10).build()));
@@ -225,8 +248,9 @@
                 for (CompletableFuture<Result> call : calls) {
                     ends.merge(get(call).get(0), 1L, Long::sum);
                 }
-                return ends.entrySet().stream().flatMap(e -> java.util.stream.Stream.of(e.getKey(), e.getValue()))
-                    .collect(Collectors.toList());
+                return ends.entrySet().stream()
+                        .flatMap(e -> java.util.stream.Stream.of(e.getKey(), e.getValue()))
+                        .collect(Collectors.toList());
             }
         });
     }
@@ -234,8 +258,9 @@
     @Test
     void cancelIsToldToTheGatewayWhileTheWorkerRuns() throws Exception {
         both(List.of("left", 1L), (way, at) -> {
-            try (ScriptedPeer worker = new ScriptedPeer(in -> { }); Rig rig = rig(at);
-                 WharfhingeClient client = client(way, way.of(rig.gateway))) {
+            try (ScriptedPeer worker = new ScriptedPeer(in -> {});
+                    Rig rig = rig(at);
+                    WharfhingeClient client = client(way, way.of(rig.gateway))) {
                 rig.list(worker.id());
                 CompletableFuture<Result> call = client.call(once(4000).build());
                 worker.next();
@@ -250,16 +275,21 @@
     @Test
     void tenThousandCallsAtOnceThroughOneClient() throws Exception {
         both(List.of(10_000L), (way, at) -> {
-            try (ScriptedPeer worker = new ScriptedPeer(in -> in.answer(SERVED, FOUND, "well")); Rig rig = rig(at);
-                 WharfhingeClient client = client(way, way.of(rig.gateway))) {
+            try (ScriptedPeer worker = new ScriptedPeer(in -> in.answer(SERVED, FOUND, "well"));
+                    Rig rig = rig(at);
+                    WharfhingeClient client = client(way, way.of(rig.gateway))) {
                 rig.list(worker.id());
                 List<CompletableFuture<Result>> calls = new ArrayList<>();
                 for (int i = 0; i < 10_000; i++) {
-                    calls.add(client.call(Call.safe("f", "safe", Duration.ofSeconds(20)).copy(1, 4096, 10).build()));
+                    calls.add(client.call(Call.safe("f", "safe", Duration.ofSeconds(20))
+                            .copy(1, 4096, 10)
+                            .build()));
                 }
                 long answered = 0;
                 for (CompletableFuture<Result> call : calls) {
-                    answered += call.get(30, TimeUnit.SECONDS) == null ? 0 : 1; // served or refused: each has its one answer
+                    answered += call.get(30, TimeUnit.SECONDS) == null
+                            ? 0
+                            : 1; // served or refused: each has its one answer
                 }
                 assertEquals(0, client.figures().get(2, TimeUnit.SECONDS).open());
                 return List.of(answered);
@@ -270,28 +300,37 @@
     @Test
     void aTenantOverItsRateIsRefusedWithAdviceAndOthersAreNot() throws Exception {
         String door = "<door><tenant name='busy' rate-per-s='0.5' burst='1'/></door>";
-        both(List.of(List.of("served", "well", 1), List.of("refused", "not-taken:tenant-rate (no-time-to-come-back)", 1), true,
-            List.of("served", "well", 1)), (way, at) -> {
-                try (ScriptedPeer worker = new ScriptedPeer(in -> in.answer(SERVED, FOUND, "well"));
-                     Rig rig = new Rig(at, "", "", door, DispatcherFactory.CHOICE);
-                     WharfhingeClient client = client(way, way.of(rig.gateway))) {
-                    rig.list(worker.id());
-                    List<Object> first = get(client.call(once(1000).tenant("busy").build()));
-                    Result second = client.call(once(1000).tenant("busy").build()).get(5, TimeUnit.SECONDS);
-                    long comeBack = ((Result.Refused) second).comeBack().toMillis();
-                    List<Object> other = get(client.call(once(1000).tenant("calm").build()));
-                    assertEquals(1, rig.figure("door_busy_refused_rate"));
-                    assertEquals(0, rig.figure("door_others_open"), "each that was let in has ended");
-                    return List.of(first, fields(second), comeBack > 1000 && comeBack <= 2000, other);
-                }
-            });
+        both(
+                List.of(
+                        List.of("served", "well", 1),
+                        List.of("refused", "not-taken:tenant-rate (no-time-to-come-back)", 1),
+                        true,
+                        List.of("served", "well", 1)),
+                (way, at) -> {
+                    try (ScriptedPeer worker = new ScriptedPeer(in -> in.answer(SERVED, FOUND, "well"));
+                            Rig rig = new Rig(at, "", "", door, DispatcherFactory.CHOICE);
+                            WharfhingeClient client = client(way, way.of(rig.gateway))) {
+                        rig.list(worker.id());
+                        List<Object> first =
+                                get(client.call(once(1000).tenant("busy").build()));
+                        Result second =
+                                client.call(once(1000).tenant("busy").build()).get(5, TimeUnit.SECONDS);
+                        long comeBack = ((Result.Refused) second).comeBack().toMillis();
+                        List<Object> other =
+                                get(client.call(once(1000).tenant("calm").build()));
+                        assertEquals(1, rig.figure("door_busy_refused_rate"));
+                        assertEquals(0, rig.figure("door_others_open"), "each that was let in has ended");
+                        return List.of(first, fields(second), comeBack > 1000 && comeBack <= 2000, other);
+                    }
+                });
     }
 
     @Test
     void anAnswerAfterTheDeadlineIsNobodysAndTheGatewayAnsweredInTime() throws Exception {
         both(List.of(true, 0L), (way, at) -> {
-            try (ScriptedPeer slow = new ScriptedPeer(in -> in.later(700, () -> in.answer(SERVED, FOUND, "late"))); Rig rig = rig(at);
-                 WharfhingeClient client = client(way, way.of(rig.gateway))) {
+            try (ScriptedPeer slow = new ScriptedPeer(in -> in.later(700, () -> in.answer(SERVED, FOUND, "late")));
+                    Rig rig = rig(at);
+                    WharfhingeClient client = client(way, way.of(rig.gateway))) {
                 rig.list(slow.id());
                 Result r = client.call(once(250).build()).get(5, TimeUnit.SECONDS);
                 Rig.await("the gateway is done with it", () -> rig.figure("open_calls") == 0);
@@ -303,16 +342,19 @@
     @Test
     void cancelBeforeItIsSentAndWhileItWaitsToComeBack() throws Exception {
         both(List.of(true, true, 0), (way, at) -> {
-            try (ServerSocket silent = new ServerSocket(0, 50, InetAddress.getLoopbackAddress()); Rig rig = rig(at);
-                 WharfhingeClient client = client(way, "127.0.0.1:" + silent.getLocalPort())) {
+            try (ServerSocket silent = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+                    Rig rig = rig(at);
+                    WharfhingeClient client = client(way, "127.0.0.1:" + silent.getLocalPort())) {
                 CompletableFuture<Result> connecting = client.call(once(4000).build());
                 boolean first = connecting.cancel(true);
-                client.gateways(List.of(way.of(rig.gateway))); // which has no workers and refuses: the call comes back now and then
+                client.gateways(List.of(
+                        way.of(rig.gateway))); // which has no workers and refuses: the call comes back now and then
                 CompletableFuture<Result> waiting = client.call(safe(4000).build());
                 Rig.await("it was taken", () -> rig.figure("taken") > 0);
                 boolean second = waiting.cancel(true);
                 Rig.await("nothing is open", () -> rig.figure("open_calls") == 0);
-                return List.of(first, second, client.figures().get(2, TimeUnit.SECONDS).open());
+                return List.of(
+                        first, second, client.figures().get(2, TimeUnit.SECONDS).open());
             }
         });
     }
@@ -352,38 +394,51 @@
 
     @Test
     void aStreamedAnswerFlowsBeyondTheDeadlineAndIsWholeOrFailed() throws Exception {
-        both(List.of("began", "one", "two", List.of("served", "", 1), List.of("began", "half"), "failed", 1, 2L), (way, at) -> {
-            try (ScriptedPeer worker = new ScriptedPeer(null); Rig rig = rig(at); WharfhingeClient client = client(way, way.of(rig.gateway))) {
-                rig.list(worker.id());
-                Reader reader = new Reader(false);
-                CompletableFuture<Result> whole = client.stream(flow(700), reader);
-                ScriptedPeer.In in = worker.next();
-                in.head(SERVED, FOUND, false);
-                String began = reader.next();
-                in.part("one", false);
-                String one = reader.next();
-                in.later(900, () -> in.part("two", true)); // the deadline has passed
-                String two = reader.next();
-                List<Object> end = get(whole);
-                Reader half = new Reader(false);
-                CompletableFuture<Result> broken = client.stream(flow(2000), half);
-                ScriptedPeer.In second = worker.next();
-                second.head(SERVED, FOUND, false);
-                second.part("half", false);
-                List<String> got = List.of(half.next(), half.next());
-                second.reset(io.netty.handler.codec.http2.Http2Error.INTERNAL_ERROR);
-                Result r = broken.get(5, TimeUnit.SECONDS);
-                Rig.await("the gateway is done", () -> rig.figure("open_calls") == 0);
-                return List.of(began, one, two, end, got, r instanceof Result.Failed ? "failed" : r.toString(), r.tries(),
-                    rig.figure("taken"));
-            }
-        });
+        both(
+                List.of("began", "one", "two", List.of("served", "", 1), List.of("began", "half"), "failed", 1, 2L),
+                (way, at) -> {
+                    try (ScriptedPeer worker = new ScriptedPeer(null);
+                            Rig rig = rig(at);
+                            WharfhingeClient client = client(way, way.of(rig.gateway))) {
+                        rig.list(worker.id());
+                        Reader reader = new Reader(false);
+                        CompletableFuture<Result> whole = client.stream(flow(700), reader);
+                        ScriptedPeer.In in = worker.next();
+                        in.head(SERVED, FOUND, false);
+                        String began = reader.next();
+                        in.part("one", false);
+                        String one = reader.next();
+                        in.later(900, () -> in.part("two", true)); // the deadline has passed
+                        String two = reader.next();
+                        List<Object> end = get(whole);
+                        Reader half = new Reader(false);
+                        CompletableFuture<Result> broken = client.stream(flow(2000), half);
+                        ScriptedPeer.In second = worker.next();
+                        second.head(SERVED, FOUND, false);
+                        second.part("half", false);
+                        List<String> got = List.of(half.next(), half.next());
+                        second.reset(io.netty.handler.codec.http2.Http2Error.INTERNAL_ERROR);
+                        Result r = broken.get(5, TimeUnit.SECONDS);
+                        Rig.await("the gateway is done", () -> rig.figure("open_calls") == 0);
+                        return List.of(
+                                began,
+                                one,
+                                two,
+                                end,
+                                got,
+                                r instanceof Result.Failed ? "failed" : r.toString(),
+                                r.tries(),
+                                rig.figure("taken"));
+                    }
+                });
     }
 
     @Test
     void aSlowReaderOfAStreamHoldsTheWorkerBackAndCancelEndsIt() throws Exception {
         both(List.of("began", true, true), (way, at) -> {
-            try (ScriptedPeer worker = new ScriptedPeer(null); Rig rig = rig(at); WharfhingeClient client = client(way, way.of(rig.gateway))) {
+            try (ScriptedPeer worker = new ScriptedPeer(null);
+                    Rig rig = rig(at);
+                    WharfhingeClient client = client(way, way.of(rig.gateway))) {
                 rig.list(worker.id());
                 Reader slow = new Reader(true);
                 CompletableFuture<Result> call = client.stream(flow(2000), slow);
@@ -411,7 +466,9 @@
     void aRefusedStreamIsARefusalWithoutParts() throws Exception {
         ClientPolicy none = new ClientPolicy(100, 0, 0, 5 * MS, 50 * MS, 5000 * MS, 3, 500 * MS, 150 * MS);
         both(List.of("refused", true), (way, at) -> {
-            try (Rig rig = rig(at); WharfhingeClient client = new WharfhingeClient(way.transport(), none, List.of(way.of(rig.gateway)))) {
+            try (Rig rig = rig(at);
+                    WharfhingeClient client =
+                            new WharfhingeClient(way.transport(), none, List.of(way.of(rig.gateway)))) {
                 Reader reader = new Reader(false);
                 return List.of(get(client.stream(flow(2000), reader)).get(0), reader.parts.isEmpty());
             }
@@ -421,8 +478,9 @@
     @Test
     void theListOfGatewaysMayChange() throws Exception {
         both(List.of("refused", List.of("served", "well", 1)), (way, at) -> {
-            try (ScriptedPeer worker = new ScriptedPeer(in -> in.answer(SERVED, FOUND, "well")); Rig rig = rig(at);
-                 WharfhingeClient client = client(way)) {
+            try (ScriptedPeer worker = new ScriptedPeer(in -> in.answer(SERVED, FOUND, "well"));
+                    Rig rig = rig(at);
+                    WharfhingeClient client = client(way)) {
                 rig.list(worker.id());
                 Result none = client.call(safe(500).build()).get(5, TimeUnit.SECONDS);
                 client.gateways(List.of(way.of(rig.gateway)));
--- a/gateway/src/test/java/wharfhinge/gateway/ChainSocketTest.java
+++ b/gateway/src/test/java/wharfhinge/gateway/ChainSocketTest.java
@@ -30,11 +30,15 @@
 /** Chains over real sockets, and what goes wrong with them. */
 @Timeout(60)
 class ChainSocketTest {
-    private static final String KEEP = "<chains resume-file=\"steps\"><chain name=\"save\" aim-ms=\"900\"><step id=\"a\" "
-        + "function=\"f\" class=\"safe\"/><step id=\"b\" function=\"g\" class=\"safe\" input=\"a client\"/></chain></chains>";
+    private static final String KEEP =
+            "<chains resume-file=\"steps\"><chain name=\"save\" aim-ms=\"900\"><step id=\"a\" "
+                    + "function=\"f\" class=\"safe\"/><step id=\"b\" function=\"g\" class=\"safe\" input=\"a client\"/></chain></chains>";
+
     @TempDir
     private Path folder;
-    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private ScriptedPeer worker;
     private Rig rig;
 
@@ -52,8 +56,11 @@
     }
 
     private CompletableFuture<HttpResponse<String>> chain(Rig at, String json) {
-        return client.sendAsync(HttpRequest.newBuilder(at.uri("/v1/chain")).POST(HttpRequest.BodyPublishers
-            .ofString(json.replace('\'', '"'))).build(), HttpResponse.BodyHandlers.ofString());
+        return client.sendAsync(
+                HttpRequest.newBuilder(at.uri("/v1/chain"))
+                        .POST(HttpRequest.BodyPublishers.ofString(json.replace('\'', '"')))
+                        .build(),
+                HttpResponse.BodyHandlers.ofString());
     }
 
     private static String steps(String head, String... steps) {
@@ -61,8 +68,8 @@
     }
 
     private static String step(String id, String type, String input, int loadMs) {
-        return "{'id':'" + id + "','function':'f-" + id + "','class':'" + type + "','input':[" + input + "],'load_ms':" + loadMs
-            + ",'cost_us':20000}";
+        return "{'id':'" + id + "','function':'f-" + id + "','class':'" + type + "','input':[" + input + "],'load_ms':"
+                + loadMs + ",'cost_us':20000}";
     }
 
     private static final String A = step("a", "safe", "'client'", 0);
@@ -95,7 +102,8 @@
 
     @Test
     void aLoadThatDoesNotFitIsRefusedBeforeAnythingRuns() throws Exception {
-        HttpResponse<String> response = get(chain(rig, steps("'deadline_ms':400", A, step("cold", "safe", "'a'", 900))));
+        HttpResponse<String> response =
+                get(chain(rig, steps("'deadline_ms':400", A, step("cold", "safe", "'a'", 900))));
         assertEquals("refused", answer(response));
         assertTrue(response.body().contains("too-little-time"), response.body());
         assertTrue(worker.gotNothingWithin(50), "work was begun for a chain without hope");
@@ -103,11 +111,15 @@
 
     @Test
     void aFunctionNeverSeenBeforeAtTheEndIsTriedAndLoaded() throws Exception {
-        CompletableFuture<HttpResponse<String>> call = chain(rig, steps("'deadline_ms':2000", A,
-            "{'id':'new','function':'never-seen','class':'safe','input':['a']}"));
+        CompletableFuture<HttpResponse<String>> call = chain(
+                rig,
+                steps("'deadline_ms':2000", A, "{'id':'new','function':'never-seen','class':'safe','input':['a']}"));
         worker.next().answer(SERVED, FOUND, "a");
         ScriptedPeer.In in = worker.next();
-        assertEquals("/call/never-seen", in.headers.path().toString(), "nothing is known of it, which is no reason to refuse");
+        assertEquals(
+                "/call/never-seen",
+                in.headers.path().toString(),
+                "nothing is known of it, which is no reason to refuse");
         Thread.sleep(100); // its load
         in.answer(SERVED, BEGAN, "loaded");
         HttpResponse<String> response = get(call);
@@ -118,8 +130,8 @@
     void aFirstStepServedLateEndsTheChainInTime() throws Exception {
         worker.silentOrders = true; // the load that is ordered ahead does not end in time
         long began = System.nanoTime();
-        CompletableFuture<HttpResponse<String>> call = chain(rig, steps("'deadline_ms':950", A,
-            step("cold", "safe", "'a'", 900)));
+        CompletableFuture<HttpResponse<String>> call =
+                chain(rig, steps("'deadline_ms':950", A, step("cold", "safe", "'a'", 900)));
         ScriptedPeer.In a = worker.next();
         Thread.sleep(290); // under the patience after which the call would be tried again
         a.answer(SERVED, FOUND, "late");
@@ -133,7 +145,8 @@
     @Test
     void aSilentFirstWorkerGivesOneAnswerBeforeTheDeadline() throws Exception {
         long began = System.nanoTime();
-        HttpResponse<String> response = get(chain(rig, steps("'deadline_ms':500", step("a", "once", "'client'", 0), B)));
+        HttpResponse<String> response =
+                get(chain(rig, steps("'deadline_ms':500", step("a", "once", "'client'", 0), B)));
         assertEquals("failed", answer(response), "the first step may have run");
         assertTrue(response.body().contains("\"state\":\"may-have-run\""), response.body());
         assertTrue(System.nanoTime() - began < 520_000_000L);
@@ -141,8 +154,13 @@
 
     @Test
     void aBranchThatFailsEndsTheChainAndResetsItsTwin() throws Exception {
-        CompletableFuture<HttpResponse<String>> call = chain(rig, steps("'deadline_ms':2000",
-            step("a", "once", "'client'", 0), step("b", "safe", "'client'", 0), step("c", "safe", "'a','b'", 0)));
+        CompletableFuture<HttpResponse<String>> call = chain(
+                rig,
+                steps(
+                        "'deadline_ms':2000",
+                        step("a", "once", "'client'", 0),
+                        step("b", "safe", "'client'", 0),
+                        step("c", "safe", "'a','b'", 0)));
         ScriptedPeer.In one = worker.next();
         ScriptedPeer.In two = worker.next();
         ScriptedPeer.In a = one.headers.path().toString().endsWith("f-a") ? one : two;
@@ -153,10 +171,12 @@
 
     @Test
     void aClientThatLeavesAtTheSecondStepStopsTheThird() throws Exception {
-        String json = steps("'deadline_ms':2000", A, B, step("c", "safe", "'b'", 0)).replace('\'', '"');
+        String json =
+                steps("'deadline_ms':2000", A, B, step("c", "safe", "'b'", 0)).replace('\'', '"');
         Socket socket = new Socket("127.0.0.1", rig.gateway.address().getPort());
-        socket.getOutputStream().write(("POST /v1/chain HTTP/1.1\r\nhost: x\r\ncontent-length: " + json.length() + "\r\n\r\n"
-            + json).getBytes(StandardCharsets.US_ASCII));
+        socket.getOutputStream()
+                .write(("POST /v1/chain HTTP/1.1\r\nhost: x\r\ncontent-length: " + json.length() + "\r\n\r\n" + json)
+                        .getBytes(StandardCharsets.US_ASCII));
         worker.next().answer(SERVED, FOUND, "a");
         worker.next();
         socket.close();
@@ -168,8 +188,8 @@
 
     @Test
     void anUnsafeFirstStepAndARefusedSecondTellWhatRan() throws Exception {
-        CompletableFuture<HttpResponse<String>> call = chain(rig, steps("'deadline_ms':2000",
-            step("a", "once", "'client'", 0), B));
+        CompletableFuture<HttpResponse<String>> call =
+                chain(rig, steps("'deadline_ms':2000", step("a", "once", "'client'", 0), B));
         worker.next().answer(SERVED, FOUND, "ran");
         while (!call.isDone()) { // as often as it is tried: that is not this test's
             ScriptedPeer.In b = worker.poll(20);
@@ -205,8 +225,8 @@
         assertEquals("served", answer(get(again)));
         assertEquals(1, rig.figure("chains_resumed"));
         java.nio.file.Files.createDirectory(folder.resolve("other"));
-        try (Rig other = new Rig(folder.resolve("other"), "", "/>" + KEEP + "<log level=\"info\"",
-            DispatcherFactory.CHOICE)) {
+        try (Rig other =
+                new Rig(folder.resolve("other"), "", "/>" + KEEP + "<log level=\"info\"", DispatcherFactory.CHOICE)) {
             other.list(worker.id());
             CompletableFuture<HttpResponse<String>> elsewhere = chain(other, json);
             assertEquals("/call/f-a", worker.next().headers.path().toString(), "another gateway does not know them");
@@ -255,27 +275,30 @@
 
     @Test
     void stoppingGivesOpenChainsTheirAnswer() throws Exception {
-        CompletableFuture<HttpResponse<String>> call = chain(rig, steps("'deadline_ms':2400",
-            step("a", "once", "'client'", 0), B));
+        CompletableFuture<HttpResponse<String>> call =
+                chain(rig, steps("'deadline_ms':2400", step("a", "once", "'client'", 0), B));
         worker.next();
         rig.close();
         assertEquals("failed", answer(get(call)));
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "{'steps':[]}|$.steps: must have at least 1 items",
-        "{'steps':[{'id':'a'}]}|$.steps[0]: required property 'function' not found",
-        "{'steps':[{'id':'a','function':'f','class':'safe','colour':1}]}|$.steps[0]: property 'colour' is not defined",
-        "{'steps':[{'id':'a','function':'f','class':'none'}]}|$.steps[0].class: found 'none', allowed: one of",
-        "{'steps':[{'id':'a','function':'f','class':'flow'}]}|allowed: one of [safe, once, flow] that does not stream",
-        "{'steps':[{'id':'a','function':'f','class':'safe','input':['b']}]}|$.steps[0].input: found 'b', allowed: client",
-        "{'steps':[{'id':'a','function':'f','class':'safe','input':['a']}]}|$.steps[0].input: found 'a' waiting for itself",
-        "{'deadline_ms':0,'chain':'save'}|$.deadline_ms: must have a minimum value of 1",
-        "{'chain':'nope'}|$.chain: found 'nope', allowed: one of [save]",
-        "{'steps':[|body, line 1:",
-        "[[[[[[[[[[[[[[[[[[[[[[[[1]]]]]]]]]]]]]]]]]]]]]]]]|nesting depth",
-        "{'chain':'save','chain':'save'}|Duplicate field"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "{'steps':[]}|$.steps: must have at least 1 items",
+                "{'steps':[{'id':'a'}]}|$.steps[0]: required property 'function' not found",
+                "{'steps':[{'id':'a','function':'f','class':'safe','colour':1}]}|$.steps[0]: property 'colour' is not defined",
+                "{'steps':[{'id':'a','function':'f','class':'none'}]}|$.steps[0].class: found 'none', allowed: one of",
+                "{'steps':[{'id':'a','function':'f','class':'flow'}]}|allowed: one of [safe, once, flow] that does not stream",
+                "{'steps':[{'id':'a','function':'f','class':'safe','input':['b']}]}|$.steps[0].input: found 'b', allowed: client",
+                "{'steps':[{'id':'a','function':'f','class':'safe','input':['a']}]}|$.steps[0].input: found 'a' waiting for itself",
+                "{'deadline_ms':0,'chain':'save'}|$.deadline_ms: must have a minimum value of 1",
+                "{'chain':'nope'}|$.chain: found 'nope', allowed: one of [save]",
+                "{'steps':[|body, line 1:",
+                "[[[[[[[[[[[[[[[[[[[[[[[[1]]]]]]]]]]]]]]]]]]]]]]]]|nesting depth",
+                "{'chain':'save','chain':'save'}|Duplicate field"
+            })
     void whatIsNoChainNamesItsPlace(String json, String expected) throws Exception {
         HttpResponse<String> response = get(chain(rig, json));
         assertEquals(400, response.statusCode());
--- a/gateway/src/test/java/wharfhinge/gateway/ClientGoneTest.java
+++ b/gateway/src/test/java/wharfhinge/gateway/ClientGoneTest.java
@@ -34,13 +34,19 @@
     @CsvSource({"true,false", "true,true", "false,false", "false,true"})
     void whileItsCallWaitsForAConnectionNothingGoesOut(boolean leavesFirst, boolean reset) throws Exception {
         try (ServerSocket worker = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-             Rig rig = new Rig(folder, "dial-timeout-ms=\"8000\"", text -> text.replace("aim-ms=\"600\"", "aim-ms=\"9000\"")
-                 .replace("give-up-ms=\"2500\"", "give-up-ms=\"9500\""), DispatcherFactory.CHOICE);
-             Socket client = new Socket()) {
+                Rig rig = new Rig(
+                        folder,
+                        "dial-timeout-ms=\"8000\"",
+                        text -> text.replace("aim-ms=\"600\"", "aim-ms=\"9000\"")
+                                .replace("give-up-ms=\"2500\"", "give-up-ms=\"9500\""),
+                        DispatcherFactory.CHOICE);
+                Socket client = new Socket()) {
             rig.list("127.0.0.1:" + worker.getLocalPort());
-            client.connect(new InetSocketAddress("127.0.0.1", rig.gateway.address().getPort()));
-            client.getOutputStream().write(("POST /v1/call/f HTTP/1.1\r\nhost: g\r\nwh-class: once\r\ncontent-length: 2\r\n\r\nhi")
-                .getBytes(StandardCharsets.ISO_8859_1));
+            client.connect(
+                    new InetSocketAddress("127.0.0.1", rig.gateway.address().getPort()));
+            client.getOutputStream()
+                    .write(("POST /v1/call/f HTTP/1.1\r\nhost: g\r\nwh-class: once\r\ncontent-length: 2\r\n\r\nhi")
+                            .getBytes(StandardCharsets.ISO_8859_1));
             try (Socket s = worker.accept()) {
                 s.setSoTimeout(8000);
                 DataInputStream in = new DataInputStream(s.getInputStream());
@@ -49,7 +55,9 @@
                 if (!leavesFirst) {
                     s.getOutputStream().write(SETTINGS);
                     int sent = 0;
-                    for (int asks = 0; sent == 0 && asks < 1000; asks++) { // the attempt is counted before its order reaches the pool
+                    for (int asks = 0;
+                            sent == 0 && asks < 1000;
+                            asks++) { // the attempt is counted before its order reaches the pool
                         sent = callsUntilPing(s, in);
                     }
                     assertEquals(1, sent, "sent before");
--- a/gateway/src/test/java/wharfhinge/gateway/DeadlineTest.java
+++ b/gateway/src/test/java/wharfhinge/gateway/DeadlineTest.java
@@ -36,13 +36,19 @@
     @Test
     void ofACallThatWaitedForItsConnection() throws Exception {
         try (ServerSocket worker = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-             Rig rig = new Rig(folder, "dial-timeout-ms=\"8000\"", text -> text.replace("aim-ms=\"600\"", "aim-ms=\"9000\"")
-                 .replace("give-up-ms=\"2500\"", "give-up-ms=\"" + GIVE_UP_MS + "\""), DispatcherFactory.CHOICE);
-             Socket client = new Socket()) {
+                Rig rig = new Rig(
+                        folder,
+                        "dial-timeout-ms=\"8000\"",
+                        text -> text.replace("aim-ms=\"600\"", "aim-ms=\"9000\"")
+                                .replace("give-up-ms=\"2500\"", "give-up-ms=\"" + GIVE_UP_MS + "\""),
+                        DispatcherFactory.CHOICE);
+                Socket client = new Socket()) {
             rig.list("127.0.0.1:" + worker.getLocalPort());
-            client.connect(new InetSocketAddress("127.0.0.1", rig.gateway.address().getPort()));
-            client.getOutputStream().write("POST /v1/call/f HTTP/1.1\r\nhost: g\r\nwh-class: safe\r\ncontent-length: 2\r\n\r\nhi"
-                .getBytes(StandardCharsets.ISO_8859_1));
+            client.connect(
+                    new InetSocketAddress("127.0.0.1", rig.gateway.address().getPort()));
+            client.getOutputStream()
+                    .write("POST /v1/call/f HTTP/1.1\r\nhost: g\r\nwh-class: safe\r\ncontent-length: 2\r\n\r\nhi"
+                            .getBytes(StandardCharsets.ISO_8859_1));
             try (Socket s = worker.accept()) {
                 s.setSoTimeout(8000);
                 DataInputStream in = new DataInputStream(s.getInputStream());
@@ -52,7 +58,9 @@
                 Rig.await("time passed", () -> System.nanoTime() - began >= TimeUnit.MILLISECONDS.toNanos(HELD_MS));
                 s.getOutputStream().write(SETTINGS);
                 long toldMs = deadlineOfTheFirstCall(in);
-                assertTrue(toldMs <= GIVE_UP_MS - HELD_MS, "told " + toldMs + " ms, left " + (GIVE_UP_MS - HELD_MS) + " at most");
+                assertTrue(
+                        toldMs <= GIVE_UP_MS - HELD_MS,
+                        "told " + toldMs + " ms, left " + (GIVE_UP_MS - HELD_MS) + " at most");
                 assertTrue(toldMs > 0);
             }
             assertEquals(1, rig.figure("attempts"));
--- a/gateway/src/test/java/wharfhinge/gateway/DoorFuzzTest.java
+++ b/gateway/src/test/java/wharfhinge/gateway/DoorFuzzTest.java
@@ -38,7 +38,8 @@
         try {
             RequestClass type = new RequestClass("safe", Effect.IDEMPOTENT, Group.ALL, 0, 1, 2, 1, 0, false, 0);
             Path folder = Files.createTempDirectory("fuzz");
-            return new ChainJson(Map.of("safe", type), type, Rig.config(folder, "", "", 1).chains());
+            return new ChainJson(
+                    Map.of("safe", type), type, Rig.config(folder, "", "", 1).chains());
         } catch (Exception e) {
             throw new IllegalStateException(e);
         }
@@ -48,9 +49,15 @@
     void headers(FuzzedDataProvider data) {
         Map<String, String> seen = new LinkedHashMap<>();
         try {
-            CallHead head = CallHead.parse(ClientProtocol.CALL_PATH + data.consumeString(140),
-                name -> seen.computeIfAbsent(name.toString(), n -> data.consumeBoolean() ? data.consumeString(70) : null));
-            if (head.deadlineMs() < 0 || head.lanes() < 0 || head.costUs() < 0 || !(head.memoryMb() >= 0) || head.function().isEmpty()) {
+            CallHead head = CallHead.parse(
+                    ClientProtocol.CALL_PATH + data.consumeString(140),
+                    name -> seen.computeIfAbsent(
+                            name.toString(), n -> data.consumeBoolean() ? data.consumeString(70) : null));
+            if (head.deadlineMs() < 0
+                    || head.lanes() < 0
+                    || head.costUs() < 0
+                    || !(head.memoryMb() >= 0)
+                    || head.function().isEmpty()) {
                 throw new AssertionError(head.toString());
             }
         } catch (ProtocolException e) {
@@ -78,7 +85,7 @@
     @FuzzTest(maxDuration = "10m")
     void chain(byte[] bytes) {
         try {
-            ChainCall call = CHAINS.read(bytes, "x1", 0, (end, answers) -> { });
+            ChainCall call = CHAINS.read(bytes, "x1", 0, (end, answers) -> {});
             if (call.plan().steps().isEmpty() || call.deadlineNs() <= 0) {
                 throw new AssertionError("taken: " + call);
             }
--- a/gateway/src/test/java/wharfhinge/gateway/FrontTest.java
+++ b/gateway/src/test/java/wharfhinge/gateway/FrontTest.java
@@ -45,6 +45,7 @@
 class FrontTest {
     @TempDir
     private Path folder;
+
     private ScriptedPeer worker;
     private Rig rig;
 
@@ -67,7 +68,9 @@
             client.getOutputStream().write(request.replace("\n", "\r\n").getBytes(StandardCharsets.US_ASCII));
             StringBuilder read = new StringBuilder();
             try {
-                for (int c = client.getInputStream().read(); c >= 0; c = client.getInputStream().read()) {
+                for (int c = client.getInputStream().read();
+                        c >= 0;
+                        c = client.getInputStream().read()) {
                     read.append((char) c);
                     if (read.toString().endsWith("\n") && read.toString().contains("allowed")) {
                         break;
@@ -81,15 +84,18 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "POST /v1/call/f|wh-class: none|400|wh-class: found 'none', allowed: one of [safe, once, flow]",
-        "POST /v1/call/f|x-y: z|400|wh-class: found nothing, allowed: one of",
-        "POST /v1/call/|wh-class: safe|400|function in the path: found ''",
-        "POST /v1/call/f|wh-deadline-ms: 0|400|wh-deadline-ms: found '0', allowed: a whole number above 0",
-        "POST /v1/call/f|wh-deadline-ms: -3|400|wh-deadline-ms: found '-3', allowed: a whole number",
-        "POST /v1/call/f|wh-deadline-ms: ten|400|wh-deadline-ms: found 'ten', allowed: a whole number",
-        "GET /v1/call/f|wh-class: safe|405|method: found 'GET', allowed: POST",
-        "POST /v2/other|wh-class: safe|404|path: found nothing there, allowed: /v1/call/{function}"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "POST /v1/call/f|wh-class: none|400|wh-class: found 'none', allowed: one of [safe, once, flow]",
+                "POST /v1/call/f|x-y: z|400|wh-class: found nothing, allowed: one of",
+                "POST /v1/call/|wh-class: safe|400|function in the path: found ''",
+                "POST /v1/call/f|wh-deadline-ms: 0|400|wh-deadline-ms: found '0', allowed: a whole number above 0",
+                "POST /v1/call/f|wh-deadline-ms: -3|400|wh-deadline-ms: found '-3', allowed: a whole number",
+                "POST /v1/call/f|wh-deadline-ms: ten|400|wh-deadline-ms: found 'ten', allowed: a whole number",
+                "GET /v1/call/f|wh-class: safe|405|method: found 'GET', allowed: POST",
+                "POST /v2/other|wh-class: safe|404|path: found nothing there, allowed: /v1/call/{function}"
+            })
     void badInputIsToldApartAndOthersGoOn(String line, String header, int status, String expected) throws Exception {
         String answer = raw(line + " HTTP/1.1\nhost: x\n" + header + "\ncontent-length: 0\n\n");
         assertTrue(answer.startsWith("HTTP/1.1 " + status), answer);
@@ -122,7 +128,9 @@
     void answersTellTheWorkerTheReasonAndTheAttempts() throws Exception {
         HttpResponse<String> response = Rig.get(rig.call("safe", "f", 2000));
         assertEquals(worker.id(), response.headers().firstValue("wh-worker").orElse(""));
-        assertEquals(worker.id() + ":served/found", response.headers().firstValue("wh-reason").orElse(""));
+        assertEquals(
+                worker.id() + ":served/found",
+                response.headers().firstValue("wh-reason").orElse(""));
         assertEquals("1", response.headers().firstValue("wh-attempts").orElse(""));
     }
 
@@ -131,31 +139,50 @@
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         BlockingQueue<String> got = new LinkedBlockingQueue<>();
         try {
-            Channel connection = new Bootstrap().group(group).channel(NioSocketChannel.class)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel c) {
-                        c.pipeline().addLast(Http2FrameCodecBuilder.forClient().build(),
-                            new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
-                                @Override
-                                protected void initChannel(Channel stream) { }
-                            }), new SimpleChannelInboundHandler<Http2GoAwayFrame>() {
-                                @Override
-                                protected void channelRead0(ChannelHandlerContext ctx, Http2GoAwayFrame frame) {
-                                    got.add("goaway");
-                                }
-                            });
-                    }
-                }).connect("127.0.0.1", rig.gateway.address().getPort()).sync().channel();
+            Channel connection = new Bootstrap()
+                    .group(group)
+                    .channel(NioSocketChannel.class)
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel c) {
+                            c.pipeline()
+                                    .addLast(
+                                            Http2FrameCodecBuilder.forClient().build(),
+                                            new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
+                                                @Override
+                                                protected void initChannel(Channel stream) {}
+                                            }),
+                                            new SimpleChannelInboundHandler<Http2GoAwayFrame>() {
+                                                @Override
+                                                protected void channelRead0(
+                                                        ChannelHandlerContext ctx, Http2GoAwayFrame frame) {
+                                                    got.add("goaway");
+                                                }
+                                            });
+                        }
+                    })
+                    .connect("127.0.0.1", rig.gateway.address().getPort())
+                    .sync()
+                    .channel();
             Http2StreamChannel stream = new Http2StreamChannelBootstrap(connection)
-                .handler(new SimpleChannelInboundHandler<Http2HeadersFrame>() {
-                    @Override
-                    protected void channelRead0(ChannelHandlerContext ctx, Http2HeadersFrame frame) {
-                        got.add(frame.headers().status() + " " + frame.headers().get("wh-answer"));
-                    }
-                }).open().sync().getNow();
-            stream.writeAndFlush(new DefaultHttp2HeadersFrame(new DefaultHttp2Headers().method("POST").scheme("http")
-                .path("/v1/call/f").authority("x").set("wh-class", "safe"), true));
+                    .handler(new SimpleChannelInboundHandler<Http2HeadersFrame>() {
+                        @Override
+                        protected void channelRead0(ChannelHandlerContext ctx, Http2HeadersFrame frame) {
+                            got.add(frame.headers().status() + " "
+                                    + frame.headers().get("wh-answer"));
+                        }
+                    })
+                    .open()
+                    .sync()
+                    .getNow();
+            stream.writeAndFlush(new DefaultHttp2HeadersFrame(
+                    new DefaultHttp2Headers()
+                            .method("POST")
+                            .scheme("http")
+                            .path("/v1/call/f")
+                            .authority("x")
+                            .set("wh-class", "safe"),
+                    true));
             assertEquals("200 served", got.poll(5, TimeUnit.SECONDS));
             CompletableFuture<Void> stopped = CompletableFuture.runAsync(() -> {
                 try {
--- a/gateway/src/test/java/wharfhinge/gateway/GrpcFrontTest.java
+++ b/gateway/src/test/java/wharfhinge/gateway/GrpcFrontTest.java
@@ -41,13 +41,17 @@
 class GrpcFrontTest {
     @TempDir
     private Path folder;
+
     private Rig rig;
     private ManagedChannel channel;
 
     @BeforeEach
     void begin() throws Exception {
         rig = new Rig(folder, "", DispatcherFactory.CHOICE);
-        channel = NettyChannelBuilder.forAddress("127.0.0.1", rig.gateway.grpcAddress().getPort()).usePlaintext().build();
+        channel = NettyChannelBuilder.forAddress(
+                        "127.0.0.1", rig.gateway.grpcAddress().getPort())
+                .usePlaintext()
+                .build();
     }
 
     @AfterEach
@@ -92,7 +96,11 @@
             in.part("half", false);
             assertEquals("half", parts.next().getBody().toStringUtf8());
             in.reset(Http2Error.INTERNAL_ERROR);
-            assertEquals(Status.Code.DATA_LOSS, assertThrows(StatusRuntimeException.class, parts::hasNext).getStatus().getCode());
+            assertEquals(
+                    Status.Code.DATA_LOSS,
+                    assertThrows(StatusRuntimeException.class, parts::hasNext)
+                            .getStatus()
+                            .getCode());
         }
     }
 
@@ -102,26 +110,27 @@
             rig.list(worker.id());
             CompletableFuture<Throwable> over = new CompletableFuture<>();
             CompletableFuture<io.grpc.stub.ClientCallStreamObserver<CallRequest>> call = new CompletableFuture<>();
-            GatewayGrpc.newStub(channel).stream(request("flow"), new io.grpc.stub.ClientResponseObserver<CallRequest, CallReply>() {
-                @Override
-                public void beforeStart(io.grpc.stub.ClientCallStreamObserver<CallRequest> to) {
-                    to.disableAutoRequestWithInitial(1); // reads one part and no more
-                    call.complete(to);
-                }
-
-                @Override
-                public void onNext(CallReply part) { }
-
-                @Override
-                public void onError(Throwable t) {
-                    over.complete(t);
-                }
-
-                @Override
-                public void onCompleted() {
-                    over.complete(null);
-                }
-            });
+            GatewayGrpc.newStub(channel).stream(
+                    request("flow"), new io.grpc.stub.ClientResponseObserver<CallRequest, CallReply>() {
+                        @Override
+                        public void beforeStart(io.grpc.stub.ClientCallStreamObserver<CallRequest> to) {
+                            to.disableAutoRequestWithInitial(1); // reads one part and no more
+                            call.complete(to);
+                        }
+
+                        @Override
+                        public void onNext(CallReply part) {}
+
+                        @Override
+                        public void onError(Throwable t) {
+                            over.complete(t);
+                        }
+
+                        @Override
+                        public void onCompleted() {
+                            over.complete(null);
+                        }
+                    });
             ScriptedPeer.In in = worker.next();
             in.head(SERVED, FOUND, false);
             in.flood(400); // 25 MB
@@ -147,7 +156,9 @@
                 }
             });
             assertEquals(Status.Code.INVALID_ARGUMENT, wrong.getStatus().getCode());
-            assertTrue(wrong.getStatus().getDescription().contains("Stream for those"), wrong.getStatus().getDescription());
+            assertTrue(
+                    wrong.getStatus().getDescription().contains("Stream for those"),
+                    wrong.getStatus().getDescription());
         }
     }
 
@@ -158,15 +169,20 @@
     @Test
     void aChainIsServedRefusedOrWrongAsOverHttp() throws Exception {
         String text = "{\"deadline_ms\":1500,\"steps\":[{\"id\":\"a\",\"function\":\"f\",\"class\":\"safe\"}]}";
-        GatewayGrpc.GatewayBlockingStub stub = GatewayGrpc.newBlockingStub(channel).withDeadlineAfter(10, TimeUnit.SECONDS);
-        StatusRuntimeException refused = assertThrows(StatusRuntimeException.class, () -> stub.chain(chain(text))); // no workers
+        GatewayGrpc.GatewayBlockingStub stub =
+                GatewayGrpc.newBlockingStub(channel).withDeadlineAfter(10, TimeUnit.SECONDS);
+        StatusRuntimeException refused =
+                assertThrows(StatusRuntimeException.class, () -> stub.chain(chain(text))); // no workers
         assertEquals("refused", refused.getTrailers().get(GrpcProtocol.ANSWER));
         assertEquals(Status.Code.UNAVAILABLE, refused.getStatus().getCode());
         String told = new String(refused.getTrailers().get(GrpcProtocol.CHAIN), StandardCharsets.UTF_8);
         assertTrue(told.contains("\"refused\"") && told.contains("\"a\""), told);
-        StatusRuntimeException wrong = assertThrows(StatusRuntimeException.class, () -> stub.chain(chain("{\"steps\":7}")));
+        StatusRuntimeException wrong =
+                assertThrows(StatusRuntimeException.class, () -> stub.chain(chain("{\"steps\":7}")));
         assertEquals(Status.Code.INVALID_ARGUMENT, wrong.getStatus().getCode());
-        assertTrue(wrong.getStatus().getDescription().contains("$.steps"), wrong.getStatus().getDescription());
+        assertTrue(
+                wrong.getStatus().getDescription().contains("$.steps"),
+                wrong.getStatus().getDescription());
         try (ScriptedPeer worker = new ScriptedPeer(in -> in.answer(SERVED, FOUND, "well"))) {
             rig.list(worker.id());
             assertTrue(stub.chain(chain(text)).getJson().toStringUtf8().contains("\"served\""));
@@ -176,23 +192,25 @@
     @Test
     void healthTurnsWhenItStopsAndReflectionNamesTheService() throws Exception {
         var health = HealthGrpc.newBlockingStub(channel).withDeadlineAfter(10, TimeUnit.SECONDS);
-        assertEquals(ServingStatus.SERVING, health.check(HealthCheckRequest.getDefaultInstance()).getStatus());
+        assertEquals(
+                ServingStatus.SERVING,
+                health.check(HealthCheckRequest.getDefaultInstance()).getStatus());
         CompletableFuture<String> services = new CompletableFuture<>();
-        StreamObserver<ServerReflectionRequest> ask = ServerReflectionGrpc.newStub(channel).serverReflectionInfo(
-            new StreamObserver<ServerReflectionResponse>() {
-                @Override
-                public void onNext(ServerReflectionResponse answer) {
-                    services.complete(answer.getListServicesResponse().toString());
-                }
-
-                @Override
-                public void onError(Throwable t) {
-                    services.completeExceptionally(t);
-                }
-
-                @Override
-                public void onCompleted() { }
-            });
+        StreamObserver<ServerReflectionRequest> ask = ServerReflectionGrpc.newStub(channel)
+                .serverReflectionInfo(new StreamObserver<ServerReflectionResponse>() {
+                    @Override
+                    public void onNext(ServerReflectionResponse answer) {
+                        services.complete(answer.getListServicesResponse().toString());
+                    }
+
+                    @Override
+                    public void onError(Throwable t) {
+                        services.completeExceptionally(t);
+                    }
+
+                    @Override
+                    public void onCompleted() {}
+                });
         ask.onNext(ServerReflectionRequest.newBuilder().setListServices("").build());
         assertTrue(services.get(5, TimeUnit.SECONDS).contains("wharfhinge.v1.Gateway"));
         ask.onCompleted();
@@ -211,16 +229,17 @@
             }
 
             @Override
-            public void onCompleted() { }
+            public void onCompleted() {}
         });
         health.check(HealthCheckRequest.getDefaultInstance()); // the watch stands
         new Thread(() -> {
-            try {
-                rig.gateway.stop();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }).start();
+                    try {
+                        rig.gateway.stop();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                })
+                .start();
         assertEquals(ServingStatus.NOT_SERVING, last.get(5, TimeUnit.SECONDS));
     }
 }
--- a/gateway/src/test/java/wharfhinge/gateway/HardCasesTest.java
+++ b/gateway/src/test/java/wharfhinge/gateway/HardCasesTest.java
@@ -44,7 +44,8 @@
 
     @Test
     void aWorkerThatDiesAfterTheHeadersIsRepeatedOnlyWhereThatIsSafe() throws Exception {
-        try (ScriptedPeer dies = new ScriptedPeer(ScriptedPeer.In::breakConnection); Rig rig = rig("")) {
+        try (ScriptedPeer dies = new ScriptedPeer(ScriptedPeer.In::breakConnection);
+                Rig rig = rig("")) {
             rig.list(dies.id());
             HttpResponse<String> once = get(rig.call("once", "f", 2000));
             assertEquals("failed", answer(once), "may have run: no word that a retry is harmless");
@@ -53,8 +54,9 @@
             dies.next();
             assertTrue(dies.gotNothingWithin(100), "an at-most-once call went out twice");
         }
-        try (ScriptedPeer dies = new ScriptedPeer(ScriptedPeer.In::breakConnection); ScriptedPeer well = serving();
-             Rig rig = rig("")) {
+        try (ScriptedPeer dies = new ScriptedPeer(ScriptedPeer.In::breakConnection);
+                ScriptedPeer well = serving();
+                Rig rig = rig("")) {
             rig.list(dies.id(), well.id());
             for (int i = 0; i < 6; i++) {
                 assertEquals("served", answer(get(rig.call("safe", "f" + i, 2000))));
@@ -64,8 +66,9 @@
 
     @Test
     void aGoAwayProvesThatOnlyCallsAboveItsLastStreamNeverRan() throws Exception {
-        try (ScriptedPeer leaves = new ScriptedPeer(null); ScriptedPeer well = serving();
-             Rig rig = rig("max-connections=\"1\"")) {
+        try (ScriptedPeer leaves = new ScriptedPeer(null);
+                ScriptedPeer well = serving();
+                Rig rig = rig("max-connections=\"1\"")) {
             rig.list(leaves.id());
             CompletableFuture<HttpResponse<String>> below = rig.call("once", "f", 2400);
             ScriptedPeer.In first = leaves.next();
@@ -83,11 +86,13 @@
 
     @Test
     void aRefusedStreamIsTriedElsewhereAndAResetOneIsNot() throws Exception {
-        try (ScriptedPeer refuses = new ScriptedPeer(in -> in.reset(Http2Error.REFUSED_STREAM)); Rig rig = rig("")) {
+        try (ScriptedPeer refuses = new ScriptedPeer(in -> in.reset(Http2Error.REFUSED_STREAM));
+                Rig rig = rig("")) {
             rig.list(refuses.id());
             assertEquals("refused", answer(get(rig.call("once", "f", 2000))));
         }
-        try (ScriptedPeer resets = new ScriptedPeer(in -> in.reset(Http2Error.INTERNAL_ERROR)); Rig rig = rig("")) {
+        try (ScriptedPeer resets = new ScriptedPeer(in -> in.reset(Http2Error.INTERNAL_ERROR));
+                Rig rig = rig("")) {
             rig.list(resets.id());
             assertEquals("failed", answer(get(rig.call("once", "f", 2000))));
         }
@@ -96,9 +101,11 @@
     @Test
     void anAnswerInTheDeadlinesMillisecondGivesOneFinalAnswer() throws Exception {
         ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
-        try (ScriptedPeer slow = new ScriptedPeer(in -> timer.schedule(() -> in.answer(SERVED, FOUND, "well"),
-                60_000 - 4000 + in.streamId() % 64 * 100, TimeUnit.MICROSECONDS));
-             Rig rig = rig("second-copies=\"false\"")) {
+        try (ScriptedPeer slow = new ScriptedPeer(in -> timer.schedule(
+                        () -> in.answer(SERVED, FOUND, "well"),
+                        60_000 - 4000 + in.streamId() % 64 * 100,
+                        TimeUnit.MICROSECONDS));
+                Rig rig = rig("second-copies=\"false\"")) {
             rig.list(slow.id());
             get(rig.call("safe", "f", 2000));
             List<CompletableFuture<HttpResponse<String>>> calls = new ArrayList<>();
@@ -118,12 +125,15 @@
 
     @Test
     void aClientThatLeavesWhileASecondCopyIsOutLeavesNothingOpen() throws Exception {
-        try (ScriptedPeer one = new ScriptedPeer(null); ScriptedPeer two = new ScriptedPeer(null);
-             Rig rig = rig("second-copies=\"true\"")) {
+        try (ScriptedPeer one = new ScriptedPeer(null);
+                ScriptedPeer two = new ScriptedPeer(null);
+                Rig rig = rig("second-copies=\"true\"")) {
             rig.list(one.id(), two.id());
             Socket client = new Socket("127.0.0.1", rig.gateway.address().getPort());
-            client.getOutputStream().write(("POST /v1/call/f HTTP/1.1\r\nhost: x\r\nwh-class: safe\r\nwh-load-ms: 50\r\n"
-                + "content-length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            client.getOutputStream()
+                    .write(("POST /v1/call/f HTTP/1.1\r\nhost: x\r\nwh-class: safe\r\nwh-load-ms: 50\r\n"
+                                    + "content-length: 0\r\n\r\n")
+                            .getBytes(StandardCharsets.US_ASCII));
             ScriptedPeer.In first = one.next();
             ScriptedPeer.In second = two.next();
             client.close();
@@ -138,8 +148,9 @@
 
     @Test
     void aDrainToldBetweenDecisionAndSendHoldsTheCallBack() throws Exception {
-        try (ScriptedPeer drains = new ScriptedPeer(null); ScriptedPeer well = serving();
-             Rig rig = rig("dial-timeout-ms=\"590\"")) {
+        try (ScriptedPeer drains = new ScriptedPeer(null);
+                ScriptedPeer well = serving();
+                Rig rig = rig("dial-timeout-ms=\"590\"")) {
             drains.holdHandshakes = true;
             rig.list(drains.id());
             CompletableFuture<HttpResponse<String>> call = rig.call("once", "f", 2400);
@@ -179,10 +190,13 @@
         ScriptedPeer dead = serving();
         String gone = dead.id();
         dead.close();
-        try (ScriptedPeer well = serving(); ScriptedPeer unlisted = serving(); Rig rig = rig("")) {
+        try (ScriptedPeer well = serving();
+                ScriptedPeer unlisted = serving();
+                Rig rig = rig("")) {
             rig.list(gone, well.id());
             for (int i = 0; i < 8; i++) {
-                assertEquals("well", get(rig.call("once", "f" + i, 2000)).body(), "a refused connect proves it never ran");
+                assertEquals(
+                        "well", get(rig.call("once", "f" + i, 2000)).body(), "a refused connect proves it never ran");
             }
             assertTrue(unlisted.gotNothingWithin(1));
         }
@@ -190,8 +204,9 @@
 
     @Test
     void requestsNameTheProcessThatTheyAreMeantFor() throws Exception {
-        try (ScriptedPeer worker = new ScriptedPeer(in -> in.answer(SERVED, FOUND, String.valueOf(in.headers.get("wh-boot"))));
-             Rig rig = rig("")) {
+        try (ScriptedPeer worker =
+                        new ScriptedPeer(in -> in.answer(SERVED, FOUND, String.valueOf(in.headers.get("wh-boot"))));
+                Rig rig = rig("")) {
             rig.list(worker.id());
             assertEquals("b0", get(rig.call("once", "f", 2000)).body());
             rig.change(Rig.entry(worker.id(), wharfhinge.protocol.RosterEntry.State.UP, "b1"));
@@ -204,9 +219,10 @@
     @Test
     void anAnswerWithoutEndIsCutOffAtItsLimit() throws Exception {
         try (ScriptedPeer floods = new ScriptedPeer(in -> {
-            in.head(SERVED, FOUND, false);
-            in.flood(16_384);
-        }); Rig rig = rig("")) {
+                    in.head(SERVED, FOUND, false);
+                    in.flood(16_384);
+                });
+                Rig rig = rig("")) {
             rig.list(floods.id());
             HttpResponse<String> response = get(rig.call("once", "f", 2000));
             assertEquals("failed", answer(response));
@@ -218,8 +234,9 @@
 
     @Test
     void aFullWorkerIsNotHarmedAndAnotherServes() throws Exception {
-        try (ScriptedPeer full = new ScriptedPeer(in -> in.answer(FULL, NONE, "")); ScriptedPeer well = serving();
-             Rig rig = rig("")) {
+        try (ScriptedPeer full = new ScriptedPeer(in -> in.answer(FULL, NONE, ""));
+                ScriptedPeer well = serving();
+                Rig rig = rig("")) {
             rig.list(full.id(), well.id());
             List<String> answers = new ArrayList<>();
             for (int i = 0; i < 6; i++) {
@@ -232,7 +249,8 @@
 
     @Test
     void fiveThousandIdleConnectionsDoNotKeepACallOut() throws Exception {
-        try (ScriptedPeer well = serving(); Rig rig = rig("")) {
+        try (ScriptedPeer well = serving();
+                Rig rig = rig("")) {
             rig.list(well.id());
             List<Socket> idle = new ArrayList<>();
             try {
@@ -256,11 +274,14 @@
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void aStreamFlowsAsItComesAndABrokenOneDoesNotLookWhole(boolean whole) throws Exception {
-        try (ScriptedPeer flows = new ScriptedPeer(null); Rig rig = rig("")) {
+        try (ScriptedPeer flows = new ScriptedPeer(null);
+                Rig rig = rig("")) {
             rig.list(flows.id());
             try (Socket client = new Socket("127.0.0.1", rig.gateway.address().getPort())) {
-                client.getOutputStream().write(("POST /v1/call/f HTTP/1.1\r\nhost: x\r\nwh-class: flow\r\n"
-                    + "wh-deadline-ms: 300\r\ncontent-length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+                client.getOutputStream()
+                        .write(("POST /v1/call/f HTTP/1.1\r\nhost: x\r\nwh-class: flow\r\n"
+                                        + "wh-deadline-ms: 300\r\ncontent-length: 0\r\n\r\n")
+                                .getBytes(StandardCharsets.US_ASCII));
                 ScriptedPeer.In in = flows.next();
                 in.head(SERVED, FOUND, false);
                 in.part("first", false);
@@ -279,7 +300,9 @@
                 int c = client.getInputStream().read();
                 while (c >= 0 && !read.toString().endsWith("0\r\n\r\n")) {
                     read.append((char) c);
-                    c = whole && read.toString().endsWith("0\r\n\r\n") ? -1 : client.getInputStream().read();
+                    c = whole && read.toString().endsWith("0\r\n\r\n")
+                            ? -1
+                            : client.getInputStream().read();
                 }
                 assertEquals(whole, read.toString().endsWith("0\r\n\r\n"), read.toString());
             }
