--- a/gateway/src/test/java/wharfhinge/gateway/KeysTest.java
+++ b/gateway/src/test/java/wharfhinge/gateway/KeysTest.java
@@ -43,33 +43,49 @@
 @Timeout(60)
 class KeysTest {
     private static final long MS = 1_000_000L;
-    private static final ClientPolicy ONE_TRY = new ClientPolicy(100, 0, 0, 5 * MS, 50 * MS, 5000 * MS, 3, 500 * MS, 150 * MS);
+    private static final ClientPolicy ONE_TRY =
+            new ClientPolicy(100, 0, 0, 5 * MS, 50 * MS, 5000 * MS, 3, 500 * MS, 150 * MS);
 
     @TempDir
     private Path folder;
 
-    private enum Way { HTTP, GRPC }
+    private enum Way {
+        HTTP,
+        GRPC
+    }
 
-    private static WharfhingeClient client(Way way, Rig rig, Path authority, TestKeys.Pair own, Supplier<String> token) throws Exception {
-        SslContextBuilder builder = SslContextBuilder.forClient().trustManager(authority.toFile()).sslProvider(SslProvider.JDK);
+    private static WharfhingeClient client(Way way, Rig rig, Path authority, TestKeys.Pair own, Supplier<String> token)
+            throws Exception {
+        SslContextBuilder builder =
+                SslContextBuilder.forClient().trustManager(authority.toFile()).sslProvider(SslProvider.JDK);
         if (own != null) {
             builder.keyManager(own.chain().toFile(), own.key().toFile());
         }
         Transport transport;
         if (way == Way.HTTP) {
-            SslContext tls = builder.applicationProtocolConfig(new ApplicationProtocolConfig(ApplicationProtocolConfig.Protocol.ALPN,
-                ApplicationProtocolConfig.SelectorFailureBehavior.NO_ADVERTISE,
-                ApplicationProtocolConfig.SelectedListenerFailureBehavior.ACCEPT, "h2")).build();
+            SslContext tls = builder.applicationProtocolConfig(new ApplicationProtocolConfig(
+                            ApplicationProtocolConfig.Protocol.ALPN,
+                            ApplicationProtocolConfig.SelectorFailureBehavior.NO_ADVERTISE,
+                            ApplicationProtocolConfig.SelectedListenerFailureBehavior.ACCEPT,
+                            "h2"))
+                    .build();
             transport = new HttpTransport(Duration.ofSeconds(2), 4, 1 << 20, tls, token);
         } else {
-            transport = new GrpcTransport(Duration.ofSeconds(2), 1 << 20, GrpcSslContexts.configure(builder, SslProvider.JDK).build(), token);
+            transport = new GrpcTransport(
+                    Duration.ofSeconds(2),
+                    1 << 20,
+                    GrpcSslContexts.configure(builder, SslProvider.JDK).build(),
+                    token);
         }
         int port = (way == Way.HTTP ? rig.gateway.address() : rig.gateway.grpcAddress()).getPort();
         return new WharfhingeClient(transport, ONE_TRY, List.of("127.0.0.1:" + port));
     }
 
     private static Result call(WharfhingeClient client, String claims) throws Exception {
-        return client.call(Call.once("f", "once", Duration.ofSeconds(3)).tenant(claims).build()).get(10, TimeUnit.SECONDS);
+        return client.call(Call.once("f", "once", Duration.ofSeconds(3))
+                        .tenant(claims)
+                        .build())
+                .get(10, TimeUnit.SECONDS);
     }
 
     private static ScriptedPeer worker() {
@@ -77,8 +93,9 @@
     }
 
     private static String tls(TestKeys.Pair server, Path clients, Path revoked, String more) {
-        return "<tls certificates='" + server.chain() + "' key='" + server.key() + "'" + (clients == null ? "" : " clients='" + clients + "'")
-            + (revoked == null ? "" : " revoked='" + revoked + "'") + "/>" + more;
+        return "<tls certificates='" + server.chain() + "' key='" + server.key() + "'"
+                + (clients == null ? "" : " clients='" + clients + "'")
+                + (revoked == null ? "" : " revoked='" + revoked + "'") + "/>" + more;
     }
 
     @ParameterizedTest
@@ -88,8 +105,13 @@
         TestKeys.Pair server = keys.issue("server", "gw", "127.0.0.1", -TestKeys.DAY, TestKeys.DAY);
         TestKeys.Pair revoked = keys.client("gone");
         TestKeys others = new TestKeys(folder.resolve("others"), "theirs");
-        try (ScriptedPeer worker = worker(); Rig rig = new Rig(folder, "", "", tls(server, keys.authority, keys.revoked(
-            revoked.certificate()), "<proof/>"), DispatcherFactory.CHOICE)) {
+        try (ScriptedPeer worker = worker();
+                Rig rig = new Rig(
+                        folder,
+                        "",
+                        "",
+                        tls(server, keys.authority, keys.revoked(revoked.certificate()), "<proof/>"),
+                        DispatcherFactory.CHOICE)) {
             rig.list(worker.id());
             try (WharfhingeClient client = client(way, rig, keys.authority, keys.client("t1"), null)) {
                 assertTrue(call(client, null) instanceof Result.Served);
@@ -98,17 +120,21 @@
                 assertEquals("wh-tenant: found 't2', allowed: 't1'", ((Result.Invalid) call(client, "t2")).reason());
             }
             try (WharfhingeClient client = client(way, rig, keys.authority, null, null)) {
-                assertEquals("tenant: found no proof, allowed: a client certificate or a token",
-                    ((Result.Invalid) call(client, "t1")).reason());
+                assertEquals(
+                        "tenant: found no proof, allowed: a client certificate or a token",
+                        ((Result.Invalid) call(client, "t1")).reason());
             }
-            for (TestKeys.Pair bad : List.of(revoked, keys.issue("old", "t1", null, -2 * TestKeys.DAY, -TestKeys.DAY),
-                keys.issue("early", "t1", null, TestKeys.DAY, 2 * TestKeys.DAY))) {
+            for (TestKeys.Pair bad : List.of(
+                    revoked,
+                    keys.issue("old", "t1", null, -2 * TestKeys.DAY, -TestKeys.DAY),
+                    keys.issue("early", "t1", null, TestKeys.DAY, 2 * TestKeys.DAY))) {
                 try (WharfhingeClient client = client(way, rig, keys.authority, bad, null)) {
                     Result r = call(client, null);
                     assertTrue(r instanceof Result.Refused, bad.certificate().getSubjectX500Principal() + ": " + r);
                 }
             }
-            try (WharfhingeClient client = client(way, rig, keys.authority, others.client("t1"), null)) { // which Java does not even show
+            try (WharfhingeClient client =
+                    client(way, rig, keys.authority, others.client("t1"), null)) { // which Java does not even show
                 assertTrue(((Result.Invalid) call(client, null)).reason().contains("no proof"));
             }
             assertEquals(2, rig.figure("taken"), "nothing of the others was taken");
@@ -123,15 +149,18 @@
         TestKeys.Pair t1 = keys.client("t1");
         TestKeys.Pair gone = keys.client("gone");
         Path forged = forger.revoked(t1.certificate());
-        Exception refused = assertThrows(java.io.UncheckedIOException.class, () -> new Rig(folder, "", "", tls(server, keys.authority, forged,
-            "<proof/>"), DispatcherFactory.CHOICE).close());
+        Exception refused = assertThrows(java.io.UncheckedIOException.class, () -> new Rig(
+                        folder, "", "", tls(server, keys.authority, forged, "<proof/>"), DispatcherFactory.CHOICE)
+                .close());
         assertTrue(refused.getMessage().contains("signed by none of"), refused.getMessage());
         Path list = keys.revoked(gone.certificate());
-        try (ScriptedPeer worker = worker(); Rig rig = new Rig(folder, "", "", tls(server, keys.authority, list, "<proof/>"),
-            DispatcherFactory.CHOICE)) {
+        try (ScriptedPeer worker = worker();
+                Rig rig = new Rig(
+                        folder, "", "", tls(server, keys.authority, list, "<proof/>"), DispatcherFactory.CHOICE)) {
             rig.list(worker.id());
             Files.copy(forged, list, StandardCopyOption.REPLACE_EXISTING);
-            Files.setLastModifiedTime(list, java.nio.file.attribute.FileTime.fromMillis(System.currentTimeMillis() + 5000));
+            Files.setLastModifiedTime(
+                    list, java.nio.file.attribute.FileTime.fromMillis(System.currentTimeMillis() + 5000));
             try (WharfhingeClient client = client(Way.HTTP, rig, keys.authority, t1, null)) {
                 assertTrue(call(client, null) instanceof Result.Served, "a forged list shuts nobody out");
             }
@@ -145,11 +174,12 @@
     @EnumSource(Way.class)
     void aServerThatIsNotWhoItShouldBeGetsNothing(Way way) throws Exception {
         TestKeys keys = new TestKeys(folder.resolve("keys"), "ours");
-        for (TestKeys.Pair server : List.of(keys.issue("old", "gw", "127.0.0.1", -2 * TestKeys.DAY, -TestKeys.DAY),
-            keys.issue("early", "gw", "127.0.0.1", TestKeys.DAY, 2 * TestKeys.DAY),
-            keys.issue("host", "gw", "127.0.0.9", -TestKeys.DAY, TestKeys.DAY))) {
+        for (TestKeys.Pair server : List.of(
+                keys.issue("old", "gw", "127.0.0.1", -2 * TestKeys.DAY, -TestKeys.DAY),
+                keys.issue("early", "gw", "127.0.0.1", TestKeys.DAY, 2 * TestKeys.DAY),
+                keys.issue("host", "gw", "127.0.0.9", -TestKeys.DAY, TestKeys.DAY))) {
             try (Rig rig = new Rig(folder, "", "", tls(server, null, null, ""), DispatcherFactory.CHOICE);
-                 WharfhingeClient client = client(way, rig, keys.authority, null, null)) {
+                    WharfhingeClient client = client(way, rig, keys.authority, null, null)) {
                 Result r = call(client, null);
                 assertTrue(r instanceof Result.Refused, r.toString());
                 assertEquals(0, rig.figure("taken"));
@@ -166,8 +196,14 @@
         Tokens tokens = new Tokens(secret, System::currentTimeMillis);
         long later = System.currentTimeMillis() / 1000 + 3600;
         String[] token = {null};
-        try (ScriptedPeer worker = worker(); Rig rig = new Rig(folder, "", "", tls(server, null, null, "<proof token-key-file='" + secret
-            + "'/>"), DispatcherFactory.CHOICE); WharfhingeClient client = client(way, rig, keys.authority, null, () -> token[0])) {
+        try (ScriptedPeer worker = worker();
+                Rig rig = new Rig(
+                        folder,
+                        "",
+                        "",
+                        tls(server, null, null, "<proof token-key-file='" + secret + "'/>"),
+                        DispatcherFactory.CHOICE);
+                WharfhingeClient client = client(way, rig, keys.authority, null, () -> token[0])) {
             rig.list(worker.id());
             token[0] = tokens.make("a.tenant", later);
             assertTrue(call(client, null) instanceof Result.Served);
@@ -185,28 +221,36 @@
             assertEquals(1, rig.figure("taken"));
         }
         Files.write(secret, new byte[3]);
-        assertTrue(assertThrows(java.io.IOException.class, () -> new Tokens(secret, () -> 0)).getMessage().contains("3 bytes"));
+        assertTrue(assertThrows(java.io.IOException.class, () -> new Tokens(secret, () -> 0))
+                .getMessage()
+                .contains("3 bytes"));
     }
 
     /** The serial number of what a gateway shows to a new connection. */
     private static java.math.BigInteger shown(int port) throws Exception {
         X509Certificate[] seen = new X509Certificate[1];
         SSLContext context = SSLContext.getInstance("TLS");
-        context.init(null, new TrustManager[] {new X509TrustManager() {
-            @Override
-            public void checkClientTrusted(X509Certificate[] chain, String type) { }
+        context.init(
+                null,
+                new TrustManager[] {
+                    new X509TrustManager() {
+                        @Override
+                        public void checkClientTrusted(X509Certificate[] chain, String type) {}
 
-            @Override
-            public void checkServerTrusted(X509Certificate[] chain, String type) {
-                seen[0] = chain[0];
-            }
+                        @Override
+                        public void checkServerTrusted(X509Certificate[] chain, String type) {
+                            seen[0] = chain[0];
+                        }
 
-            @Override
-            public X509Certificate[] getAcceptedIssuers() {
-                return new X509Certificate[0];
-            }
-        }}, null);
-        try (SSLSocket socket = (SSLSocket) context.getSocketFactory().createSocket(InetAddress.getLoopbackAddress(), port)) {
+                        @Override
+                        public X509Certificate[] getAcceptedIssuers() {
+                            return new X509Certificate[0];
+                        }
+                    }
+                },
+                null);
+        try (SSLSocket socket =
+                (SSLSocket) context.getSocketFactory().createSocket(InetAddress.getLoopbackAddress(), port)) {
             socket.startHandshake();
         }
         return seen[0].getSerialNumber();
@@ -233,10 +277,14 @@
                 }
             });
         }
-        Files.copy(keys.issue("other", "gw", "127.0.0.1", -TestKeys.DAY, TestKeys.DAY).key(), first.key(),
-            StandardCopyOption.REPLACE_EXISTING);
-        var wrong = assertThrows(java.io.UncheckedIOException.class, () -> new Rig(folder, "", "", tls(first, null, null, ""),
-            DispatcherFactory.CHOICE));
+        Files.copy(
+                keys.issue("other", "gw", "127.0.0.1", -TestKeys.DAY, TestKeys.DAY)
+                        .key(),
+                first.key(),
+                StandardCopyOption.REPLACE_EXISTING);
+        var wrong = assertThrows(
+                java.io.UncheckedIOException.class,
+                () -> new Rig(folder, "", "", tls(first, null, null, ""), DispatcherFactory.CHOICE));
         assertTrue(wrong.getMessage().contains("the key is not that of the certificate"), wrong.getMessage());
     }
 
@@ -244,15 +292,18 @@
     void aNewCertificateIsShownToNewConnectionsAndThoseThatStandGoOn() throws Exception {
         TestKeys keys = new TestKeys(folder.resolve("keys"), "ours");
         TestKeys.Pair soonOver = keys.issue("server", "gw", "127.0.0.1", -TestKeys.DAY, 4000);
-        try (ScriptedPeer worker = worker(); Rig rig = new Rig(folder, "", "", tls(soonOver, null, null, ""), DispatcherFactory.CHOICE);
-             WharfhingeClient http = client(Way.HTTP, rig, keys.authority, null, null);
-             WharfhingeClient grpc = client(Way.GRPC, rig, keys.authority, null, null)) {
+        try (ScriptedPeer worker = worker();
+                Rig rig = new Rig(folder, "", "", tls(soonOver, null, null, ""), DispatcherFactory.CHOICE);
+                WharfhingeClient http = client(Way.HTTP, rig, keys.authority, null, null);
+                WharfhingeClient grpc = client(Way.GRPC, rig, keys.authority, null, null)) {
             rig.list(worker.id());
             assertTrue(call(http, null) instanceof Result.Served);
             assertTrue(call(grpc, null) instanceof Result.Served);
             long connections = rig.figure("connections");
             TestKeys.Pair next = keys.issue("server", "gw", "127.0.0.1", -TestKeys.DAY, TestKeys.DAY);
-            for (int port : new int[] {rig.gateway.address().getPort(), rig.gateway.grpcAddress().getPort()}) {
+            for (int port : new int[] {
+                rig.gateway.address().getPort(), rig.gateway.grpcAddress().getPort()
+            }) {
                 Rig.await("the new certificate is shown", () -> {
                     try {
                         return shown(port).equals(next.certificate().getSerialNumber());
@@ -261,7 +312,10 @@
                     }
                 });
             }
-            Rig.await("the first has expired", () -> System.currentTimeMillis() > soonOver.certificate().getNotAfter().getTime());
+            Rig.await(
+                    "the first has expired",
+                    () -> System.currentTimeMillis()
+                            > soonOver.certificate().getNotAfter().getTime());
             assertTrue(call(http, null) instanceof Result.Served);
             assertTrue(call(grpc, null) instanceof Result.Served);
             assertEquals(connections, rig.figure("connections"), "on the connection that stood");
--- a/gateway/src/test/java/wharfhinge/gateway/LoopTest.java
+++ b/gateway/src/test/java/wharfhinge/gateway/LoopTest.java
@@ -95,36 +95,45 @@
     void everyActionDoesWhatItSaysAndNoneReenters() throws Exception {
         CompletableFuture<Noting> made = new CompletableFuture<>();
         try (ScriptedPeer worker = new ScriptedPeer(in -> in.answer(SERVED, FOUND, "well"));
-             ScriptedPeer silent = new ScriptedPeer(null);
-             Rig rig = new Rig(folder, "max-attempts=\"3\"", (now, seed, settings, actions) -> {
-                 Noting noting = new Noting(actions) {
-                     @Override
-                     public void query(long at, Request r) {
-                         super.query(at, r);
-                         within = true;
-                         actions.hold(worker.id(), r.function(), 1);
-                         actions.unload(worker.id(), r.function());
-                         actions.probe(worker.id());
-                         actions.timer("t", 0);
-                         actions.attempt(r.id(), silent.id(), 0);
-                         actions.attempt(r.id(), silent.id(), 30_000_000);
-                         actions.cancel(r.id(), 0);
-                         actions.attempt(r.id(), worker.id(), 0);
-                         actions.attempt(r.id(), worker.id(), 0); // one more than there may be
-                         actions.attempt("unheard-of", worker.id(), 0);
-                         within = false;
-                     }
-                 };
-                 made.complete(noting);
-                 return noting;
-             })) {
+                ScriptedPeer silent = new ScriptedPeer(null);
+                Rig rig = new Rig(folder, "max-attempts=\"3\"", (now, seed, settings, actions) -> {
+                    Noting noting = new Noting(actions) {
+                        @Override
+                        public void query(long at, Request r) {
+                            super.query(at, r);
+                            within = true;
+                            actions.hold(worker.id(), r.function(), 1);
+                            actions.unload(worker.id(), r.function());
+                            actions.probe(worker.id());
+                            actions.timer("t", 0);
+                            actions.attempt(r.id(), silent.id(), 0);
+                            actions.attempt(r.id(), silent.id(), 30_000_000);
+                            actions.cancel(r.id(), 0);
+                            actions.attempt(r.id(), worker.id(), 0);
+                            actions.attempt(r.id(), worker.id(), 0); // one more than there may be
+                            actions.attempt("unheard-of", worker.id(), 0);
+                            within = false;
+                        }
+                    };
+                    made.complete(noting);
+                    return noting;
+                })) {
             rig.list(worker.id(), silent.id());
             assertEquals("well", get(rig.call("safe", "f", 1000)).body());
             List<String> told = made.get().told;
-            for (String expected : List.of("members REMEMBERED 0", "members ALL 2", "query f", "due t", "resident SERVED 1",
-                "probed SERVED 1.0", "completed 0 CANCELLED NONE ", "completed 1 TIMEOUT NONE ",
-                "completed 2 SERVED FOUND_LOADED true", "completed 3 MOOT NONE ")) {
-                Rig.await(expected + " in " + told, () -> List.copyOf(told).stream().anyMatch(t -> t.startsWith(expected)));
+            for (String expected : List.of(
+                    "members REMEMBERED 0",
+                    "members ALL 2",
+                    "query f",
+                    "due t",
+                    "resident SERVED 1",
+                    "probed SERVED 1.0",
+                    "completed 0 CANCELLED NONE ",
+                    "completed 1 TIMEOUT NONE ",
+                    "completed 2 SERVED FOUND_LOADED true",
+                    "completed 3 MOOT NONE ")) {
+                Rig.await(expected + " in " + told, () -> List.copyOf(told).stream()
+                        .anyMatch(t -> t.startsWith(expected)));
             }
             assertEquals(2, worker.others.size() - 1, "a hold, an unload and a probe went out");
         }
@@ -134,22 +143,22 @@
     void whenTheDecisionsThrowEachOpenCallIsAnsweredOnceAndANewLifeBegins() throws Exception {
         List<Noting> lives = Collections.synchronizedList(new ArrayList<>());
         try (ScriptedPeer silent = new ScriptedPeer(null);
-             Rig rig = new Rig(folder, "", (now, seed, settings, actions) -> {
-                 lives.add(new Noting(actions) {
-                     @Override
-                     public void query(long at, Request r) {
-                         super.query(at, r);
-                         if (r.function().equals("bad")) {
-                             throw new IllegalStateException("on purpose");
-                         } else if (r.function().equals("sent")) {
-                             actions.attempt(r.id(), silent.id(), 0);
-                         } else if (lives.size() > 1) {
-                             actions.refuse(r.id(), 0);
-                         }
-                     }
-                 });
-                 return lives.get(lives.size() - 1);
-             })) {
+                Rig rig = new Rig(folder, "", (now, seed, settings, actions) -> {
+                    lives.add(new Noting(actions) {
+                        @Override
+                        public void query(long at, Request r) {
+                            super.query(at, r);
+                            if (r.function().equals("bad")) {
+                                throw new IllegalStateException("on purpose");
+                            } else if (r.function().equals("sent")) {
+                                actions.attempt(r.id(), silent.id(), 0);
+                            } else if (lives.size() > 1) {
+                                actions.refuse(r.id(), 0);
+                            }
+                        }
+                    });
+                    return lives.get(lives.size() - 1);
+                })) {
             rig.list(silent.id());
             CompletableFuture<HttpResponse<String>> sent = rig.call("once", "sent", 2000);
             silent.next();
@@ -160,7 +169,9 @@
             assertEquals("refused", answer(get(held)), "it was never sent");
             assertEquals("refused", answer(get(bad)));
             assertEquals(1, rig.figure("restarts"));
-            Rig.await("the new life is told", () -> lives.size() == 2 && !lives.get(1).told.isEmpty());
+            Rig.await(
+                    "the new life is told",
+                    () -> lives.size() == 2 && !lives.get(1).told.isEmpty());
             assertEquals("members REMEMBERED 1", lives.get(1).told.get(0), "the list held is told anew");
             assertEquals("refused", answer(get(rig.call("safe", "next", 2000))));
             assertEquals(0, rig.figure("open_calls"));
@@ -203,24 +214,33 @@
         CompletableFuture<Noting> two = new CompletableFuture<>();
         int first;
         int second;
-        try (java.net.DatagramSocket a = new java.net.DatagramSocket(); java.net.DatagramSocket b =
-            new java.net.DatagramSocket()) {
+        try (java.net.DatagramSocket a = new java.net.DatagramSocket();
+                java.net.DatagramSocket b = new java.net.DatagramSocket()) {
             first = a.getLocalPort();
             second = b.getLocalPort();
         }
-        String peers = "<peers><peer number=\"0\" address=\"127.0.0.1:" + first + "\"/><peer number=\"1\" address=\"127.0.0.1:"
-            + second + "\"/></peers><log/>";
+        String peers = "<peers><peer number=\"0\" address=\"127.0.0.1:" + first
+                + "\"/><peer number=\"1\" address=\"127.0.0.1:" + second + "\"/></peers><log/>";
         Gateway[] gateways = new Gateway[2];
         for (int i = 0; i < 2; i++) {
             Path file = folder.resolve("gw" + i + ".xml");
-            java.nio.file.Files.writeString(file, Rig.SETTINGS.replace("CLIENTS", "").replace("WORKERS", "")
-                .replace("ROSTER", "1").replace("zone=\"z\"", "zone=\"z\" group=\"2\" number=\"" + i + "\"")
-                .replace("</wharfhinge>", peers + "</wharfhinge>").replace("remembered=\"list\"", "remembered=\"l" + i + "\""));
+            java.nio.file.Files.writeString(
+                    file,
+                    Rig.SETTINGS
+                            .replace("CLIENTS", "")
+                            .replace("WORKERS", "")
+                            .replace("ROSTER", "1")
+                            .replace("zone=\"z\"", "zone=\"z\" group=\"2\" number=\"" + i + "\"")
+                            .replace("</wharfhinge>", peers + "</wharfhinge>")
+                            .replace("remembered=\"list\"", "remembered=\"l" + i + "\""));
             CompletableFuture<Noting> made = i == 0 ? one : two;
-            gateways[i] = new Gateway(wharfhinge.config.GatewayConfig.load(file), (now, seed, settings, actions) -> {
-                made.complete(new Noting(actions));
-                return made.join();
-            }, null);
+            gateways[i] = new Gateway(
+                    wharfhinge.config.GatewayConfig.load(file),
+                    (now, seed, settings, actions) -> {
+                        made.complete(new Noting(actions));
+                        return made.join();
+                    },
+                    null);
             gateways[i].start();
         }
         one.get().actions.publish(-1, new byte[] {1, 2});
@@ -232,7 +252,7 @@
     @Test
     void theProductsDecisionsServeFromTheFirstCallOn() throws Exception {
         try (ScriptedPeer worker = new ScriptedPeer(in -> in.answer(SERVED, FOUND, "well"));
-             Rig rig = new Rig(folder, "", Choice::new)) {
+                Rig rig = new Rig(folder, "", Choice::new)) {
             rig.list(worker.id());
             assertEquals("well", get(rig.call("once", "f", 2000)).body());
         }
--- a/gateway/src/test/java/wharfhinge/gateway/MvStepJournalTest.java
+++ b/gateway/src/test/java/wharfhinge/gateway/MvStepJournalTest.java
@@ -21,15 +21,23 @@
 @Timeout(30)
 class MvStepJournalTest {
     private static final long WINDOW = 30_000_000_000L;
+
     @TempDir
     private Path folder;
+
     private final AtomicLong wall = new AtomicLong(1_000_000);
 
     private List<String> restored(Path file) {
         List<String> steps = new ArrayList<>();
         try (MvStepJournal journal = new MvStepJournal(file, WINDOW, wall::get)) {
-            journal.restore((age, tenant, key, digest, count, step, answer) -> steps.add(tenant + key + digest + count + step
-                + new String(answer.body()) + answer.contentType() + age / 1_000_000));
+            journal.restore((age, tenant, key, digest, count, step, answer) -> steps.add(tenant
+                    + key
+                    + digest
+                    + count
+                    + step
+                    + new String(answer.body())
+                    + answer.contentType()
+                    + age / 1_000_000));
         }
         return steps;
     }
@@ -45,14 +53,17 @@
                 int step = i;
                 assertTrue(journal.finished("t", "k" + i, "d", 2, 0, new Answer(new byte[] {'x'}, "text/plain"), () -> {
                     if (step % 20 == 0) {
-                        crashed.add(copied(file, folder.resolve("crashed" + step))); // the process dies as soon as it was said
+                        crashed.add(copied(
+                                file, folder.resolve("crashed" + step))); // the process dies as soon as it was said
                     }
                     kept.countDown();
                 }));
             }
             assertTrue(kept.await(10, TimeUnit.SECONDS));
         }
-        assertFalse(journal.finished("t", "late", "d", 2, 0, new Answer(new byte[0], null), () -> { }), "nobody writes any more");
+        assertFalse(
+                journal.finished("t", "late", "d", 2, 0, new Answer(new byte[0], null), () -> {}),
+                "nobody writes any more");
         wall.addAndGet(500);
         for (int i = 0; i < crashed.size(); i++) {
             assertTrue(restored(crashed.get(i)).contains("tk" + 20 * i + "d20xtext/plain500"), "step " + 20 * i);
--- a/gateway/src/test/java/wharfhinge/gateway/RehearsalTest.java
+++ b/gateway/src/test/java/wharfhinge/gateway/RehearsalTest.java
@@ -20,7 +20,9 @@
     private Path folder;
 
     private static long threads() {
-        return Thread.getAllStackTraces().keySet().stream().filter(t -> t.getName().startsWith("rehearsal")).count();
+        return Thread.getAllStackTraces().keySet().stream()
+                .filter(t -> t.getName().startsWith("rehearsal"))
+                .count();
     }
 
     private Rehearsal.Played play(String clients) throws Exception {
@@ -52,8 +54,8 @@
     /** No call, order, probe or connect: the worker hears nothing, and the gateway counts nothing. */
     @Test
     void workersHearNothing() throws Exception {
-        try (ScriptedPeer worker = new ScriptedPeer(in -> { });
-            Rig rig = new Rig(folder, "", "rehearse-ms=\"200\"", DispatcherFactory.CHOICE)) {
+        try (ScriptedPeer worker = new ScriptedPeer(in -> {});
+                Rig rig = new Rig(folder, "", "rehearse-ms=\"200\"", DispatcherFactory.CHOICE)) {
             rig.list(worker.id());
             rig.gateway.rehearse();
             assertFalse(rig.gateway.figures().get("rehearsed_calls") == 0);
@@ -66,8 +68,10 @@
     /** Told to stop while it rehearses, as by TERM in its first seconds: it ends soon, and its port never opens. */
     @Test
     void aStopEndsItAndNothingStarts() throws Exception {
-        Gateway gateway = new Gateway(Rig.config(folder, "", "rehearse-ms=\"20000\"", 1), DispatcherFactory.CHOICE, (group, type) ->
-            FleetSource.pushedBy(updates -> { }));
+        Gateway gateway = new Gateway(
+                Rig.config(folder, "", "rehearse-ms=\"20000\"", 1),
+                DispatcherFactory.CHOICE,
+                (group, type) -> FleetSource.pushedBy(updates -> {}));
         CompletableFuture<Object> life = CompletableFuture.supplyAsync(() -> {
             try {
                 gateway.rehearse();
@@ -76,7 +80,7 @@
                 throw new IllegalStateException(e);
             }
         });
-        for (long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10); threads() == 0 && System.nanoTime() < end;) {
+        for (long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10); threads() == 0 && System.nanoTime() < end; ) {
             Thread.onSpinWait();
         }
         long told = System.nanoTime();
--- a/gateway/src/test/java/wharfhinge/gateway/Rig.java
+++ b/gateway/src/test/java/wharfhinge/gateway/Rig.java
@@ -27,7 +27,8 @@
 
 /** A gateway in this process, a list that the test tells, and clients. */
 final class Rig implements AutoCloseable {
-    static final String SETTINGS = """
+    static final String SETTINGS =
+            """
         <wharfhinge xmlns="urn:wharfhinge:settings:1">
           <gateway name="gw" zone="z"/>
           <clients port="0" max-body-kb="64" max-header-kb="4" max-connections="6000" stop-within-ms="1000" CLIENTS/>
@@ -49,7 +50,8 @@
         """;
 
     final Gateway gateway;
-    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private Consumer<FleetUpdate> fleet;
     private long revision = 1;
 
@@ -71,24 +73,25 @@
     }
 
     private Rig(GatewayConfig config, DispatcherFactory decisions) throws Exception {
-        gateway = new Gateway(config, decisions, (group, type) ->
-            FleetSource.pushedBy(updates -> fleet = updates));
+        gateway = new Gateway(config, decisions, (group, type) -> FleetSource.pushedBy(updates -> fleet = updates));
         gateway.start();
     }
 
     static GatewayConfig config(Path folder, String workers, String clients, int roster)
-        throws IOException, InvalidFileException {
+            throws IOException, InvalidFileException {
         return config(folder, workers, clients, "", roster);
     }
 
     private static GatewayConfig config(Path folder, String workers, String clients, String more, int roster)
-        throws IOException, InvalidFileException {
+            throws IOException, InvalidFileException {
         return load(folder, text(workers, clients, more, roster));
     }
 
     private static String text(String workers, String clients, String more, int roster) {
-        return SETTINGS.replace("WORKERS", workers).replace("CLIENTS", clients).replace("<!--MORE-->", more)
-            .replace("ROSTER", Integer.toString(roster));
+        return SETTINGS.replace("WORKERS", workers)
+                .replace("CLIENTS", clients)
+                .replace("<!--MORE-->", more)
+                .replace("ROSTER", Integer.toString(roster));
     }
 
     private static GatewayConfig load(Path folder, String text) throws IOException, InvalidFileException {
@@ -114,9 +117,12 @@
     }
 
     CompletableFuture<HttpResponse<String>> call(String type, String function, int deadlineMs) {
-        HttpRequest request = HttpRequest.newBuilder(uri("/v1/call/" + function)).timeout(Duration.ofSeconds(10))
-            .header("wh-class", type).header("wh-deadline-ms", Integer.toString(deadlineMs))
-            .POST(HttpRequest.BodyPublishers.ofString("input")).build();
+        HttpRequest request = HttpRequest.newBuilder(uri("/v1/call/" + function))
+                .timeout(Duration.ofSeconds(10))
+                .header("wh-class", type)
+                .header("wh-deadline-ms", Integer.toString(deadlineMs))
+                .POST(HttpRequest.BodyPublishers.ofString("input"))
+                .build();
         return client.sendAsync(request, HttpResponse.BodyHandlers.ofString());
     }
 
--- a/gateway/src/test/java/wharfhinge/gateway/RosterSocketTest.java
+++ b/gateway/src/test/java/wharfhinge/gateway/RosterSocketTest.java
@@ -30,6 +30,7 @@
 class RosterSocketTest {
     @TempDir
     private Path folder;
+
     private final EventLoopGroup group = Net.group(2);
     private ScriptedPeer worker;
     private RosterStandIn roster;
@@ -54,9 +55,15 @@
 
     private String call() {
         try {
-            return HttpClient.newHttpClient().send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:"
-                + gateway.address().getPort() + "/v1/call/f")).header("wh-class", "safe")
-                .POST(HttpRequest.BodyPublishers.noBody()).build(), HttpResponse.BodyHandlers.ofString()).body();
+            return HttpClient.newHttpClient()
+                    .send(
+                            HttpRequest.newBuilder(URI.create("http://127.0.0.1:"
+                                            + gateway.address().getPort() + "/v1/call/f"))
+                                    .header("wh-class", "safe")
+                                    .POST(HttpRequest.BodyPublishers.noBody())
+                                    .build(),
+                            HttpResponse.BodyHandlers.ofString())
+                    .body();
         } catch (java.io.IOException | InterruptedException e) {
             throw new AssertionError(e);
         }
@@ -83,7 +90,8 @@
     void aGapOrALostStreamAsksForTheWhole() throws Exception {
         Rig.await("served", () -> call().equals("well"));
         long before = lists();
-        roster.push(new RosterFrame(RosterFrame.Kind.CHANGES, 900, 901, List.of(Rig.entry(worker.id(), State.GONE, "b0"))));
+        roster.push(
+                new RosterFrame(RosterFrame.Kind.CHANGES, 900, 901, List.of(Rig.entry(worker.id(), State.GONE, "b0"))));
         Thread.sleep(400);
         assertEquals("well", call(), "changes with a gap are not taken");
         assertEquals(before, lists(), "and the whole list was the one already held");
--- a/gateway/src/test/java/wharfhinge/gateway/ScriptedPeer.java
+++ b/gateway/src/test/java/wharfhinge/gateway/ScriptedPeer.java
@@ -61,27 +61,31 @@
         }
 
         void head(AnswerCode code, CopyNote note, boolean end) {
-            Http2Headers head = new DefaultHttp2Headers().status(Integer.toString(code.status()))
-                .set(WorkerProtocol.OUTCOME, code.word()).set(WorkerProtocol.NOTE, note.word())
-                .set(WorkerProtocol.REPORT, "rif:1,x0:0.5").setInt(WorkerProtocol.COUNT, 1);
+            Http2Headers head = new DefaultHttp2Headers()
+                    .status(Integer.toString(code.status()))
+                    .set(WorkerProtocol.OUTCOME, code.word())
+                    .set(WorkerProtocol.NOTE, note.word())
+                    .set(WorkerProtocol.REPORT, "rif:1,x0:0.5")
+                    .setInt(WorkerProtocol.COUNT, 1);
             ctx.writeAndFlush(new DefaultHttp2HeadersFrame(head, end).stream(stream));
         }
 
         void part(String text, boolean end) {
-            ctx.writeAndFlush(new DefaultHttp2DataFrame(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8), end)
-                .stream(stream));
+            ctx.writeAndFlush(
+                    new DefaultHttp2DataFrame(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8), end).stream(stream));
         }
 
         /** Sends parts of 64 KB until the stream ends; the writes wait for the other side's windows. */
         void flood(int parts) {
             if (parts > 0 && ctx.channel().isActive()) {
                 ctx.writeAndFlush(new DefaultHttp2DataFrame(Unpooled.wrappedBuffer(new byte[1 << 16]), false)
-                    .stream(stream)).addListener(done -> {
-                        flooded++;
-                        if (done.isSuccess()) {
-                            flood(parts - 1);
-                        }
-                    });
+                                .stream(stream))
+                        .addListener(done -> {
+                            flooded++;
+                            if (done.isSuccess()) {
+                                flood(parts - 1);
+                            }
+                        });
             }
         }
 
@@ -99,8 +103,13 @@
 
         /** A GOAWAY as bytes, since the codec would only send one that covers all streams it saw. */
         void goAway(int lastStream) {
-            ByteBuf frame = Unpooled.buffer().writeMedium(8).writeByte(7).writeByte(0).writeInt(0)
-                .writeInt(lastStream).writeInt(0);
+            ByteBuf frame = Unpooled.buffer()
+                    .writeMedium(8)
+                    .writeByte(7)
+                    .writeByte(0)
+                    .writeInt(0)
+                    .writeInt(lastStream)
+                    .writeInt(0);
             ctx.writeAndFlush(frame);
         }
     }
@@ -123,23 +132,32 @@
 
     ScriptedPeer(int port, Consumer<In> script) {
         this.script = script;
-        listening = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-            .childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    if (holdHandshakes) {
-                        channel.config().setAutoRead(false);
-                        held.add(channel);
-                    } else {
-                        pipeline(channel);
+        listening = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        if (holdHandshakes) {
+                            channel.config().setAutoRead(false);
+                            held.add(channel);
+                        } else {
+                            pipeline(channel);
+                        }
                     }
-                }
-            }).bind("127.0.0.1", port).syncUninterruptibly().channel();
+                })
+                .bind("127.0.0.1", port)
+                .syncUninterruptibly()
+                .channel();
     }
 
     private void pipeline(Channel channel) {
-        channel.pipeline().addLast(Http2FrameCodecBuilder.forServer()
-            .initialSettings(Http2Settings.defaultSettings()).build(), new Frames());
+        channel.pipeline()
+                .addLast(
+                        Http2FrameCodecBuilder.forServer()
+                                .initialSettings(Http2Settings.defaultSettings())
+                                .build(),
+                        new Frames());
     }
 
     String id() {
@@ -206,8 +224,9 @@
         private void came(ChannelHandlerContext ctx, Http2FrameStream stream) {
             In in = new In(ctx, stream, open.remove(stream));
             String path = in.headers.path().toString();
-            boolean call = path.startsWith(WorkerProtocol.CALL_PATH) || path.startsWith(ClientProtocol.CALL_PATH)
-                || path.startsWith("/wharfhinge.v1."); // it may play a gateway too
+            boolean call = path.startsWith(WorkerProtocol.CALL_PATH)
+                    || path.startsWith(ClientProtocol.CALL_PATH)
+                    || path.startsWith("/wharfhinge.v1."); // it may play a gateway too
             if (!call) {
                 others.add(in);
                 if (silentOrders) {
--- a/gateway/src/test/java/wharfhinge/gateway/TestKeys.java
+++ b/gateway/src/test/java/wharfhinge/gateway/TestKeys.java
@@ -32,7 +32,7 @@
     static final long DAY = 86_400_000L;
 
     /** A certificate with its key, as PEM files. */
-    record Pair(X509Certificate certificate, Path chain, Path key) { }
+    record Pair(X509Certificate certificate, Path chain, Path key) {}
 
     final Path authority;
     private final KeyPair keys;
@@ -44,8 +44,8 @@
         this.folder = Files.createDirectories(folder);
         this.keys = pair();
         this.name = new X500Name("CN=" + name);
-        JcaX509v3CertificateBuilder builder = new JcaX509v3CertificateBuilder(this.name, BigInteger.ZERO, date(-DAY), date(DAY), this.name,
-            keys.getPublic());
+        JcaX509v3CertificateBuilder builder = new JcaX509v3CertificateBuilder(
+                this.name, BigInteger.ZERO, date(-DAY), date(DAY), this.name, keys.getPublic());
         builder.addExtension(Extension.basicConstraints, true, new BasicConstraints(true));
         authority = write("authority.pem", new JcaX509CertificateConverter().getCertificate(builder.build(signer())));
     }
@@ -67,13 +67,24 @@
     /** Signed by the authority, for an address or (with null) a client. */
     Pair issue(String file, String commonName, String address, long fromMs, long untilMs) throws Exception {
         KeyPair own = pair();
-        JcaX509v3CertificateBuilder builder = new JcaX509v3CertificateBuilder(name, BigInteger.valueOf(++serial), date(fromMs),
-            date(untilMs), new X500Name("CN=" + commonName), own.getPublic());
+        JcaX509v3CertificateBuilder builder = new JcaX509v3CertificateBuilder(
+                name,
+                BigInteger.valueOf(++serial),
+                date(fromMs),
+                date(untilMs),
+                new X500Name("CN=" + commonName),
+                own.getPublic());
         if (address != null) {
-            builder.addExtension(Extension.subjectAlternativeName, false, new GeneralNames(new GeneralName(GeneralName.iPAddress, address)));
+            builder.addExtension(
+                    Extension.subjectAlternativeName,
+                    false,
+                    new GeneralNames(new GeneralName(GeneralName.iPAddress, address)));
         }
         X509Certificate certificate = new JcaX509CertificateConverter().getCertificate(builder.build(signer()));
-        return new Pair(certificate, write(file + ".pem", certificate), write(file + ".key", new JcaPKCS8Generator(own.getPrivate(), null)));
+        return new Pair(
+                certificate,
+                write(file + ".pem", certificate),
+                write(file + ".key", new JcaPKCS8Generator(own.getPrivate(), null)));
     }
 
     Pair client(String tenant) throws Exception {
@@ -96,7 +107,8 @@
         }
         Path fresh = folder.resolve(file + ".new");
         Files.writeString(fresh, text.toString());
-        return Files.move(fresh, folder.resolve(file), StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
+        return Files.move(
+                fresh, folder.resolve(file), StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
     }
 
     static byte[] secret() {
--- a/gateway/src/test/java/wharfhinge/gateway/front/BindingTest.java
+++ b/gateway/src/test/java/wharfhinge/gateway/front/BindingTest.java
@@ -30,8 +30,10 @@
     }
 
     private Channel bind(int port, long withinMs, Runnable betweenTries) throws InterruptedException {
-        ServerBootstrap bootstrap = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-            .childHandler(new ChannelInboundHandlerAdapter());
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .childHandler(new ChannelInboundHandlerAdapter());
         return Binding.within(TimeUnit.MILLISECONDS.toNanos(withinMs), () -> {
             betweenTries.run();
             return bootstrap.bind("127.0.0.1", port);
@@ -58,8 +60,8 @@
     @Test
     void onThatNeverLetsGoItEndsWithTheReason() throws Exception {
         try (ServerSocket former = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            assertThrows(BindException.class, () -> bind(former.getLocalPort(), 200, () -> { }));
-            assertThrows(BindException.class, () -> bind(former.getLocalPort(), 0, () -> { }));
+            assertThrows(BindException.class, () -> bind(former.getLocalPort(), 200, () -> {}));
+            assertThrows(BindException.class, () -> bind(former.getLocalPort(), 0, () -> {}));
         }
     }
 }
--- a/gateway/src/test/java/wharfhinge/gateway/roster/RosterTest.java
+++ b/gateway/src/test/java/wharfhinge/gateway/roster/RosterTest.java
@@ -32,12 +32,16 @@
     void olderRepeatedAndGappedRevisionsAreToldApart() {
         RosterView view = new RosterView();
         assertTrue(view.take(changes(3, 4)).askWhole(), "changes to a list that is not held");
-        assertTrue(view.take(new RosterFrame(Kind.ALL, 0, 5, List.of())).update().isPresent());
-        assertFalse(view.take(new RosterFrame(Kind.ALL, 0, 5, List.of())).update().isPresent(), "repeated");
-        assertFalse(view.take(new RosterFrame(Kind.ALL, 0, 4, List.of())).update().isPresent(), "older");
+        assertTrue(
+                view.take(new RosterFrame(Kind.ALL, 0, 5, List.of())).update().isPresent());
+        assertFalse(
+                view.take(new RosterFrame(Kind.ALL, 0, 5, List.of())).update().isPresent(), "repeated");
+        assertFalse(
+                view.take(new RosterFrame(Kind.ALL, 0, 4, List.of())).update().isPresent(), "older");
         assertFalse(view.take(changes(3, 4)).update().isPresent(), "older changes");
         assertTrue(view.take(changes(5, 6)).update().isPresent());
-        assertTrue(view.take(changes(4, 7)).update().isPresent(), "changes since before what is held tell the same end");
+        assertTrue(
+                view.take(changes(4, 7)).update().isPresent(), "changes since before what is held tell the same end");
         assertTrue(view.take(changes(9, 10)).askWhole(), "a gap");
         assertTrue(view.take(new RosterFrame(Kind.BEAT, 0, 10, List.of())).askWhole(), "a beat beyond what is held");
         assertFalse(view.take(new RosterFrame(Kind.BEAT, 0, 7, List.of())).askWhole());
@@ -50,14 +54,16 @@
         Path file = folder.resolve("deep/list");
         RememberedList list = new RememberedList(file, wall::get);
         list.update(new FleetUpdate(ListMode.ALL, 3, List.of(entry("a:1", State.UP, 100), entry("b:1", State.UP, -1))));
-        list.update(new FleetUpdate(ListMode.CHANGES, 4, List.of(entry("b:1", State.GONE, -1),
-            entry("c:1", State.DRAINING, 7))));
+        list.update(new FleetUpdate(
+                ListMode.CHANGES, 4, List.of(entry("b:1", State.GONE, -1), entry("c:1", State.DRAINING, 7))));
         list.close();
         wall.addAndGet(500);
         FleetUpdate read = new RememberedList(file, wall::get).read().orElseThrow();
         assertEquals(ListMode.REMEMBERED, read.mode());
         assertEquals(4, read.revision());
-        assertEquals(List.of("a:1", "c:1"), read.entries().stream().map(RosterEntry::id).toList());
+        assertEquals(
+                List.of("a:1", "c:1"),
+                read.entries().stream().map(RosterEntry::id).toList());
         assertEquals(600, read.entries().get(0).ageMs());
     }
 
@@ -77,8 +83,10 @@
             byte[] damaged = whole.clone();
             damaged[i] ^= 1;
             Files.write(file, damaged);
-            boolean time = i >= "wharfhinge-list 1 ".length() && damaged[i] >= '0' && damaged[i] <= '9'
-                && i < new String(whole).indexOf(' ', 18);
+            boolean time = i >= "wharfhinge-list 1 ".length()
+                    && damaged[i] >= '0'
+                    && damaged[i] <= '9'
+                    && i < new String(whole).indexOf(' ', 18);
             assertTrue(time || new RememberedList(file, () -> 0).read().isEmpty(), "damaged at " + i);
         }
     }
--- a/gateway/src/test/java/wharfhinge/gateway/upstream/EndingTest.java
+++ b/gateway/src/test/java/wharfhinge/gateway/upstream/EndingTest.java
@@ -12,21 +12,41 @@
 
 /** The table of what the wire shows and what it proves. */
 class EndingTest {
-    private static final Set<Outcome> NEVER_RAN = EnumSet.of(Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT,
-        Outcome.MISS);
+    private static final Set<Outcome> NEVER_RAN =
+            EnumSet.of(Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.MISS);
 
     @ParameterizedTest
-    @CsvSource({"NOT_CONNECTED,CONNECT_FAILED", "NOT_WRITTEN,CONNECT_FAILED", "STREAM_REFUSED,FULL", "GONE_AWAY,FULL",
-        "STREAM_RESET,RESET", "CONNECTION_LOST,RESET", "TOO_LARGE,ERROR", "TIMED_OUT,TIMEOUT",
-        "WITHDRAWN,CANCELLED", "TOO_LATE,MOOT"})
+    @CsvSource({
+        "NOT_CONNECTED,CONNECT_FAILED",
+        "NOT_WRITTEN,CONNECT_FAILED",
+        "STREAM_REFUSED,FULL",
+        "GONE_AWAY,FULL",
+        "STREAM_RESET,RESET",
+        "CONNECTION_LOST,RESET",
+        "TOO_LARGE,ERROR",
+        "TIMED_OUT,TIMEOUT",
+        "WITHDRAWN,CANCELLED",
+        "TOO_LATE,MOOT"
+    })
     void eachEndingHasOneOutcome(Ending ending, Outcome outcome) {
         assertEquals(outcome, ending.outcome(0, null));
         assertEquals(NEVER_RAN.contains(outcome), ending.provesUnrun(), "an outcome that proves must be proven");
     }
 
     @ParameterizedTest
-    @CsvSource({"200,,SERVED", "204,,SERVED", "500,,ERROR", "404,,ERROR", "503,,ERROR", "0,,ERROR", "200,SERVED,SERVED",
-        "503,FULL,FULL", "404,MISS,MISS", "500,ERROR,ERROR", "200,MISS,MISS"})
+    @CsvSource({
+        "200,,SERVED",
+        "204,,SERVED",
+        "500,,ERROR",
+        "404,,ERROR",
+        "503,,ERROR",
+        "0,,ERROR",
+        "200,SERVED,SERVED",
+        "503,FULL,FULL",
+        "404,MISS,MISS",
+        "500,ERROR,ERROR",
+        "200,MISS,MISS"
+    })
     void anAnswersWordsDecideAndWithoutThemNothingIsProven(int status, AnswerCode code, Outcome outcome) {
         assertEquals(outcome, Ending.ANSWERED.outcome(status, code));
     }
--- a/lab/src/main/java/wharfhinge/lab/Chains.java
+++ b/lab/src/main/java/wharfhinge/lab/Chains.java
@@ -21,7 +21,7 @@
     private static final long MOST_BYTES = 1 << 20;
     private static final long RESERVE_NS = 16 * Timeline.MS;
 
-    private record Run(List<String> functions, long deadline, String[] out, Consumer<Answer> to) { }
+    private record Run(List<String> functions, long deadline, String[] out, Consumer<Answer> to) {}
 
     private final Timeline time;
     private final Gateway gateway;
@@ -32,16 +32,33 @@
     Chains(Timeline time, Gateway gateway) {
         this.time = time;
         this.gateway = gateway;
-        this.decisions = new ChainDecisions(new ChainSettings(ChainSettings.Clock.ONE, true, LET_THROUGH, true, MOST_CHAINS,
-            MOST_CHAINS * ChainPlan.MOST_STEPS, 1, MOST_BYTES, RESERVE_NS), this, gateway::believedWarm);
+        this.decisions = new ChainDecisions(
+                new ChainSettings(
+                        ChainSettings.Clock.ONE,
+                        true,
+                        LET_THROUGH,
+                        true,
+                        MOST_CHAINS,
+                        MOST_CHAINS * ChainPlan.MOST_STEPS,
+                        1,
+                        MOST_BYTES,
+                        RESERVE_NS),
+                this,
+                gateway::believedWarm);
     }
 
     /** One function after the other. */
     void begin(List<String> functions, long patienceNs, long loadMs, Consumer<Answer> to) {
         List<ChainPlan.Step> steps = new ArrayList<>();
         for (int i = 0; i < functions.size(); i++) {
-            steps.add(new ChainPlan.Step("s" + i, functions.get(i), LabSettings.CLASS, Effect.IDEMPOTENT, i == 0 ? List.of()
-                : List.of("s" + (i - 1)), 0, loadMs * Timeline.MS));
+            steps.add(new ChainPlan.Step(
+                    "s" + i,
+                    functions.get(i),
+                    LabSettings.CLASS,
+                    Effect.IDEMPOTENT,
+                    i == 0 ? List.of() : List.of("s" + (i - 1)),
+                    0,
+                    loadMs * Timeline.MS));
         }
         long id = number++;
         long deadline = time.now() + patienceNs;
@@ -64,16 +81,25 @@
     public void start(long chain, int step, long mayTakeNs) {
         Run run = runs.get(chain);
         long began = time.now();
-        run.out[step] = gateway.call(run.functions.get(step), mayTakeNs, answer -> time.after(0, () -> {
-            if (runs.containsKey(chain)) {
-                run.out[step] = null;
-                decisions.stepEnded(time.now(), chain, step, switch (answer.kind()) {
-                    case SERVED -> StepEnd.SERVED;
-                    case REFUSED -> StepEnd.REFUSED;
-                    default -> StepEnd.FAILED;
-                }, time.now() - began, answer.loaded());
-            }
-        }));
+        run.out[step] = gateway.call(
+                run.functions.get(step),
+                mayTakeNs,
+                answer -> time.after(0, () -> {
+                    if (runs.containsKey(chain)) {
+                        run.out[step] = null;
+                        decisions.stepEnded(
+                                time.now(),
+                                chain,
+                                step,
+                                switch (answer.kind()) {
+                                    case SERVED -> StepEnd.SERVED;
+                                    case REFUSED -> StepEnd.REFUSED;
+                                    default -> StepEnd.FAILED;
+                                },
+                                time.now() - began,
+                                answer.loaded());
+                    }
+                }));
     }
 
     @Override
@@ -93,11 +119,12 @@
 
     @Override
     public void end(long chain, ChainEnd end) {
-        Answer.Kind kind = switch (end.kind()) {
-            case SERVED -> Answer.Kind.SERVED;
-            case REFUSED -> Answer.Kind.REFUSED;
-            case FAILED -> Answer.Kind.FAILED;
-        };
+        Answer.Kind kind =
+                switch (end.kind()) {
+                    case SERVED -> Answer.Kind.SERVED;
+                    case REFUSED -> Answer.Kind.REFUSED;
+                    case FAILED -> Answer.Kind.FAILED;
+                };
         runs.remove(chain).to.accept(new Answer(kind, 0, false, 0));
     }
 }
--- a/lab/src/main/java/wharfhinge/lab/Gateway.java
+++ b/lab/src/main/java/wharfhinge/lab/Gateway.java
@@ -23,7 +23,12 @@
 
     /** A final answer. */
     record Answer(Kind kind, long comeBackNs, boolean loaded, long atWorkerNs) {
-        enum Kind { SERVED, REFUSED, FAILED, LEFT }
+        enum Kind {
+            SERVED,
+            REFUSED,
+            FAILED,
+            LEFT
+        }
     }
 
     private static final class Attempt {
@@ -63,7 +68,14 @@
     private long number;
     private boolean over;
 
-    Gateway(Timeline time, Storm storm, long seed, int index, Map<String, Worker> workers, Decisions decisions, List<String> faults) {
+    Gateway(
+            Timeline time,
+            Storm storm,
+            long seed,
+            int index,
+            Map<String, Worker> workers,
+            Decisions decisions,
+            List<String> faults) {
         this.time = time;
         this.storm = storm;
         this.workers = workers;
@@ -83,7 +95,9 @@
     /** Its process ends: nobody hears of what was open, but clients see the connection break. */
     void kill() {
         over = true;
-        calls.values().stream().filter(c -> !c.answered).forEach(c -> c.to.accept(new Answer(Answer.Kind.FAILED, 0, false, 0)));
+        calls.values().stream()
+                .filter(c -> !c.answered)
+                .forEach(c -> c.to.accept(new Answer(Answer.Kind.FAILED, 0, false, 0)));
         calls.clear();
         chains.kill();
     }
@@ -114,8 +128,18 @@
     }
 
     private Request request(String id, String function, long patienceNs) {
-        return new Request(id, null, patienceNs, LabSettings.COPY_MB * storm.places(function), function, storm.callMs() * Timeline.MS,
-            storm.lanes(), storm.loadMs(), LabSettings.CLASS, false, false);
+        return new Request(
+                id,
+                null,
+                patienceNs,
+                LabSettings.COPY_MB * storm.places(function),
+                function,
+                storm.callMs() * Timeline.MS,
+                storm.lanes(),
+                storm.loadMs(),
+                LabSettings.CLASS,
+                false,
+                false);
     }
 
     /** Tells the call's name. */
@@ -157,8 +181,18 @@
         if (outcome == Outcome.SERVED && !c.answered) {
             answer(c, Answer.Kind.SERVED, 0, note == Note.BEGAN_LOAD || note == Note.WAITED_FOR_LOAD, took);
         }
-        dispatcher.completed(time.now(), new Completion(c.request.id(), outcome, index, took, workerOf.get(a).id, note, company, c.answered,
-            report(workerOf.remove(a))));
+        dispatcher.completed(
+                time.now(),
+                new Completion(
+                        c.request.id(),
+                        outcome,
+                        index,
+                        took,
+                        workerOf.get(a).id,
+                        note,
+                        company,
+                        c.answered,
+                        report(workerOf.remove(a))));
         if (c.answered && c.attempts.stream().allMatch(x -> x.ended)) {
             calls.remove(c.request.id());
         }
@@ -199,12 +233,15 @@
         time.after(WIRE_NS, () -> {
             if (!a.ended) {
                 Worker.Visit[] visit = new Worker.Visit[1];
-                visit[0] = w.call(c.request.function(), (outcome, note, company) ->
-                    time.after(WIRE_NS, () -> ended(c, index, outcome, note, company)));
+                visit[0] = w.call(
+                        c.request.function(),
+                        (outcome, note, company) -> time.after(WIRE_NS, () -> ended(c, index, outcome, note, company)));
                 a.visit = visit[0];
             }
         });
-        time.after(timeoutNs == 0 ? left : Math.min(timeoutNs, left), () -> ended(c, index, Outcome.TIMEOUT, Note.NONE, 0));
+        time.after(
+                timeoutNs == 0 ? left : Math.min(timeoutNs, left),
+                () -> ended(c, index, Outcome.TIMEOUT, Note.NONE, 0));
     }
 
     @Override
@@ -236,11 +273,16 @@
         long began = time.now();
         orders.add(began);
         withinRation();
-        time.after(WIRE_NS, () -> workers.get(worker).hold(function, count, (outcome, standing) -> time.after(WIRE_NS, () -> {
-            if (!over) {
-                dispatcher.resident(time.now(), worker, function, standing, outcome, time.now() - began);
-            }
-        })));
+        time.after(WIRE_NS, () -> workers.get(worker)
+                .hold(
+                        function,
+                        count,
+                        (outcome, standing) -> time.after(WIRE_NS, () -> {
+                            if (!over) {
+                                dispatcher.resident(
+                                        time.now(), worker, function, standing, outcome, time.now() - began);
+                            }
+                        })));
     }
 
     /** Rule 5, as the store's owner counts it. */
@@ -277,17 +319,17 @@
     }
 
     @Override
-    public void publish(int peer, byte[] payload) { }
+    public void publish(int peer, byte[] payload) {}
 
     @Override
-    public void listen(boolean on) { }
+    public void listen(boolean on) {}
 
     @Override
-    public void reload() { }
+    public void reload() {}
 
     @Override
-    public void hangUp(String worker) { }
+    public void hangUp(String worker) {}
 
     @Override
-    public void remark(String text) { }
+    public void remark(String text) {}
 }
--- a/lab/src/main/java/wharfhinge/lab/Span.java
+++ b/lab/src/main/java/wharfhinge/lab/Span.java
@@ -90,12 +90,26 @@
 
     /** A row of a table. */
     public String row() {
-        return String.format(java.util.Locale.ROOT, "| %4.0f | %5d | %5.1f%% | %5.1f%% | %4d | %4d | %4d | %4d | %4d | %3d / %-3d | %4d | %4d |",
-            fromS, calls, 100 * inTime(), 100 * bound, of(End.LATE_LOAD), of(End.LATE_QUEUE), of(End.LATE_REPEAT), of(End.REFUSED),
-            of(End.FAILED), copies, withCopy, loads, lastPushedOut);
+        return String.format(
+                java.util.Locale.ROOT,
+                "| %4.0f | %5d | %5.1f%% | %5.1f%% | %4d | %4d | %4d | %4d | %4d | %3d / %-3d | %4d | %4d |",
+                fromS,
+                calls,
+                100 * inTime(),
+                100 * bound,
+                of(End.LATE_LOAD),
+                of(End.LATE_QUEUE),
+                of(End.LATE_REPEAT),
+                of(End.REFUSED),
+                of(End.FAILED),
+                copies,
+                withCopy,
+                loads,
+                lastPushedOut);
     }
 
     /** Its head. */
-    public static final String HEAD = "| from s | calls | in time | at most | late: load | queue | repeat | refused | failed | copies / functions "
-        + "| loads | last ones |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |";
+    public static final String HEAD =
+            "| from s | calls | in time | at most | late: load | queue | repeat | refused | failed | copies / functions "
+                    + "| loads | last ones |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |";
 }
--- a/lab/src/main/java/wharfhinge/lab/Storm.java
+++ b/lab/src/main/java/wharfhinge/lab/Storm.java
@@ -21,7 +21,7 @@
     }
 
     /** One trouble; seconds from the first counted call, and its length where it has one. */
-    public record Trouble(Kind kind, double atS, double forS) { }
+    public record Trouble(Kind kind, double atS, double forS) {}
 
     /** Seconds that are not counted: copies and beliefs form. */
     public static final int WARM_UP_S = 10;
@@ -29,6 +29,7 @@
     public static final int RATION_S = 5;
     /** What a ration allows beside for each call of the span. */
     public static final double RATION_RATIO = 0.1;
+
     private static final double LARGE = 0.6; // of a worker's memory: two don't stand beside each other
     private static final int TENANT_PART = 10; // one function of so many is the storming tenant's
 
@@ -61,7 +62,7 @@
     private List<Trouble> troubles = List.of();
     private long seed = 7;
 
-    private Storm() { }
+    private Storm() {}
 
     /** Eight workers whose memory just holds the ninety functions. */
     public static Storm tight() {
@@ -327,8 +328,22 @@
 
     @Override
     public String toString() {
-        return String.format(Locale.ROOT, "%d gateways, %d workers of %d cores with room for %d%s, %d functions (%d large), load of %d ms (%d at "
-            + "once, ration %d), %.1f and %.1f of the capacity, seed %d", gateways, workers, cores, room, loadsOnCall ? " that load on call" : "",
-            functions, large, loadMs, storeAtOnce, ration, calm, peak, seed);
+        return String.format(
+                Locale.ROOT,
+                "%d gateways, %d workers of %d cores with room for %d%s, %d functions (%d large), load of %d ms (%d at "
+                        + "once, ration %d), %.1f and %.1f of the capacity, seed %d",
+                gateways,
+                workers,
+                cores,
+                room,
+                loadsOnCall ? " that load on call" : "",
+                functions,
+                large,
+                loadMs,
+                storeAtOnce,
+                ration,
+                calm,
+                peak,
+                seed);
     }
 }
--- a/lab/src/main/java/wharfhinge/lab/StormRun.java
+++ b/lab/src/main/java/wharfhinge/lab/StormRun.java
@@ -68,17 +68,28 @@
         }
 
         private double aCall(double fromS, double toS, ToDoubleFunction<Span> what) {
-            List<Span> those = spans.stream().filter(s -> s.fromS >= fromS && s.fromS < toS).toList();
-            return those.stream().mapToDouble(what).sum() / Math.max(1, those.stream().mapToInt(s -> s.calls).sum());
+            List<Span> those = spans.stream()
+                    .filter(s -> s.fromS >= fromS && s.fromS < toS)
+                    .toList();
+            return those.stream().mapToDouble(what).sum()
+                    / Math.max(1, those.stream().mapToInt(s -> s.calls).sum());
         }
 
         /** Before the storm, in it, in the first spans after it and later. */
         public String summary() {
             int end = storm.beforeS() + storm.stormS();
-            return String.format(java.util.Locale.ROOT, "before %.1f%%, storm %.1f%% (%.2f of what can be), 0-4 s after %.1f%%, 4 s on %.1f%%; "
-                + "loads a call before %.3f, after %.3f; faults %d", 100 * inTime(0, storm.beforeS()), 100 * inTime(storm.beforeS(), end),
-                inTime(storm.beforeS(), end) / bound(storm.beforeS(), end), 100 * inTime(end, end + 4), 100 * inTime(end + 4, storm.seconds()),
-                loadsPerCall(0, storm.beforeS()), loadsPerCall(end + 2, storm.seconds()), faults.size());
+            return String.format(
+                    java.util.Locale.ROOT,
+                    "before %.1f%%, storm %.1f%% (%.2f of what can be), 0-4 s after %.1f%%, 4 s on %.1f%%; "
+                            + "loads a call before %.3f, after %.3f; faults %d",
+                    100 * inTime(0, storm.beforeS()),
+                    100 * inTime(storm.beforeS(), end),
+                    inTime(storm.beforeS(), end) / bound(storm.beforeS(), end),
+                    100 * inTime(end, end + 4),
+                    100 * inTime(end + 4, storm.seconds()),
+                    loadsPerCall(0, storm.beforeS()),
+                    loadsPerCall(end + 2, storm.seconds()),
+                    faults.size());
         }
     }
 
@@ -170,8 +181,9 @@
         while (popularity[rank] < drawn) {
             rank++;
         }
-        boolean tenants = storm.oneTenant() && stormy((time.now() - begin) / 1000.0 / Timeline.MS)
-            && random.nextDouble() > storm.calm() / storm.peak();
+        boolean tenants = storm.oneTenant()
+                && stormy((time.now() - begin) / 1000.0 / Timeline.MS)
+                && random.nextDouble() > storm.calm() / storm.peak();
         return "f" + (tenants ? storm.tenants(random.nextDouble()) : (rank + turned) % storm.functions());
     }
 
@@ -185,7 +197,7 @@
     }
 
     /** What a client asks for: one function, or one after the other. */
-    private record Asked(List<String> functions, Span span, long began) { }
+    private record Asked(List<String> functions, Span span, long began) {}
 
     private void attempt(Asked a, int number, boolean ran) {
         int steps = a.functions.size();
@@ -196,8 +208,11 @@
         Consumer<Gateway.Answer> to = answer -> {
             long took = time.now() - a.began;
             if (answer.kind() == Gateway.Answer.Kind.SERVED) {
-                Span.End end = took <= steps * storm.aimMs() * Timeline.MS ? Span.End.IN_TIME : number > 1 ? Span.End.LATE_REPEAT
-                    : answer.loaded() ? Span.End.LATE_LOAD : Span.End.LATE_QUEUE;
+                Span.End end = took <= steps * storm.aimMs() * Timeline.MS
+                        ? Span.End.IN_TIME
+                        : number > 1
+                                ? Span.End.LATE_REPEAT
+                                : answer.loaded() ? Span.End.LATE_LOAD : Span.End.LATE_QUEUE;
                 a.span.ends.merge(end, 1, Integer::sum);
                 return;
             }
@@ -240,7 +255,9 @@
     private double bound(Span s) {
         double held = 0;
         int places = storm.workers() * storm.room();
-        for (String f : s.asked.keySet().stream().sorted(Comparator.comparingInt(f -> -s.asked.get(f) / storm.places(f))).toList()) {
+        for (String f : s.asked.keySet().stream()
+                .sorted(Comparator.comparingInt(f -> -s.asked.get(f) / storm.places(f)))
+                .toList()) {
             places -= storm.places(f);
             held += places < 0 ? 0 : s.asked.get(f);
         }
--- a/lab/src/main/java/wharfhinge/lab/Timeline.java
+++ b/lab/src/main/java/wharfhinge/lab/Timeline.java
@@ -7,9 +7,10 @@
 final class Timeline {
     static final long MS = 1_000_000L;
 
-    private record Due(long at, long number, Runnable what) { }
+    private record Due(long at, long number, Runnable what) {}
 
-    private final PriorityQueue<Due> queue = new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::number));
+    private final PriorityQueue<Due> queue =
+            new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::number));
     private long number;
     private long now = MS; // 0 stands for "never" in what is told of workers
 
--- a/lab/src/main/java/wharfhinge/lab/Worker.java
+++ b/lab/src/main/java/wharfhinge/lab/Worker.java
@@ -58,7 +58,7 @@
         }
     }
 
-    private record Order(String function, int count, ObjIntConsumer<Outcome> ended) { }
+    private record Order(String function, int count, ObjIntConsumer<Outcome> ended) {}
 
     final String id;
     private final Storm storm;
@@ -113,7 +113,9 @@
     }
 
     int standing(String function) {
-        return (int) copies.getOrDefault(function, List.of()).stream().filter(c -> !c.loading).count();
+        return (int) copies.getOrDefault(function, List.of()).stream()
+                .filter(c -> !c.loading)
+                .count();
     }
 
     int copiesHeld() {
@@ -140,7 +142,7 @@
 
     private int company(String function) {
         return (int) queue.stream().filter(v -> v.function.equals(function)).count()
-            + of(function).stream().mapToInt(c -> c.running).sum();
+                + of(function).stream().mapToInt(c -> c.running).sum();
     }
 
     Visit call(String function, Reply reply) {
@@ -171,7 +173,7 @@
     }
 
     private void serve() {
-        for (Iterator<Visit> it = queue.iterator(); it.hasNext() && running.size() < storm.cores();) {
+        for (Iterator<Visit> it = queue.iterator(); it.hasNext() && running.size() < storm.cores(); ) {
             Visit v = it.next();
             Copy copy = v.gone ? null : free(v.function);
             if (v.gone) {
@@ -241,12 +243,15 @@
         if (held + places <= storm.room()) {
             return true;
         }
-        List<Copy> idle = copies.values().stream().flatMap(List::stream).filter(c -> !c.loading && c.running == 0)
-            .sorted(Comparator.comparingLong(c -> c.idleSince)).toList();
+        List<Copy> idle = copies.values().stream()
+                .flatMap(List::stream)
+                .filter(c -> !c.loading && c.running == 0)
+                .sorted(Comparator.comparingLong(c -> c.idleSince))
+                .toList();
         if (held - idle.stream().mapToInt(c -> storm.places(c.function)).sum() + places > storm.room()) {
             return false;
         }
-        for (Iterator<Copy> oldest = idle.iterator(); held + places > storm.room();) {
+        for (Iterator<Copy> oldest = idle.iterator(); held + places > storm.room(); ) {
             Copy copy = oldest.next();
             of(copy.function).remove(copy);
             held -= storm.places(copy.function);
--- a/lab/src/test/java/wharfhinge/lab/StormTest.java
+++ b/lab/src/test/java/wharfhinge/lab/StormTest.java
@@ -18,8 +18,12 @@
     private static final int DRAWS = 4;
 
     private static List<StormRun.Played> play(Storm storm) {
-        List<StormRun.Played> all = IntStream.rangeClosed(1, DRAWS).parallel().mapToObj(s -> StormRun.play(storm.seed(s))).toList();
-        all.forEach(p -> assertEquals(List.of(), p.faults(), () -> "seed " + p.storm().seed()));
+        List<StormRun.Played> all = IntStream.rangeClosed(1, DRAWS)
+                .parallel()
+                .mapToObj(s -> StormRun.play(storm.seed(s)))
+                .toList();
+        all.forEach(p ->
+                assertEquals(List.of(), p.faults(), () -> "seed " + p.storm().seed()));
         return all;
     }
 
@@ -28,7 +32,10 @@
     }
 
     private static double ofBound(List<StormRun.Played> of, double fromS, double toS) {
-        return of.stream().mapToDouble(p -> p.inTime(fromS, toS) / p.bound(fromS, toS)).average().orElseThrow();
+        return of.stream()
+                .mapToDouble(p -> p.inTime(fromS, toS) / p.bound(fromS, toS))
+                .average()
+                .orElseThrow();
     }
 
     private static void well(List<StormRun.Played> all, double storm, double after) {
@@ -42,8 +49,10 @@
         List<StormRun.Played> all = play(Storm.tight());
         well(all, 0.9, 0.98);
         assertTrue(inTime(all, 0, 6) > 0.98);
-        double before = all.stream().mapToDouble(p -> p.loadsPerCall(0, 6)).average().orElseThrow();
-        double after = all.stream().mapToDouble(p -> p.loadsPerCall(20, 32)).average().orElseThrow();
+        double before =
+                all.stream().mapToDouble(p -> p.loadsPerCall(0, 6)).average().orElseThrow();
+        double after =
+                all.stream().mapToDouble(p -> p.loadsPerCall(20, 32)).average().orElseThrow();
         assertTrue(after <= Math.max(0.03, 1.2 * before), "loads a call before " + before + ", after " + after);
     }
 
@@ -76,8 +85,17 @@
     void rationedOrders() {
         well(play(Storm.ample().gateways(3).ration(12)), 0.8, 0.99);
         well(play(Storm.tight().ration(4)), 0.9, 0.98);
-        // the fleet of drill retry-storm: copies go for others after the storm, and misses are what is left (0.887 where they wait)
-        well(play(Storm.tight().fleet(12, 2, 2, 40).room(15).gateways(3).loading(500, 10).ration(12)), 0.5, 0.98);
+        // the fleet of drill retry-storm: copies go for others after the storm, and misses are what is left (0.887
+        // where they wait)
+        well(
+                play(Storm.tight()
+                        .fleet(12, 2, 2, 40)
+                        .room(15)
+                        .gateways(3)
+                        .loading(500, 10)
+                        .ration(12)),
+                0.5,
+                0.98);
     }
 
     /** Half of what is asked for are chains of two steps; a chain whose second step is lost has spent work for nothing. */
@@ -111,19 +129,25 @@
     void troublesBesideTheStormArePast(Storm.Kind kind) {
         double at = kind == Storm.Kind.GATEWAYS_RESTART ? 16 : 10;
         List<StormRun.Played> all = play(Storm.tight().with(kind, at, 3));
-        assertTrue(inTime(all, 24, 32) >= 0.97 * inTime(all, 0, 6), kind + ": " + all.get(0).summary());
+        assertTrue(
+                inTime(all, 24, 32) >= 0.97 * inTime(all, 0, 6),
+                kind + ": " + all.get(0).summary());
     }
 
     /** An empty fleet: 90 functions at 20 loads a second need 4.5 s at least; all is well soon after. */
     @Test
     void startingColdTakesLittleLongerThanTheStoreAllows() {
         List<StormRun.Played> all = play(Storm.tight().load(0.5, 0.5).lasting(0, 0, 4));
-        assertTrue(inTime(all, 0, 4) > 0.97, "ten seconds after its first call: " + all.get(0).summary());
+        assertTrue(
+                inTime(all, 0, 4) > 0.97,
+                "ten seconds after its first call: " + all.get(0).summary());
     }
 
     @Test
     void oneSeedGivesOneRun() {
-        assertEquals(StormRun.play(Storm.tight().seed(3)).summary(), StormRun.play(Storm.tight().seed(3)).summary());
+        assertEquals(
+                StormRun.play(Storm.tight().seed(3)).summary(),
+                StormRun.play(Storm.tight().seed(3)).summary());
     }
 
     /**
@@ -131,12 +155,20 @@
      * time allowed is what the store needs to load all functions twice, and two seconds.
      */
     @Property(tries = 12, shrinking = ShrinkingMode.BOUNDED)
-    void anyFleetIsAsBeforeSomeTimeAfterAStorm(@ForAll @IntRange(min = 3, max = 12) int workers, @ForAll @IntRange(min = 2, max = 6) int cores,
-                                               @ForAll @IntRange(min = 20, max = 120) int functions,
-                                               @ForAll @IntRange(min = 12, max = 25) int peakTenths,
-                                               @ForAll @IntRange(min = 100, max = 600) int loadMs, @ForAll @IntRange(min = 1, max = 1000) int seed) {
+    void anyFleetIsAsBeforeSomeTimeAfterAStorm(
+            @ForAll @IntRange(min = 3, max = 12) int workers,
+            @ForAll @IntRange(min = 2, max = 6) int cores,
+            @ForAll @IntRange(min = 20, max = 120) int functions,
+            @ForAll @IntRange(min = 12, max = 25) int peakTenths,
+            @ForAll @IntRange(min = 100, max = 600) int loadMs,
+            @ForAll @IntRange(min = 1, max = 1000) int seed) {
         int room = (int) Math.ceil(functions * 1.1 / workers) + 1;
-        Storm storm = Storm.tight().fleet(workers, cores, 4, functions).room(room).loading(loadMs, 8).load(0.5, peakTenths / 10.0).seed(seed);
+        Storm storm = Storm.tight()
+                .fleet(workers, cores, 4, functions)
+                .room(room)
+                .loading(loadMs, 8)
+                .load(0.5, peakTenths / 10.0)
+                .seed(seed);
         StormRun.Played played = StormRun.play(storm);
         assertEquals(List.of(), played.faults());
         double allowedS = 2 + 2 * functions * loadMs / 1000.0 / 8;
--- a/policy/src/test/java/wharfhinge/ChoiceTest.java
+++ b/policy/src/test/java/wharfhinge/ChoiceTest.java
@@ -320,7 +320,7 @@
     @Test
     void ordersStayWithinTheRation() {
         Recorder t = new Recorder(
-            Recorder.settings(IDEMPOTENT, Dispatcher.Group.ALL, NotLoaded.MISS, false, 5000 * Recorder.MS));
+                Recorder.settings(IDEMPOTENT, Dispatcher.Group.ALL, NotLoaded.MISS, false, 5000 * Recorder.MS));
         t.fleet("b", "c", "d");
         for (int i = 0; i < 20; i++) {
             t.end(t.query("f" + i), 0, MISS, NONE, 1);
@@ -396,7 +396,11 @@
         for (int i = 0; i < 6; i++) {
             assertEquals(home, t.sentTo(t.query("f")));
         }
-        assertEquals(1, t.lines.stream().filter(l -> l.startsWith("hold ") && l.contains(" f 1")).count());
+        assertEquals(
+                1,
+                t.lines.stream()
+                        .filter(l -> l.startsWith("hold ") && l.contains(" f 1"))
+                        .count());
     }
 
     @Test
@@ -497,7 +501,12 @@
                 t.end(q, k, "bcd".contains("" + t.sentTo(q)) ? ERROR : SERVED, FOUND_LOADED, 1);
             }
         }
-        assertEquals(3, t.lines.stream().filter(l -> l.startsWith("remark ejected")).distinct().count());
+        assertEquals(
+                3,
+                t.lines.stream()
+                        .filter(l -> l.startsWith("remark ejected"))
+                        .distinct()
+                        .count());
         t.pass(9000);
         int before = t.lines.size();
         for (int i = 0; i < 40; i++) {
@@ -505,7 +514,8 @@
             t.end(q, 0, "bcd".contains("" + t.sentTo(q)) ? TIMEOUT : SERVED, FOUND_LOADED, 1);
         }
         long trials = t.lines.subList(before, t.lines.size()).stream()
-            .filter(l -> l.matches("attempt \\S+ [bcd]")).count();
+                .filter(l -> l.matches("attempt \\S+ [bcd]"))
+                .count();
         assertTrue(trials <= 4, "trials " + trials);
     }
 
@@ -587,7 +597,12 @@
         String place = t.sentTo(q);
         t.end(q, 0, MISS, NONE, 1);
         assertEquals(7, holds(t));
-        assertTrue(t.lines.stream().filter(l -> l.startsWith("hold " + place + " f0")).count() == 2, "it stood at its place: there again");
+        assertTrue(
+                t.lines.stream()
+                                .filter(l -> l.startsWith("hold " + place + " f0"))
+                                .count()
+                        == 2,
+                "it stood at its place: there again");
     }
 
     /** Gateways that share nothing, told the same functions in another order, derive the same places. */
@@ -599,7 +614,8 @@
             Recorder t = new Recorder(Recorder.withMemory(300, 3), run);
             t.memoryMb = 100;
             t.fleet("b", "c", "d", "e");
-            List<String> functions = new ArrayList<>(IntStream.range(0, 12).mapToObj(i -> "f" + i).toList());
+            List<String> functions = new ArrayList<>(
+                    IntStream.range(0, 12).mapToObj(i -> "f" + i).toList());
             java.util.Collections.shuffle(functions, order);
             functions.forEach(f -> t.served(t.query(f)));
             t.pass(9000);
@@ -671,7 +687,10 @@
             String broken = t.query("f");
             t.end(broken, 0, how, NONE, 1);
             assertNotEquals(home, t.sentTo(broken));
-            assertTrue(t.choice.beliefs(t.now, "f").stream().anyMatch(b -> b.worker().equals(home) && b.standing()), how.toString());
+            assertTrue(
+                    t.choice.beliefs(t.now, "f").stream()
+                            .anyMatch(b -> b.worker().equals(home) && b.standing()),
+                    how.toString());
         }
     }
 
@@ -715,8 +734,9 @@
         for (int i = 0; i < 8; i++) {
             t.query("f" + i);
         }
-        t.choice.query(t.now, new Dispatcher.Request("short", null, 200 * Recorder.MS, 300, "g", 0, 4, 500, "c",
-            false, false));
+        t.choice.query(
+                t.now,
+                new Dispatcher.Request("short", null, 200 * Recorder.MS, 300, "g", 0, 4, 500, "c", false, false));
         t.answerAsks();
         assertNull(t.sentTo("short"));
         t.pass(101);
@@ -753,7 +773,8 @@
      */
     @Test
     void whatManyFrontEndsDidNotSendAColdWorkerDoesNotAddUp() {
-        for (int[] group : new int[][] {{20, 120}, {30, 250}, {100, 1000}}) { // front ends, pause between the calls of one, ms
+        for (int[] group :
+                new int[][] {{20, 120}, {30, 250}, {100, 1000}}) { // front ends, pause between the calls of one, ms
             for (int idleMs = 2000; idleMs <= 8000; idleMs += 2000) {
                 int sent = 0;
                 for (int seed = 0; seed < group[0]; seed++) {
@@ -775,9 +796,12 @@
                         t.pass(50);
                     }
                 }
-                double capacity = group[0] * 1000.0 / group[1] / 5 / 0.65; // a second, of each worker: before, they were busy to 0.65
+                double capacity = group[0] * 1000.0 / group[1] / 5
+                        / 0.65; // a second, of each worker: before, they were busy to 0.65
                 double n = 2 * (0.2 + 0.8 * Math.min(1, (idleMs + 1000) / 10_000.0)) * capacity;
-                assertTrue(sent <= n + 2 * Math.sqrt(n) + 2, group[0] + " front ends after " + idleMs + " ms: " + sent + " of " + n);
+                assertTrue(
+                        sent <= n + 2 * Math.sqrt(n) + 2,
+                        group[0] + " front ends after " + idleMs + " ms: " + sent + " of " + n);
             }
         }
     }
@@ -788,10 +812,40 @@
      * serves at its capacity; {@code idle}: nobody wants it for seconds, then all do at once.
      */
     @ParameterizedTest
-    @CsvSource({"1,3,false", "1,29,false", "1,30,false", "1,200,false", "3,3,false", "3,29,false", "3,30,false", "3,200,false", "30,3,false",
-        "30,29,false", "30,30,false", "30,200,false", "560,3,false", "560,29,false", "560,30,false", "560,200,false", "1,3,true", "1,29,true",
-        "1,30,true", "1,200,true", "3,3,true", "3,29,true", "3,30,true", "3,200,true", "30,3,true", "30,29,true", "30,30,true", "30,200,true",
-        "560,3,true", "560,29,true", "560,30,true", "560,200,true"})
+    @CsvSource({
+        "1,3,false",
+        "1,29,false",
+        "1,30,false",
+        "1,200,false",
+        "3,3,false",
+        "3,29,false",
+        "3,30,false",
+        "3,200,false",
+        "30,3,false",
+        "30,29,false",
+        "30,30,false",
+        "30,200,false",
+        "560,3,false",
+        "560,29,false",
+        "560,30,false",
+        "560,200,false",
+        "1,3,true",
+        "1,29,true",
+        "1,30,true",
+        "1,200,true",
+        "3,3,true",
+        "3,29,true",
+        "3,30,true",
+        "3,200,true",
+        "30,3,true",
+        "30,29,true",
+        "30,30,true",
+        "30,200,true",
+        "560,3,true",
+        "560,29,true",
+        "560,30,true",
+        "560,200,true"
+    })
     void theColdBudgetBindsTheSumOfAll(int dispatchers, int allowed, boolean idle) {
         ColdBudget.assertKept(dispatchers, allowed, idle, 1, idle ? 0 : 1.5, 1);
         ColdBudget.assertKept(dispatchers, allowed, idle, 3, idle ? 1.5 : 0, 2);
@@ -805,7 +859,8 @@
         String first = t.query("f");
         assertNull(t.sentTo(first));
         assertEquals(2, t.lines.stream().filter(l -> l.startsWith("probe ")).count());
-        String busy = t.lines.stream().filter(l -> l.startsWith("probe ")).findFirst().orElseThrow();
+        String busy =
+                t.lines.stream().filter(l -> l.startsWith("probe ")).findFirst().orElseThrow();
         t.answerProbes(busy.substring(6), 10);
         assertNotEquals(busy.substring(6), t.sentTo(first));
         assertEquals(1, t.attempts(first));
@@ -855,7 +910,8 @@
             t.choice.probed(t.now, home, SERVED, Recorder.MS, Map.of("rif", told));
             t.lines.clear();
             assertEquals(home, t.sentTo(t.query("f")));
-            assertEquals(told > 2, t.lines.stream().anyMatch(l -> l.startsWith("hold ") && !l.startsWith("hold " + home)));
+            assertEquals(
+                    told > 2, t.lines.stream().anyMatch(l -> l.startsWith("hold ") && !l.startsWith("hold " + home)));
             t.lines.clear();
             t.query("f");
             assertFalse(t.lines.stream().anyMatch(l -> l.startsWith("hold ")), "one is out already");
@@ -1011,8 +1067,8 @@
     /** A request that waits for an order not yet given is refused when the load would end past its deadline. */
     @Test
     void aWaitForAnOrderThatComesTooLateEndsAtOnce() {
-        Recorder t = new Recorder(Recorder.settings(IDEMPOTENT, Dispatcher.Group.ALL, NotLoaded.MISS, true,
-            5000 * Recorder.MS));
+        Recorder t = new Recorder(
+                Recorder.settings(IDEMPOTENT, Dispatcher.Group.ALL, NotLoaded.MISS, true, 5000 * Recorder.MS));
         t.fleet("b", "c", "d", "e");
         String ordered = t.query("f0");
         t.end(ordered, 0, MISS, NONE, 5);
@@ -1034,12 +1090,13 @@
         for (NotLoaded notLoaded : NotLoaded.values()) {
             Recorder t = new Recorder(Recorder.settings(IDEMPOTENT, notLoaded, false));
             t.fleet("b", "c", "d", "e");
-            Dispatcher.Request soon = new Dispatcher.Request("x", null, 1000 * Recorder.MS, 100, "f", 0, 1, 500, "c",
-                false, false);
+            Dispatcher.Request soon =
+                    new Dispatcher.Request("x", null, 1000 * Recorder.MS, 100, "f", 0, 1, 500, "c", false, false);
             assertFalse(t.choice.believedWarm(t.now, "f"));
             t.choice.expected(t.now, soon);
             t.choice.expected(t.now, soon);
-            List<String> holds = t.lines.stream().filter(l -> l.startsWith("hold ")).toList();
+            List<String> holds =
+                    t.lines.stream().filter(l -> l.startsWith("hold ")).toList();
             assertEquals(1, holds.size(), "ordered once");
             assertFalse(t.choice.believedWarm(t.now, "f"), "a copy that loads does not stand");
             String worker = holds.get(0).split(" ")[1];
--- a/policy/src/test/java/wharfhinge/ColdBudget.java
+++ b/policy/src/test/java/wharfhinge/ColdBudget.java
@@ -22,7 +22,7 @@
     private static final int TICK_MS = 20;
     private static final List<String> WANTED = coldFunctions();
 
-    private ColdBudget() { }
+    private ColdBudget() {}
 
     /**
      * Plays it.
@@ -34,7 +34,8 @@
      */
     static void assertKept(int dispatchers, int allowed, boolean idle, double weight, double uneven, long seed) {
         double firstMs = idle ? IDLE_MS + WINDOW_MS : WINDOW_MS;
-        double perWorker = allowed / (MULTIPLE * share(firstMs)); // calls in a window that the worker bears once it is warm
+        double perWorker =
+                allowed / (MULTIPLE * share(firstMs)); // calls in a window that the worker bears once it is warm
         double callsPerMs = perWorker * (WARM.size() * weight + 1) / WINDOW_MS;
         Random random = new Random(seed);
         double[] shares = shares(dispatchers, uneven, random);
@@ -59,7 +60,9 @@
                     t.weight = 1;
                     t.change(COLD, Dispatcher.Availability.UP, t.now);
                 }
-                for (due[i] += (ms < wantedMs ? 1 : BURST) * shares[i] * callsPerMs * TICK_MS * 2 * random.nextDouble(); due[i] >= 1; due[i]--) {
+                for (due[i] += (ms < wantedMs ? 1 : BURST) * shares[i] * callsPerMs * TICK_MS * 2 * random.nextDouble();
+                        due[i] >= 1;
+                        due[i]--) {
                     String call = t.query(ms < wantedMs ? "f" : WANTED.get(next[i]++ % WANTED.size()));
                     if (COLD.equals(t.sentTo(call))) {
                         sent.add(ms - startMs);
@@ -74,8 +77,11 @@
             }
             double n = MULTIPLE * share(Math.max(now, 0)) * perWorker;
             double most = n + (n < 30 ? 3 * Math.sqrt(n) + 3 : 2 * Math.sqrt(n) + 2);
-            assertTrue(sent.size() <= most, dispatchers + " dispatchers, seed " + seed + ", weight " + weight + ", uneven " + uneven + ", " + now + " ms after the start: "
-                + sent.size() + " in a window, allowed " + n + " and " + (most - n) + " by chance");
+            assertTrue(
+                    sent.size() <= most,
+                    dispatchers + " dispatchers, seed " + seed + ", weight " + weight + ", uneven " + uneven + ", "
+                            + now + " ms after the start: " + sent.size() + " in a window, allowed " + n + " and "
+                            + (most - n) + " by chance");
         }
     }
 
--- a/policy/src/test/java/wharfhinge/EmbeddingPageTest.java
+++ b/policy/src/test/java/wharfhinge/EmbeddingPageTest.java
@@ -27,8 +27,8 @@
         Files.writeString(source, page.substring(start, page.indexOf("```", start)));
         JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
         ByteArrayOutputStream errors = new ByteArrayOutputStream();
-        int failed = compiler.run(null, null, errors, "-classpath", "target/classes", "-d", folder.toString(),
-            source.toString());
+        int failed = compiler.run(
+                null, null, errors, "-classpath", "target/classes", "-d", folder.toString(), source.toString());
         assertEquals(0, failed, errors.toString(StandardCharsets.UTF_8));
         assertTrue(printed(folder).contains("send r1 to 10.0.0.1:8080"));
     }
@@ -36,8 +36,8 @@
     private static String printed(Path folder) throws Exception {
         PrintStream before = System.out;
         ByteArrayOutputStream out = new ByteArrayOutputStream();
-        try (URLClassLoader loader = new URLClassLoader(new URL[] {folder.toUri().toURL()},
-            EmbeddingPageTest.class.getClassLoader())) {
+        try (URLClassLoader loader =
+                new URLClassLoader(new URL[] {folder.toUri().toURL()}, EmbeddingPageTest.class.getClassLoader())) {
             System.setOut(new PrintStream(out, true, StandardCharsets.UTF_8));
             Method main = loader.loadClass("Embedding").getDeclaredMethod("main", String[].class);
             main.setAccessible(true);
--- a/policy/src/test/java/wharfhinge/RandomEventsTest.java
+++ b/policy/src/test/java/wharfhinge/RandomEventsTest.java
@@ -18,7 +18,7 @@
     private static final long MS = Recorder.MS;
     private static final List<String> IDS = List.of("b", "c", "d", "x", "y", "z");
 
-    private record Out(String request, int attempt, String worker, long at) { }
+    private record Out(String request, int attempt, String worker, long at) {}
 
     private Recorder t;
     private Dispatcher.Effect effect;
@@ -79,8 +79,10 @@
         } else if (kind < 8 && !out.isEmpty()) {
             Out o = out.remove(random.nextInt(out.size()));
             Dispatcher.Outcome outcome = Dispatcher.Outcome.values()[random.nextInt(9)];
-            boolean proves = outcome == Dispatcher.Outcome.FULL || outcome == Dispatcher.Outcome.MISS
-                || outcome == Dispatcher.Outcome.CONNECT_FAILED || outcome == Dispatcher.Outcome.MOOT;
+            boolean proves = outcome == Dispatcher.Outcome.FULL
+                    || outcome == Dispatcher.Outcome.MISS
+                    || outcome == Dispatcher.Outcome.CONNECT_FAILED
+                    || outcome == Dispatcher.Outcome.MOOT;
             if (proves) {
                 exposed.get(o.request()).remove(o);
             }
@@ -88,19 +90,36 @@
             if (settled) {
                 open.remove(o.request());
             }
-            t.choice.completed(t.now, new Dispatcher.Completion(o.request(), outcome, o.attempt(),
-                t.now - o.at(), o.worker(), Dispatcher.Note.NONE, 0, settled, Map.of()));
+            t.choice.completed(
+                    t.now,
+                    new Dispatcher.Completion(
+                            o.request(),
+                            outcome,
+                            o.attempt(),
+                            t.now - o.at(),
+                            o.worker(),
+                            Dispatcher.Note.NONE,
+                            0,
+                            settled,
+                            Map.of()));
         } else if (kind == 8 && !orders.isEmpty()) {
             String[] order = orders.remove(random.nextInt(orders.size())).split(" ");
             boolean ok = random.nextBoolean();
-            t.choice.resident(t.now, order[1], order[2], ok ? 1 : 0,
-                ok ? Dispatcher.Outcome.SERVED : Dispatcher.Outcome.ERROR, 50 * MS);
+            t.choice.resident(
+                    t.now,
+                    order[1],
+                    order[2],
+                    ok ? 1 : 0,
+                    ok ? Dispatcher.Outcome.SERVED : Dispatcher.Outcome.ERROR,
+                    50 * MS);
         } else if (kind == 9 && random.nextInt(8) == 0) {
             String id = IDS.get(random.nextInt(IDS.size()));
             boolean comes = random.nextInt(3) > 0;
             up.put(id, comes);
-            t.change(id, comes ? Dispatcher.Availability.UP : Dispatcher.Availability.DRAINING,
-                random.nextBoolean() ? t.now : 0);
+            t.change(
+                    id,
+                    comes ? Dispatcher.Availability.UP : Dispatcher.Availability.DRAINING,
+                    random.nextBoolean() ? t.now : 0);
         } else if (kind == 9 && !open.isEmpty()) { // held, waiting for a load, out, or between two attempts
             String id = List.copyOf(open.keySet()).get(random.nextInt(open.size()));
             open.remove(id);
@@ -122,17 +141,20 @@
         for (; read < t.lines.size(); read++) {
             String[] w = t.lines.get(read).split(" ");
             switch (w[0]) {
-                case "timer" -> timers.computeIfAbsent(t.now + Math.max(1, Long.parseLong(w[2])),
-                    k -> new ArrayList<>()).add(w[1]);
+                case "timer" -> timers.computeIfAbsent(
+                                t.now + Math.max(1, Long.parseLong(w[2])), k -> new ArrayList<>())
+                        .add(w[1]);
                 case "attempt" -> attempt(w[1], w[2]);
                 case "refuse" -> {
                     assertTrue(open.remove(w[1]) != null, "second answer for " + w[1]);
-                    assertTrue(effect == Dispatcher.Effect.IDEMPOTENT
-                        || exposed.getOrDefault(w[1], List.of()).isEmpty(), "refused what may have run");
+                    assertTrue(
+                            effect == Dispatcher.Effect.IDEMPOTENT
+                                    || exposed.getOrDefault(w[1], List.of()).isEmpty(),
+                            "refused what may have run");
                 }
                 case "fail" -> assertTrue(open.remove(w[1]) != null, "second answer for " + w[1]);
                 case "hold" -> order(w[1]);
-                default -> { }
+                default -> {}
             }
         }
     }
--- a/policy/src/test/java/wharfhinge/Recorder.java
+++ b/policy/src/test/java/wharfhinge/Recorder.java
@@ -33,42 +33,137 @@
         return settings(effect, Dispatcher.Group.ALL, notLoaded, secondCopies, 0);
     }
 
-    static Dispatcher.Settings settings(Dispatcher.Effect effect, Dispatcher.Group group, NotLoaded notLoaded,
-                                        boolean secondCopies, long loadPeriodNs) {
-        return new Dispatcher.Settings(2, 0, 4 * MS, "a", List.of("a", "b"), List.of("k"), Dispatcher.Discovery.PUSHED,
-            Dispatcher.Weights.SILENT, Dispatcher.WorthBy.REQUEST, 0.2,
-            List.of(new Dispatcher.RequestClass("c", effect, group, 500 * MS, 600 * MS, 2500 * MS, 1, 0.2,
-                false, 0)),
-            List.of(),
-            new Dispatcher.FamilyInfo(8000 * MS, true, notLoaded, 10_000 * MS, loadPeriodNs, 0.1, 1, 0,
-                List.of(1000.0), "", "", false, true),
-            new Dispatcher.Feedback(Dispatcher.Reports.SILENT, List.of()), new Dispatcher.Goal(1, 0, 0, 0),
-            new Dispatcher.Limits(true, false, false, secondCopies, true, 4, 1000, 2000 * MS, 250 * MS,
-                15_000 * MS, 100, 100_000, 0),
-            new Dispatcher.Obligations(10_000 * MS, 0.2, 10_000 * MS, 2, 1000 * MS, 500 * MS, 16 * MS),
-            new Dispatcher.Prices(0, 0, 0, 0, 0, 0), new Dispatcher.Callers(false));
+    static Dispatcher.Settings settings(
+            Dispatcher.Effect effect,
+            Dispatcher.Group group,
+            NotLoaded notLoaded,
+            boolean secondCopies,
+            long loadPeriodNs) {
+        return new Dispatcher.Settings(
+                2,
+                0,
+                4 * MS,
+                "a",
+                List.of("a", "b"),
+                List.of("k"),
+                Dispatcher.Discovery.PUSHED,
+                Dispatcher.Weights.SILENT,
+                Dispatcher.WorthBy.REQUEST,
+                0.2,
+                List.of(new Dispatcher.RequestClass(
+                        "c", effect, group, 500 * MS, 600 * MS, 2500 * MS, 1, 0.2, false, 0)),
+                List.of(),
+                new Dispatcher.FamilyInfo(
+                        8000 * MS,
+                        true,
+                        notLoaded,
+                        10_000 * MS,
+                        loadPeriodNs,
+                        0.1,
+                        1,
+                        0,
+                        List.of(1000.0),
+                        "",
+                        "",
+                        false,
+                        true),
+                new Dispatcher.Feedback(Dispatcher.Reports.SILENT, List.of()),
+                new Dispatcher.Goal(1, 0, 0, 0),
+                new Dispatcher.Limits(
+                        true,
+                        false,
+                        false,
+                        secondCopies,
+                        true,
+                        4,
+                        1000,
+                        2000 * MS,
+                        250 * MS,
+                        15_000 * MS,
+                        100,
+                        100_000,
+                        0),
+                new Dispatcher.Obligations(10_000 * MS, 0.2, 10_000 * MS, 2, 1000 * MS, 500 * MS, 16 * MS),
+                new Dispatcher.Prices(0, 0, 0, 0, 0, 0),
+                new Dispatcher.Callers(false));
     }
 
     /** A front end among so many, where answers and probes tell load. */
     static Dispatcher.Settings among(int groupSize, boolean probes, boolean retryAfter) {
         Dispatcher.Settings s = settings(Dispatcher.Effect.IDEMPOTENT, NotLoaded.LOAD, true);
         Dispatcher.Limits l = s.limits();
-        return new Dispatcher.Settings(groupSize, 0, s.tickNs(), s.zone(), s.zones(), s.kinds(), s.discovery(),
-            s.weights(), s.worthBy(), s.overShareWorth(), s.classes(), s.realms(), s.familyInfo(),
-            new Dispatcher.Feedback(Dispatcher.Reports.PIGGYBACK, List.of("rif")), s.goal(),
-            new Dispatcher.Limits(l.cancelling(), l.peers(), probes, l.secondCopies(), retryAfter,
-                l.maxAttempts(), l.maxOpen(), 200 * MS, l.dialTimeoutNs(), l.connIdleNs(),
-                l.streamsPerConn(), l.cpuUsPerS(), l.cpuUsPerRequest()),
-            s.obligations(), s.prices(), s.callers());
+        return new Dispatcher.Settings(
+                groupSize,
+                0,
+                s.tickNs(),
+                s.zone(),
+                s.zones(),
+                s.kinds(),
+                s.discovery(),
+                s.weights(),
+                s.worthBy(),
+                s.overShareWorth(),
+                s.classes(),
+                s.realms(),
+                s.familyInfo(),
+                new Dispatcher.Feedback(Dispatcher.Reports.PIGGYBACK, List.of("rif")),
+                s.goal(),
+                new Dispatcher.Limits(
+                        l.cancelling(),
+                        l.peers(),
+                        probes,
+                        l.secondCopies(),
+                        retryAfter,
+                        l.maxAttempts(),
+                        l.maxOpen(),
+                        200 * MS,
+                        l.dialTimeoutNs(),
+                        l.connIdleNs(),
+                        l.streamsPerConn(),
+                        l.cpuUsPerS(),
+                        l.cpuUsPerRequest()),
+                s.obligations(),
+                s.prices(),
+                s.callers());
     }
 
     /** Orders load; each worker holds so much. */
     static Dispatcher.Settings withMemory(double megabytes, int groupSize) {
         Dispatcher.Settings s = settings(Dispatcher.Effect.IDEMPOTENT, NotLoaded.MISS, false);
         Dispatcher.FamilyInfo f = s.familyInfo();
-        return new Dispatcher.Settings(groupSize, 0, s.tickNs(), s.zone(), s.zones(), s.kinds(), s.discovery(), s.weights(), s.worthBy(),
-            s.overShareWorth(), s.classes(), s.realms(), new Dispatcher.FamilyInfo(f.keepNs(), true, NotLoaded.MISS, f.loadWaitNs(), 0, 0, 0,
-                0, List.of(megabytes), "", "", false, true), s.feedback(), s.goal(), s.limits(), s.obligations(), s.prices(), s.callers());
+        return new Dispatcher.Settings(
+                groupSize,
+                0,
+                s.tickNs(),
+                s.zone(),
+                s.zones(),
+                s.kinds(),
+                s.discovery(),
+                s.weights(),
+                s.worthBy(),
+                s.overShareWorth(),
+                s.classes(),
+                s.realms(),
+                new Dispatcher.FamilyInfo(
+                        f.keepNs(),
+                        true,
+                        NotLoaded.MISS,
+                        f.loadWaitNs(),
+                        0,
+                        0,
+                        0,
+                        0,
+                        List.of(megabytes),
+                        "",
+                        "",
+                        false,
+                        true),
+                s.feedback(),
+                s.goal(),
+                s.limits(),
+                s.obligations(),
+                s.prices(),
+                s.callers());
     }
 
     private Dispatcher.Worker worker(String id, Dispatcher.Availability availability, long startedAt) {
@@ -89,8 +184,8 @@
 
     String query(String function) {
         String id = "q" + sequence++;
-        choice.query(now, new Dispatcher.Request(id, null, 2500 * MS, memoryMb, function, 0, lanes, 500, "c", false,
-            false));
+        choice.query(
+                now, new Dispatcher.Request(id, null, 2500 * MS, memoryMb, function, 0, lanes, 500, "c", false, false));
         if (answersAsks) {
             answerAsks();
         }
@@ -103,7 +198,13 @@
             String[] part = line.split(" ");
             if (part[0].equals("hold") && part[3].equals("0")) {
                 lines.remove(line);
-                choice.resident(now, part[1], part[2], stands.contains(part[1] + " " + part[2]) ? 1 : 0, Dispatcher.Outcome.SERVED, MS);
+                choice.resident(
+                        now,
+                        part[1],
+                        part[2],
+                        stands.contains(part[1] + " " + part[2]) ? 1 : 0,
+                        Dispatcher.Outcome.SERVED,
+                        MS);
             }
         }
     }
@@ -120,7 +221,9 @@
     }
 
     long attempts(String request) {
-        return lines.stream().filter(l -> l.startsWith("attempt " + request + " ")).count();
+        return lines.stream()
+                .filter(l -> l.startsWith("attempt " + request + " "))
+                .count();
     }
 
     boolean did(String line) {
@@ -128,13 +231,17 @@
     }
 
     void end(String request, int attempt, Dispatcher.Outcome outcome, Dispatcher.Note note, long tookMs) {
-        boolean settled = outcome == Dispatcher.Outcome.SERVED || did("refuse " + request)
-            || did("fail " + request);
+        boolean settled = outcome == Dispatcher.Outcome.SERVED || did("refuse " + request) || did("fail " + request);
         end(request, attempt, outcome, note, tookMs, settled);
     }
 
-    void end(String request, int attempt, Dispatcher.Outcome outcome, Dispatcher.Note note, long tookMs,
-             boolean settled) {
+    void end(
+            String request,
+            int attempt,
+            Dispatcher.Outcome outcome,
+            Dispatcher.Note note,
+            long tookMs,
+            boolean settled) {
         String worker = null;
         int index = 0;
         for (String line : List.copyOf(lines)) {
@@ -142,8 +249,9 @@
                 worker = line.split(" ")[2];
             }
         }
-        choice.completed(now, new Dispatcher.Completion(request, outcome, attempt, tookMs * MS, worker, note, 0,
-            settled, Map.of()));
+        choice.completed(
+                now,
+                new Dispatcher.Completion(request, outcome, attempt, tookMs * MS, worker, note, 0, settled, Map.of()));
     }
 
     void served(String request) {
@@ -156,8 +264,12 @@
             if (line.startsWith("probe ")) {
                 lines.remove(line);
                 String worker = line.substring(6);
-                choice.probed(now, worker, Dispatcher.Outcome.SERVED, MS,
-                    Map.of("rif", worker.equals(busy) ? inFlight : 0.0));
+                choice.probed(
+                        now,
+                        worker,
+                        Dispatcher.Outcome.SERVED,
+                        MS,
+                        Map.of("rif", worker.equals(busy) ? inFlight : 0.0));
             }
         }
     }
--- a/protocol-grpc/src/main/java/wharfhinge/protocol/grpc/GrpcProtocol.java
+++ b/protocol-grpc/src/main/java/wharfhinge/protocol/grpc/GrpcProtocol.java
@@ -17,7 +17,7 @@
     /** What became of a chain that was refused or failed, as JSON; a trailer. */
     public static final Metadata.Key<byte[]> CHAIN = Metadata.Key.of("wh-chain-bin", Metadata.BINARY_BYTE_MARSHALLER);
 
-    private GrpcProtocol() { }
+    private GrpcProtocol() {}
 
     private static Metadata.Key<String> text(String name) {
         return Metadata.Key.of(name, Metadata.ASCII_STRING_MARSHALLER);
--- a/protocol/src/main/java/wharfhinge/protocol/CallHead.java
+++ b/protocol/src/main/java/wharfhinge/protocol/CallHead.java
@@ -10,8 +10,19 @@
  * @param costUs     expected work, microseconds
  * @param idempotencyKey by which workers know a call that was sent before; the same with each retry of its client, null where there is none
  */
-public record CallHead(String function, String id, String requestClass, String tenant, long deadlineMs, long costUs,
-                       double memoryMb, int lanes, double loadMs, boolean repeat, boolean write, String idempotencyKey) {
+public record CallHead(
+        String function,
+        String id,
+        String requestClass,
+        String tenant,
+        long deadlineMs,
+        long costUs,
+        double memoryMb,
+        int lanes,
+        double loadMs,
+        boolean repeat,
+        boolean write,
+        String idempotencyKey) {
     private static final Pattern FUNCTION = Pattern.compile("[A-Za-z0-9._-]{1,128}");
     private static final Pattern WORD = Pattern.compile("[A-Za-z0-9._-]{1,64}");
     private static final String WORD_ALLOWED = "1 to 64 letters, digits, '.', '_', '-'";
@@ -19,8 +30,18 @@
     private static final int MOST_LANES = 4096;
 
     /** A call without an idempotency key. */
-    public CallHead(String function, String id, String requestClass, String tenant, long deadlineMs, long costUs, double memoryMb, int lanes,
-                    double loadMs, boolean repeat, boolean write) {
+    public CallHead(
+            String function,
+            String id,
+            String requestClass,
+            String tenant,
+            long deadlineMs,
+            long costUs,
+            double memoryMb,
+            int lanes,
+            double loadMs,
+            boolean repeat,
+            boolean write) {
         this(function, id, requestClass, tenant, deadlineMs, costUs, memoryMb, lanes, loadMs, repeat, write, null);
     }
 
@@ -41,17 +62,35 @@
         if (deadline != null && deadlineMs == 0) {
             throw new ProtocolException(ClientProtocol.DEADLINE_MS.toString(), deadline, "a whole number above 0");
         }
-        return new CallHead(function, word(ClientProtocol.ID, headers), word(ClientProtocol.CLASS, headers),
-            word(ClientProtocol.TENANT, headers), deadlineMs,
-            number(ClientProtocol.COST_US, headers.apply(ClientProtocol.COST_US), MOST_MS * 1000),
-            figure(ClientProtocol.MEMORY_MB, headers), (int) number(ClientProtocol.LANES,
-            headers.apply(ClientProtocol.LANES), MOST_LANES), figure(ClientProtocol.LOAD_MS, headers),
-            flag(ClientProtocol.REPEAT, headers), flag(ClientProtocol.WRITE, headers));
+        return new CallHead(
+                function,
+                word(ClientProtocol.ID, headers),
+                word(ClientProtocol.CLASS, headers),
+                word(ClientProtocol.TENANT, headers),
+                deadlineMs,
+                number(ClientProtocol.COST_US, headers.apply(ClientProtocol.COST_US), MOST_MS * 1000),
+                figure(ClientProtocol.MEMORY_MB, headers),
+                (int) number(ClientProtocol.LANES, headers.apply(ClientProtocol.LANES), MOST_LANES),
+                figure(ClientProtocol.LOAD_MS, headers),
+                flag(ClientProtocol.REPEAT, headers),
+                flag(ClientProtocol.WRITE, headers));
     }
 
     /** The same of another tenant, or of none (null). */
     public CallHead of(String other) {
-        return new CallHead(function, id, requestClass, other, deadlineMs, costUs, memoryMb, lanes, loadMs, repeat, write, idempotencyKey);
+        return new CallHead(
+                function,
+                id,
+                requestClass,
+                other,
+                deadlineMs,
+                costUs,
+                memoryMb,
+                lanes,
+                loadMs,
+                repeat,
+                write,
+                idempotencyKey);
     }
 
     private static String word(CharSequence name, Function<CharSequence, String> headers) throws ProtocolException {
--- a/protocol/src/main/java/wharfhinge/protocol/ClientProtocol.java
+++ b/protocol/src/main/java/wharfhinge/protocol/ClientProtocol.java
@@ -43,5 +43,5 @@
     /** When to come back, in milliseconds; the standard header has whole seconds, rounded up. */
     public static final AsciiString RETRY_AFTER_MS = AsciiString.cached("wh-retry-after-ms");
 
-    private ClientProtocol() { }
+    private ClientProtocol() {}
 }
--- a/protocol/src/main/java/wharfhinge/protocol/LoadReport.java
+++ b/protocol/src/main/java/wharfhinge/protocol/LoadReport.java
@@ -9,7 +9,7 @@
     private static final int MOST_PAIRS = 8;
     private static final int MOST_LENGTH = 256;
 
-    private LoadReport() { }
+    private LoadReport() {}
 
     /** Reads a report; one that is absent or not well formed is empty, for a report is advice, not an answer. */
     public static Map<String, Double> parse(CharSequence text) {
--- a/protocol/src/main/java/wharfhinge/protocol/RosterEntry.java
+++ b/protocol/src/main/java/wharfhinge/protocol/RosterEntry.java
@@ -8,8 +8,8 @@
  * @param ageMs  how long its process runs, in milliseconds; {@link #UNTOLD} where that is not told
  * @param boot   names the process, so that one back under the same address is known for new; {@code -} untold
  */
-public record RosterEntry(String id, String zone, String kind, int cell, State state, double weight, long ageMs,
-                          String boot) {
+public record RosterEntry(
+        String id, String zone, String kind, int cell, State state, double weight, long ageMs, String boot) {
     /** No age is told. */
     public static final long UNTOLD = -1;
     /** The process is not told. */
@@ -42,6 +42,6 @@
 
     String line() {
         return "w " + id + ' ' + zone + ' ' + kind + ' ' + cell + ' ' + state.letter + ' ' + weight + ' '
-            + (ageMs == UNTOLD ? "-" : Long.toString(ageMs)) + ' ' + boot + '\n';
+                + (ageMs == UNTOLD ? "-" : Long.toString(ageMs)) + ' ' + boot + '\n';
     }
 }
--- a/protocol/src/main/java/wharfhinge/protocol/RosterProtocol.java
+++ b/protocol/src/main/java/wharfhinge/protocol/RosterProtocol.java
@@ -11,5 +11,5 @@
     /** The header in which a gateway gives its name. */
     public static final String GATEWAY = WorkerProtocol.GATEWAY.toString();
 
-    private RosterProtocol() { }
+    private RosterProtocol() {}
 }
--- a/protocol/src/main/java/wharfhinge/protocol/WorkerProtocol.java
+++ b/protocol/src/main/java/wharfhinge/protocol/WorkerProtocol.java
@@ -52,5 +52,5 @@
     /** Copies that stand, in the answer to an order. */
     public static final AsciiString COUNT = AsciiString.cached("wh-count");
 
-    private WorkerProtocol() { }
+    private WorkerProtocol() {}
 }
--- a/settings-json/src/main/java/wharfhinge/settings/SettingsJson.java
+++ b/settings-json/src/main/java/wharfhinge/settings/SettingsJson.java
@@ -15,17 +15,17 @@
  */
 public final class SettingsJson {
     private static final Gson GSON = new GsonBuilder()
-        .setFieldNamingPolicy(FieldNamingPolicy.LOWER_CASE_WITH_UNDERSCORES)
-        .registerTypeAdapter(Dispatcher.Effect.class, word(Dispatcher.Effect.class))
-        .registerTypeAdapter(Dispatcher.Group.class, word(Dispatcher.Group.class))
-        .registerTypeAdapter(Dispatcher.Discovery.class, word(Dispatcher.Discovery.class))
-        .registerTypeAdapter(Dispatcher.NotLoaded.class, word(Dispatcher.NotLoaded.class))
-        .registerTypeAdapter(Dispatcher.Reports.class, word(Dispatcher.Reports.class))
-        .registerTypeAdapter(Dispatcher.Weights.class, word(Dispatcher.Weights.class))
-        .registerTypeAdapter(Dispatcher.WorthBy.class, word(Dispatcher.WorthBy.class))
-        .create();
+            .setFieldNamingPolicy(FieldNamingPolicy.LOWER_CASE_WITH_UNDERSCORES)
+            .registerTypeAdapter(Dispatcher.Effect.class, word(Dispatcher.Effect.class))
+            .registerTypeAdapter(Dispatcher.Group.class, word(Dispatcher.Group.class))
+            .registerTypeAdapter(Dispatcher.Discovery.class, word(Dispatcher.Discovery.class))
+            .registerTypeAdapter(Dispatcher.NotLoaded.class, word(Dispatcher.NotLoaded.class))
+            .registerTypeAdapter(Dispatcher.Reports.class, word(Dispatcher.Reports.class))
+            .registerTypeAdapter(Dispatcher.Weights.class, word(Dispatcher.Weights.class))
+            .registerTypeAdapter(Dispatcher.WorthBy.class, word(Dispatcher.WorthBy.class))
+            .create();
 
-    private SettingsJson() { }
+    private SettingsJson() {}
 
     private static <E extends Enum<E>> JsonDeserializer<E> word(Class<E> type) {
         return (json, of, context) -> {
--- a/settings-json/src/test/java/wharfhinge/settings/SettingsJsonTest.java
+++ b/settings-json/src/test/java/wharfhinge/settings/SettingsJsonTest.java
@@ -10,8 +10,9 @@
 class SettingsJsonTest {
     @Test
     void wordsFiguresAndUnknownKeys() {
-        Dispatcher.Settings s = SettingsJson.parse("{\"group_size\":3,\"discovery\":\"on_request\",\"unknown\":{\"a\":1},"
-            + "\"classes\":[{\"name\":\"a\",\"effect\":\"at_most_once\",\"hard_limit_ns\":2500000000}],\"limits\":{\"retry_after\":true}}");
+        Dispatcher.Settings s = SettingsJson.parse(
+                "{\"group_size\":3,\"discovery\":\"on_request\",\"unknown\":{\"a\":1},"
+                        + "\"classes\":[{\"name\":\"a\",\"effect\":\"at_most_once\",\"hard_limit_ns\":2500000000}],\"limits\":{\"retry_after\":true}}");
         assertEquals(Dispatcher.Discovery.ON_REQUEST, s.discovery());
         assertEquals(Dispatcher.Effect.AT_MOST_ONCE, s.classes().get(0).effect());
         assertEquals(2_500_000_000L, s.classes().get(0).hardLimitNs());
@@ -22,7 +23,8 @@
 
     @Test
     void anUnknownWordIsNamed() {
-        JsonParseException e = assertThrows(JsonParseException.class, () -> SettingsJson.parse("{\"discovery\":\"guessed\"}"));
+        JsonParseException e =
+                assertThrows(JsonParseException.class, () -> SettingsJson.parse("{\"discovery\":\"guessed\"}"));
         assertEquals("unknown word guessed", e.getMessage());
     }
 }
--- a/stand-ins/src/main/java/wharfhinge/standin/Echo.java
+++ b/stand-ins/src/main/java/wharfhinge/standin/Echo.java
@@ -24,7 +24,7 @@
 public final class Echo {
     private static final int MOST_BODY = 1 << 20;
 
-    private Echo() { }
+    private Echo() {}
 
     /** Answers HTTP/1.1 calls with their body; tells the port. */
     public static int plain(EventLoopGroup group) {
@@ -33,15 +33,21 @@
 
     /** A worker that answers at once; tells the port. */
     public static int worker(EventLoopGroup group) {
-        return Net.port(Net.listen(group, group, 0, channel -> channel.pipeline().addLast(Http2FrameCodecBuilder
-            .forServer().initialSettings(Http2Settings.defaultSettings()).build(), new Http2MultiplexHandler(
-            new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel stream) {
-                    stream.pipeline().addLast(new Http2StreamFrameToHttpObjectCodec(true),
-                        new HttpObjectAggregator(MOST_BODY), new Answers());
-                }
-            }))));
+        return Net.port(Net.listen(group, group, 0, channel -> channel.pipeline()
+                .addLast(
+                        Http2FrameCodecBuilder.forServer()
+                                .initialSettings(Http2Settings.defaultSettings())
+                                .build(),
+                        new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel stream) {
+                                stream.pipeline()
+                                        .addLast(
+                                                new Http2StreamFrameToHttpObjectCodec(true),
+                                                new HttpObjectAggregator(MOST_BODY),
+                                                new Answers());
+                            }
+                        }))));
     }
 
     /** Passes HTTP/1.1 calls on to one of the ports, drawn at random; tells its own. */
@@ -53,18 +59,22 @@
         return Net.port(Net.listenHttp(group, 0, () -> new SimpleChannelInboundHandler<FullHttpRequest>() {
             @Override
             protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-                callers[ThreadLocalRandom.current().nextInt(ports.length)].call(request.method(), request.uri(), Map.of(),
-                    ByteBufUtil.getBytes(request.content()), new HttpCaller.Reply() {
-                        @Override
-                        public void answered(int status, HttpHeaders headers, byte[] body) {
-                            ctx.writeAndFlush(Net.response(status, body));
-                        }
+                callers[ThreadLocalRandom.current().nextInt(ports.length)].call(
+                        request.method(),
+                        request.uri(),
+                        Map.of(),
+                        ByteBufUtil.getBytes(request.content()),
+                        new HttpCaller.Reply() {
+                            @Override
+                            public void answered(int status, HttpHeaders headers, byte[] body) {
+                                ctx.writeAndFlush(Net.response(status, body));
+                            }
 
-                        @Override
-                        public void broken(boolean wasSent) {
-                            ctx.close();
-                        }
-                    });
+                            @Override
+                            public void broken(boolean wasSent) {
+                                ctx.close();
+                            }
+                        });
             }
         }));
     }
@@ -76,8 +86,10 @@
                 return;
             }
             FullHttpResponse response = Net.response(200, ByteBufUtil.getBytes(request.content()));
-            response.headers().set(WorkerProtocol.OUTCOME, AnswerCode.SERVED.word())
-                .set(WorkerProtocol.NOTE, CopyNote.FOUND.word()).set(WorkerProtocol.REPORT, "rif:1,x0:0.1");
+            response.headers()
+                    .set(WorkerProtocol.OUTCOME, AnswerCode.SERVED.word())
+                    .set(WorkerProtocol.NOTE, CopyNote.FOUND.word())
+                    .set(WorkerProtocol.REPORT, "rif:1,x0:0.1");
             ctx.writeAndFlush(response);
         }
 
--- a/stand-ins/src/main/java/wharfhinge/standin/H2Caller.java
+++ b/stand-ins/src/main/java/wharfhinge/standin/H2Caller.java
@@ -62,27 +62,39 @@
 
     /** Connects to a port on loopback; throws where nobody listens. */
     public H2Caller(EventLoopGroup group, int port) {
-        channel = new Bootstrap().group(group).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000).handler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel c) {
-                    c.pipeline().addLast(Http2FrameCodecBuilder.forClient().encoderEnforceMaxConcurrentStreams(false).build(),
-                        new Http2MultiplexHandler(new ChannelInboundHandlerAdapter()), new ChannelInboundHandlerAdapter() {
-                            @Override
-                            public void channelRead(ChannelHandlerContext ctx, Object message) {
-                                if (message instanceof Http2GoAwayFrame) {
-                                    goAway.complete(null);
-                                }
-                                ReferenceCountUtil.release(message);
-                            }
+        channel = new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel c) {
+                        c.pipeline()
+                                .addLast(
+                                        Http2FrameCodecBuilder.forClient()
+                                                .encoderEnforceMaxConcurrentStreams(false)
+                                                .build(),
+                                        new Http2MultiplexHandler(new ChannelInboundHandlerAdapter()),
+                                        new ChannelInboundHandlerAdapter() {
+                                            @Override
+                                            public void channelRead(ChannelHandlerContext ctx, Object message) {
+                                                if (message instanceof Http2GoAwayFrame) {
+                                                    goAway.complete(null);
+                                                }
+                                                ReferenceCountUtil.release(message);
+                                            }
 
-                            @Override
-                            public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-                                ctx.close(); // the worker died; its streams tell it
-                            }
-                        });
-                }
-            }).connect("127.0.0.1", port).syncUninterruptibly().channel();
+                                            @Override
+                                            public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                                                ctx.close(); // the worker died; its streams tell it
+                                            }
+                                        });
+                    }
+                })
+                .connect("127.0.0.1", port)
+                .syncUninterruptibly()
+                .channel();
     }
 
     /** Done once the worker told this connection to go away. */
@@ -99,36 +111,45 @@
     public Open open(HttpMethod method, String path, byte[] body, String... headers) {
         Open open = new Open();
         CompletableFuture<Answer> answer = open.answer;
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, Unpooled.wrappedBuffer(body));
+        FullHttpRequest request =
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, Unpooled.wrappedBuffer(body));
         request.headers().set("x-http2-scheme", "http");
         for (int i = 0; i < headers.length; i += 2) {
             request.headers().set(headers[i], headers[i + 1]);
         }
-        new Http2StreamChannelBootstrap(channel).handler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel stream) {
-                stream.pipeline().addLast(new Http2StreamFrameToHttpObjectCodec(false), new HttpObjectAggregator(MOST_ANSWER),
-                    new SimpleChannelInboundHandler<FullHttpResponse>() {
-                        @Override
-                        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse r) {
-                            answer.complete(new Answer(r.status().code(), r.headers().copy(),
-                                ByteBufUtil.getBytes(r.content())));
-                        }
+        new Http2StreamChannelBootstrap(channel)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel stream) {
+                        stream.pipeline()
+                                .addLast(
+                                        new Http2StreamFrameToHttpObjectCodec(false),
+                                        new HttpObjectAggregator(MOST_ANSWER),
+                                        new SimpleChannelInboundHandler<FullHttpResponse>() {
+                                            @Override
+                                            protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse r) {
+                                                answer.complete(new Answer(
+                                                        r.status().code(),
+                                                        r.headers().copy(),
+                                                        ByteBufUtil.getBytes(r.content())));
+                                            }
 
-                        @Override
-                        public void channelInactive(ChannelHandlerContext ctx) {
-                            answer.completeExceptionally(new IllegalStateException("no answer"));
-                        }
-                    });
-            }
-        }).open().addListener(opened -> {
-            if (opened.isSuccess()) {
-                open.stream = (Http2StreamChannel) opened.getNow();
-                open.stream.writeAndFlush(request);
-            } else {
-                answer.completeExceptionally(opened.cause());
-            }
-        });
+                                            @Override
+                                            public void channelInactive(ChannelHandlerContext ctx) {
+                                                answer.completeExceptionally(new IllegalStateException("no answer"));
+                                            }
+                                        });
+                    }
+                })
+                .open()
+                .addListener(opened -> {
+                    if (opened.isSuccess()) {
+                        open.stream = (Http2StreamChannel) opened.getNow();
+                        open.stream.writeAndFlush(request);
+                    } else {
+                        answer.completeExceptionally(opened.cause());
+                    }
+                });
         return open;
     }
 
--- a/stand-ins/src/main/java/wharfhinge/standin/HttpCaller.java
+++ b/stand-ins/src/main/java/wharfhinge/standin/HttpCaller.java
@@ -31,7 +31,7 @@
     /** Told how a call goes, on an I/O thread. */
     public interface Reply {
         /** The request is on the wire. */
-        default void sent() { }
+        default void sent() {}
 
         /** The whole answer came. */
         void answered(int status, HttpHeaders headers, byte[] body);
@@ -45,15 +45,20 @@
 
     /** A client of one port on loopback. */
     public HttpCaller(EventLoopGroup group, int port) {
-        bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
-            .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000)
-            .remoteAddress("127.0.0.1", port).handler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_ANSWER),
-                        new Connection());
-                }
-            });
+        bootstrap = new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000)
+                .remoteAddress("127.0.0.1", port)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(
+                                        new HttpClientCodec(), new HttpObjectAggregator(MOST_ANSWER), new Connection());
+                    }
+                });
     }
 
     /** A call under way. */
@@ -79,13 +84,12 @@
     }
 
     /** Calls; {@code body} may be empty. */
-    public Call call(HttpMethod method, String path, Map<? extends CharSequence, String> headers, byte[] body,
-                     Reply reply) {
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path,
-            Unpooled.wrappedBuffer(body));
+    public Call call(
+            HttpMethod method, String path, Map<? extends CharSequence, String> headers, byte[] body, Reply reply) {
+        FullHttpRequest request =
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, Unpooled.wrappedBuffer(body));
         headers.forEach((name, value) -> request.headers().set(name, value));
-        request.headers().set(HttpHeaderNames.HOST, "loopback")
-            .setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        request.headers().set(HttpHeaderNames.HOST, "loopback").setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
         Call call = new Call(request, reply);
         Channel kept = idle.pollFirst();
         while (kept != null && !kept.isActive()) {
@@ -139,8 +143,7 @@
             } else {
                 ctx.close();
             }
-            call.reply.answered(response.status().code(), response.headers(),
-                ByteBufUtil.getBytes(response.content()));
+            call.reply.answered(response.status().code(), response.headers(), ByteBufUtil.getBytes(response.content()));
         }
 
         @Override
--- a/stand-ins/src/main/java/wharfhinge/standin/LoadClients.java
+++ b/stand-ins/src/main/java/wharfhinge/standin/LoadClients.java
@@ -8,8 +8,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -25,12 +25,26 @@
     private static final int ID_BASE = 1_000_000;
 
     /** A class of calls; times in milliseconds. */
-    public record CallClass(String name, String effect, double share, long aimMs, long giveUpMs, double workMs,
-                            double loadMs, double memoryMb, int lanes) { }
+    public record CallClass(
+            String name,
+            String effect,
+            double share,
+            long aimMs,
+            long giveUpMs,
+            double workMs,
+            double loadMs,
+            double memoryMb,
+            int lanes) {}
 
     /** All that is offered. */
-    public record Traffic(double perS, int functions, double zipf, int retries, List<CallClass> classes,
-                          double chainShare, long chainAimMs) { }
+    public record Traffic(
+            double perS,
+            int functions,
+            double zipf,
+            int retries,
+            List<CallClass> classes,
+            double chainShare,
+            long chainAimMs) {}
 
     private final Traffic traffic;
     private final Trace trace;
@@ -118,17 +132,20 @@
         if (stopped || at >= end) {
             return;
         }
-        timer.schedule(() -> {
-            if (random.nextDouble() < traffic.chainShare()) {
-                chain();
-            } else {
-                send(draw(), 0, null);
-            }
-            next(at + (long) (-Math.log(1 - random.nextDouble()) * 1e9 / (traffic.perS() * rate)), end);
-        }, at - System.nanoTime(), TimeUnit.NANOSECONDS);
+        timer.schedule(
+                () -> {
+                    if (random.nextDouble() < traffic.chainShare()) {
+                        chain();
+                    } else {
+                        send(draw(), 0, null);
+                    }
+                    next(at + (long) (-Math.log(1 - random.nextDouble()) * 1e9 / (traffic.perS() * rate)), end);
+                },
+                at - System.nanoTime(),
+                TimeUnit.NANOSECONDS);
     }
 
-    private record Wanted(CallClass type, String function, double workMs, boolean leaves, long deadline) { }
+    private record Wanted(CallClass type, String function, double workMs, boolean leaves, long deadline) {}
 
     private Wanted draw() {
         CallClass type = traffic.classes().get(traffic.classes().size() - 1);
@@ -156,8 +173,12 @@
         }
         double work = -Math.log(1 - random.nextDouble()) * 0.5 + 0.5; // half fixed, half exponential: mean 1
         work *= type.workMs() * (random.nextDouble() < heavyShare ? heavyTimes : 1);
-        return new Wanted(type, function, work, random.nextDouble() < leaveShare,
-            System.nanoTime() + type.giveUpMs() * 1_000_000L);
+        return new Wanted(
+                type,
+                function,
+                work,
+                random.nextDouble() < leaveShare,
+                System.nanoTime() + type.giveUpMs() * 1_000_000L);
     }
 
     private void send(Wanted wanted, int tries, String former) {
@@ -180,11 +201,24 @@
         }
         open.incrementAndGet();
         Try attempt = new Try(wanted, tries, id, names.get(gateway));
-        byte[] body = ByteBuffer.allocate(64).putLong((long) (wanted.workMs() * 1000)).array();
-        trace.note("offer", "call", id, "gw", names.get(gateway), "class", type.name(), "fn", wanted.function(),
-            "deadline_ms", leftMs, "former", former == null ? "-" : former);
-        attempt.call = gateways.get(gateway).call(HttpMethod.POST, ClientProtocol.CALL_PATH + wanted.function(), headers,
-            body, attempt);
+        byte[] body =
+                ByteBuffer.allocate(64).putLong((long) (wanted.workMs() * 1000)).array();
+        trace.note(
+                "offer",
+                "call",
+                id,
+                "gw",
+                names.get(gateway),
+                "class",
+                type.name(),
+                "fn",
+                wanted.function(),
+                "deadline_ms",
+                leftMs,
+                "former",
+                former == null ? "-" : former);
+        attempt.call = gateways.get(gateway)
+                .call(HttpMethod.POST, ClientProtocol.CALL_PATH + wanted.function(), headers, body, attempt);
         attempt.limit(wanted.leaves() ? leftMs / 3 : leftMs + 150, wanted.leaves());
     }
 
@@ -197,19 +231,45 @@
         for (int i = 0; i < (joins ? 3 : 2); i++) {
             Wanted w = draw();
             String input = i == 0 || joins && i == 1 ? "\"client\"" : joins ? "\"s0\",\"s1\"" : "\"s0\"";
-            steps.append(i == 0 ? "" : ",").append(String.format(java.util.Locale.ROOT, "{\"id\":\"s%d\",\"function\":\"%s\","
-                + "\"class\":\"%s\",\"input\":[%s],\"cost_us\":%d,\"memory_mb\":%s,\"lanes\":%d,\"load_ms\":%s}", i,
-                w.function(), w.type().name(), input, (long) (w.workMs() * 1000), w.type().memoryMb(), w.type().lanes(),
-                w.type().loadMs()));
+            steps.append(i == 0 ? "" : ",")
+                    .append(String.format(
+                            java.util.Locale.ROOT,
+                            "{\"id\":\"s%d\",\"function\":\"%s\","
+                                    + "\"class\":\"%s\",\"input\":[%s],\"cost_us\":%d,\"memory_mb\":%s,\"lanes\":%d,\"load_ms\":%s}",
+                            i,
+                            w.function(),
+                            w.type().name(),
+                            input,
+                            (long) (w.workMs() * 1000),
+                            w.type().memoryMb(),
+                            w.type().lanes(),
+                            w.type().loadMs()));
         }
         String json = "{\"id\":\"" + id + "\",\"deadline_ms\":" + traffic.chainAimMs() + ",\"input\":\"in\",\"steps\":["
-            + steps + "]}";
+                + steps + "]}";
         open.incrementAndGet();
-        trace.note("offer", "call", id, "gw", names.get(gateway), "class", "chain", "fn", "chain", "deadline_ms",
-            traffic.chainAimMs(), "former", "-");
+        trace.note(
+                "offer",
+                "call",
+                id,
+                "gw",
+                names.get(gateway),
+                "class",
+                "chain",
+                "fn",
+                "chain",
+                "deadline_ms",
+                traffic.chainAimMs(),
+                "former",
+                "-");
         Try attempt = new Try(null, traffic.retries(), id, names.get(gateway));
-        attempt.call = gateways.get(gateway).call(HttpMethod.POST, ClientProtocol.CHAIN_PATH, Map.of(),
-            json.getBytes(java.nio.charset.StandardCharsets.UTF_8), attempt);
+        attempt.call = gateways.get(gateway)
+                .call(
+                        HttpMethod.POST,
+                        ClientProtocol.CHAIN_PATH,
+                        Map.of(),
+                        json.getBytes(java.nio.charset.StandardCharsets.UTF_8),
+                        attempt);
         attempt.limit(traffic.chainAimMs() + 150, false);
     }
 
@@ -242,12 +302,15 @@
 
         private synchronized void limit(long ms, boolean early) {
             if (!over) {
-                limit = timer.schedule(() -> {
-                    if (end()) {
-                        trace.note("left", "call", id, "gw", gateway, "early", early);
-                        call.abandon();
-                    }
-                }, ms, TimeUnit.MILLISECONDS);
+                limit = timer.schedule(
+                        () -> {
+                            if (end()) {
+                                trace.note("left", "call", id, "gw", gateway, "early", early);
+                                call.abandon();
+                            }
+                        },
+                        ms,
+                        TimeUnit.MILLISECONDS);
             }
         }
 
@@ -274,10 +337,24 @@
                 return;
             }
             String answer = headers.get(ClientProtocol.ANSWER, "none");
-            trace.note("answer", "call", id, "gw", gateway, "status", status, "kind", answer, "own",
-                status != 200 || wanted == null || new String(body).equals(id), "worker", headers.get(ClientProtocol.WORKER, "-"),
-                "reason", headers.get(ClientProtocol.REASON, "-"), "attempts",
-                headers.getInt(ClientProtocol.ATTEMPTS.toString(), 0));
+            trace.note(
+                    "answer",
+                    "call",
+                    id,
+                    "gw",
+                    gateway,
+                    "status",
+                    status,
+                    "kind",
+                    answer,
+                    "own",
+                    status != 200 || wanted == null || new String(body).equals(id),
+                    "worker",
+                    headers.get(ClientProtocol.WORKER, "-"),
+                    "reason",
+                    headers.get(ClientProtocol.REASON, "-"),
+                    "attempts",
+                    headers.getInt(ClientProtocol.ATTEMPTS.toString(), 0));
             if (wanted == null) {
                 return; // chains are not tried again: what one try brings is what is measured
             }
--- a/stand-ins/src/main/java/wharfhinge/standin/Net.java
+++ b/stand-ins/src/main/java/wharfhinge/standin/Net.java
@@ -24,7 +24,7 @@
 public final class Net {
     private static final String LOOPBACK = "127.0.0.1";
 
-    private Net() { }
+    private Net() {}
 
     /** A group of I/O threads. */
     public static EventLoopGroup group(int threads) {
@@ -33,21 +33,27 @@
 
     /** Listens on loopback; port 0 takes any that is free. */
     static Channel listen(EventLoopGroup acceptor, EventLoopGroup group, int port, Consumer<Channel> accepted) {
-        return new ServerBootstrap().group(acceptor, group).channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 1024)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    accepted.accept(channel);
-                }
-            }).bind(LOOPBACK, port).syncUninterruptibly().channel();
+        return new ServerBootstrap()
+                .group(acceptor, group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, 1024)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        accepted.accept(channel);
+                    }
+                })
+                .bind(LOOPBACK, port)
+                .syncUninterruptibly()
+                .channel();
     }
 
     /** Listens for HTTP/1.1 with whole requests. */
     static Channel listenHttp(EventLoopGroup group, int port, Supplier<ChannelHandler> handler) {
-        return listen(group, group, port, channel -> channel.pipeline().addLast(new HttpServerCodec(),
-            new HttpObjectAggregator(1 << 20), handler.get()));
+        return listen(group, group, port, channel -> channel.pipeline()
+                .addLast(new HttpServerCodec(), new HttpObjectAggregator(1 << 20), handler.get()));
     }
 
     static int port(Channel listening) {
@@ -55,8 +61,8 @@
     }
 
     static FullHttpResponse response(int status, byte[] body) {
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-            HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
+        FullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
         response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
         return response;
     }
--- a/stand-ins/src/main/java/wharfhinge/standin/RosterStandIn.java
+++ b/stand-ins/src/main/java/wharfhinge/standin/RosterStandIn.java
@@ -48,8 +48,11 @@
         this.lagMs = lagMs;
         this.listening = Net.listenHttp(loop, port, Requests::new);
         this.port = Net.port(listening);
-        loop.scheduleAtFixedRate(() -> push(new RosterFrame(RosterFrame.Kind.BEAT, 0, revision, List.of())),
-            BEAT_MS, BEAT_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(
+                () -> push(new RosterFrame(RosterFrame.Kind.BEAT, 0, revision, List.of())),
+                BEAT_MS,
+                BEAT_MS,
+                TimeUnit.MILLISECONDS);
     }
 
     /** Where it listens. */
@@ -70,19 +73,22 @@
     /** Reports a worker's state; it is told after the lag. A start is told by a boot not known before. */
     public void report(RosterEntry entry) {
         long at = System.nanoTime();
-        loop.schedule(() -> {
-            RosterEntry before = entries.get(entry.id());
-            if (before == null || !before.boot().equals(entry.boot())) {
-                startedAt.put(entry.id(), at - Math.max(0, entry.ageMs()) * 1_000_000L);
-            }
-            long from = revision++;
-            if (entry.state() == RosterEntry.State.GONE) {
-                entries.remove(entry.id());
-            } else {
-                entries.put(entry.id(), entry);
-            }
-            push(new RosterFrame(RosterFrame.Kind.CHANGES, from, revision, List.of(aged(entry))));
-        }, lagMs, TimeUnit.MILLISECONDS);
+        loop.schedule(
+                () -> {
+                    RosterEntry before = entries.get(entry.id());
+                    if (before == null || !before.boot().equals(entry.boot())) {
+                        startedAt.put(entry.id(), at - Math.max(0, entry.ageMs()) * 1_000_000L);
+                    }
+                    long from = revision++;
+                    if (entry.state() == RosterEntry.State.GONE) {
+                        entries.remove(entry.id());
+                    } else {
+                        entries.put(entry.id(), entry);
+                    }
+                    push(new RosterFrame(RosterFrame.Kind.CHANGES, from, revision, List.of(aged(entry))));
+                },
+                lagMs,
+                TimeUnit.MILLISECONDS);
     }
 
     /** Sends a frame as it is, to try what a gateway makes of it. */
@@ -101,19 +107,25 @@
             return;
         }
         loop.submit(() -> {
-            listening.close();
-            new ArrayList<>(watchers.keySet()).forEach(Channel::close);
-        }).syncUninterruptibly();
+                    listening.close();
+                    new ArrayList<>(watchers.keySet()).forEach(Channel::close);
+                })
+                .syncUninterruptibly();
     }
 
     private RosterEntry aged(RosterEntry e) {
-        long age = e.ageMs() == RosterEntry.UNTOLD ? RosterEntry.UNTOLD
-            : (System.nanoTime() - startedAt.get(e.id())) / 1_000_000L;
+        long age = e.ageMs() == RosterEntry.UNTOLD
+                ? RosterEntry.UNTOLD
+                : (System.nanoTime() - startedAt.get(e.id())) / 1_000_000L;
         return new RosterEntry(e.id(), e.zone(), e.kind(), e.cell(), e.state(), e.weight(), age, e.boot());
     }
 
     private RosterFrame whole() {
-        return new RosterFrame(RosterFrame.Kind.ALL, 0, revision, entries.values().stream().map(this::aged).toList());
+        return new RosterFrame(
+                RosterFrame.Kind.ALL,
+                0,
+                revision,
+                entries.values().stream().map(this::aged).toList());
     }
 
     private void write(Channel channel, String gateway, RosterFrame frame) {
@@ -121,20 +133,40 @@
         channel.writeAndFlush(new DefaultHttpContent(Unpooled.copiedBuffer(frame.text(), StandardCharsets.UTF_8)));
         if (frame.kind() != RosterFrame.Kind.BEAT) {
             for (RosterEntry e : frame.entries()) {
-                trace.note("told", "gw", gateway, "worker", e.id(), "state", e.state(), "boot", e.boot(), "rev",
-                    frame.revision());
+                trace.note(
+                        "told",
+                        "gw",
+                        gateway,
+                        "worker",
+                        e.id(),
+                        "state",
+                        e.state(),
+                        "boot",
+                        e.boot(),
+                        "rev",
+                        frame.revision());
             }
-            trace.note("list", "gw", gateway, "rev", frame.revision(), "whole", all, "workers", String.join(",",
-                frame.entries().stream().map(RosterEntry::id).toList()));
+            trace.note(
+                    "list",
+                    "gw",
+                    gateway,
+                    "rev",
+                    frame.revision(),
+                    "whole",
+                    all,
+                    "workers",
+                    String.join(
+                            ",", frame.entries().stream().map(RosterEntry::id).toList()));
         }
     }
 
     @Override
     public void close() {
         loop.submit(() -> {
-            listening.close();
-            new ArrayList<>(watchers.keySet()).forEach(Channel::close);
-        }).syncUninterruptibly();
+                    listening.close();
+                    new ArrayList<>(watchers.keySet()).forEach(Channel::close);
+                })
+                .syncUninterruptibly();
     }
 
     private final class Requests extends SimpleChannelInboundHandler<FullHttpRequest> {
@@ -144,7 +176,7 @@
             String gateway = request.headers().get(RosterProtocol.GATEWAY, "-");
             if (query.path().equals(RosterProtocol.LIST_PATH)) {
                 ctx.writeAndFlush(Net.response(200, whole().text().getBytes(StandardCharsets.UTF_8)))
-                    .addListener(ChannelFutureListener.CLOSE);
+                        .addListener(ChannelFutureListener.CLOSE);
                 return;
             }
             HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
--- a/stand-ins/src/main/java/wharfhinge/standin/Scenario.java
+++ b/stand-ins/src/main/java/wharfhinge/standin/Scenario.java
@@ -20,24 +20,34 @@
 
     @XmlAttribute(name = "name")
     private String name;
+
     @XmlAttribute(name = "seconds")
     private double seconds;
+
     @XmlAttribute(name = "seed")
     private long seed = 1;
+
     @XmlAttribute(name = "gateways")
     private int gateways = 3;
+
     @XmlAttribute(name = "second-copies")
     private boolean secondCopies;
+
     @XmlElement(name = "workers")
     private Workers workers;
+
     @XmlElement(name = "rules")
     private RuleFigures rules;
+
     @XmlElement(name = "store")
     private Store store;
+
     @XmlElement(name = "roster")
     private Roster roster;
+
     @XmlElement(name = "traffic")
     private Traffic traffic;
+
     @XmlElement(name = "trouble")
     private final List<Trouble> troubles = new ArrayList<>();
 
@@ -46,26 +56,37 @@
     public static final class Workers {
         @XmlAttribute(name = "count")
         private int count;
+
         @XmlAttribute(name = "cores")
         private int cores = 2;
+
         @XmlAttribute(name = "speed-least")
         private double speedLeast = 1;
+
         @XmlAttribute(name = "speed-most")
         private double speedMost = 1;
+
         @XmlAttribute(name = "memory-mb")
         private double memoryMb;
+
         @XmlAttribute(name = "queue")
         private int queue = 16;
+
         @XmlAttribute(name = "loads-at-once")
         private int loadsAtOnce = 4;
+
         @XmlAttribute(name = "keep-ms")
         private long keepMs;
+
         @XmlAttribute(name = "not-loaded")
         private String notLoaded;
+
         @XmlAttribute(name = "report-ms")
         private long reportMs = 200;
+
         @XmlAttribute(name = "reports")
         private String reports = "piggyback";
+
         @XmlAttribute(name = "real")
         private boolean real;
 
@@ -125,20 +146,28 @@
     public static final class RuleFigures {
         @XmlAttribute(name = "grace-ms")
         private long graceMs = 16;
+
         @XmlAttribute(name = "stop-sending-ms")
         private long stopSendingMs;
+
         @XmlAttribute(name = "cold-from")
         private double coldFrom;
+
         @XmlAttribute(name = "cold-ms")
         private long coldMs;
+
         @XmlAttribute(name = "overload-factor")
         private double overloadFactor;
+
         @XmlAttribute(name = "tip-ms")
         private long tipMs;
+
         @XmlAttribute(name = "ration-ms")
         private long rationMs;
+
         @XmlAttribute(name = "ration-anyway")
         private double rationAnyway;
+
         @XmlAttribute(name = "ration-ratio")
         private double rationRatio;
     }
@@ -148,6 +177,7 @@
     public static final class Store {
         @XmlAttribute(name = "full-pace")
         private int fullPace;
+
         @XmlAttribute(name = "most")
         private int most;
 
@@ -179,16 +209,22 @@
     public static final class Traffic {
         @XmlAttribute(name = "per-s")
         private double perS;
+
         @XmlAttribute(name = "functions")
         private int functions;
+
         @XmlAttribute(name = "zipf")
         private double zipf = 1;
+
         @XmlAttribute(name = "retries")
         private int retries;
+
         @XmlAttribute(name = "chain-share")
         private double chainShare;
+
         @XmlAttribute(name = "chain-aim-ms")
         private long chainAimMs = 600;
+
         @XmlElement(name = "class")
         private final List<CallClass> classes = new ArrayList<>();
     }
@@ -198,20 +234,28 @@
     public static final class CallClass {
         @XmlAttribute(name = "name")
         private String name;
+
         @XmlAttribute(name = "effect")
         private String effect;
+
         @XmlAttribute(name = "share")
         private double share;
+
         @XmlAttribute(name = "aim-ms")
         private long aimMs;
+
         @XmlAttribute(name = "give-up-ms")
         private long giveUpMs;
+
         @XmlAttribute(name = "work-ms")
         private double workMs;
+
         @XmlAttribute(name = "load-ms")
         private double loadMs;
+
         @XmlAttribute(name = "memory-mb")
         private double memoryMb;
+
         @XmlAttribute(name = "lanes")
         private int lanes = 1;
     }
@@ -221,14 +265,19 @@
     public static final class Trouble {
         @XmlAttribute(name = "name")
         private String name;
+
         @XmlAttribute(name = "at")
         private double at;
+
         @XmlAttribute(name = "for")
         private double length;
+
         @XmlAttribute(name = "part")
         private double part;
+
         @XmlAttribute(name = "size")
         private double size;
+
         @XmlAttribute(name = "extra")
         private double extra;
 
@@ -243,7 +292,7 @@
         }
 
         /** For the binding. */
-        Trouble() { }
+        Trouble() {}
 
         /** Its name. */
         public String name() {
@@ -367,17 +416,50 @@
     public WorkerModel.Spec worker(int i, boolean cold) {
         double place = workers.count < 2 ? 0 : (i * 7 % workers.count) / (double) (workers.count - 1);
         double speed = workers.speedLeast + place * (workers.speedMost - workers.speedLeast);
-        return new WorkerModel.Spec(i % 2 == 0 ? "zone-a" : "zone-b", "std", i / 4, workers.cores, speed,
-            workers.memoryMb, workers.queue, workers.loadsAtOnce, workers.keepMs, workers.notLoaded.equals("load"),
-            rules.coldFrom, rules.coldMs, rules.overloadFactor, rules.tipMs, workers.reportMs, cold,
-            (long) traffic.classes.stream().mapToDouble(c -> c.share * c.workMs * 1000).sum(), seed * 1000 + i);
+        return new WorkerModel.Spec(
+                i % 2 == 0 ? "zone-a" : "zone-b",
+                "std",
+                i / 4,
+                workers.cores,
+                speed,
+                workers.memoryMb,
+                workers.queue,
+                workers.loadsAtOnce,
+                workers.keepMs,
+                workers.notLoaded.equals("load"),
+                rules.coldFrom,
+                rules.coldMs,
+                rules.overloadFactor,
+                rules.tipMs,
+                workers.reportMs,
+                cold,
+                (long) traffic.classes.stream()
+                        .mapToDouble(c -> c.share * c.workMs * 1000)
+                        .sum(),
+                seed * 1000 + i);
     }
 
     /** What is offered. */
     public LoadClients.Traffic offered() {
-        return new LoadClients.Traffic(traffic.perS, traffic.functions, traffic.zipf, traffic.retries,
-            traffic.classes.stream().map(c -> new LoadClients.CallClass(c.name, c.effect, c.share, c.aimMs, c.giveUpMs,
-                c.workMs, c.loadMs, c.memoryMb, c.lanes)).toList(), traffic.chainShare, traffic.chainAimMs);
+        return new LoadClients.Traffic(
+                traffic.perS,
+                traffic.functions,
+                traffic.zipf,
+                traffic.retries,
+                traffic.classes.stream()
+                        .map(c -> new LoadClients.CallClass(
+                                c.name,
+                                c.effect,
+                                c.share,
+                                c.aimMs,
+                                c.giveUpMs,
+                                c.workMs,
+                                c.loadMs,
+                                c.memoryMb,
+                                c.lanes))
+                        .toList(),
+                traffic.chainShare,
+                traffic.chainAimMs);
     }
 
     /** What the judge holds a run against. */
@@ -390,7 +472,20 @@
             aims.put(c.name, c.aimMs);
             works.put(c.name, c.workMs);
         });
-        return new Judge.Rules(rules.graceMs, rules.stopSendingMs, rules.coldFrom, rules.coldMs, rules.overloadFactor,
-            rules.tipMs, rules.rationMs, rules.rationAnyway, rules.rationRatio, DIAL_MS, secondCopies, effects, aims, works);
+        return new Judge.Rules(
+                rules.graceMs,
+                rules.stopSendingMs,
+                rules.coldFrom,
+                rules.coldMs,
+                rules.overloadFactor,
+                rules.tipMs,
+                rules.rationMs,
+                rules.rationAnyway,
+                rules.rationRatio,
+                DIAL_MS,
+                secondCopies,
+                effects,
+                aims,
+                works);
     }
 }
--- a/stand-ins/src/main/java/wharfhinge/standin/StoreStandIn.java
+++ b/stand-ins/src/main/java/wharfhinge/standin/StoreStandIn.java
@@ -56,10 +56,14 @@
             }
             double crowd = Math.max(1, now / (double) fullPace);
             trace.note("fetch", "path", query.path(), "status", 200, "in_hand", now);
-            ctx.executor().schedule(() -> {
-                inHand.decrementAndGet();
-                ctx.writeAndFlush(Net.response(200, new byte[0]));
-            }, (long) (Double.parseDouble(ms.get(0)) * crowd * 1000), TimeUnit.MICROSECONDS);
+            ctx.executor()
+                    .schedule(
+                            () -> {
+                                inHand.decrementAndGet();
+                                ctx.writeAndFlush(Net.response(200, new byte[0]));
+                            },
+                            (long) (Double.parseDouble(ms.get(0)) * crowd * 1000),
+                            TimeUnit.MICROSECONDS);
         }
     }
 }
--- a/stand-ins/src/main/java/wharfhinge/standin/Trace.java
+++ b/stand-ins/src/main/java/wharfhinge/standin/Trace.java
@@ -23,7 +23,8 @@
 
     /** Notes something, with names and values in turn. */
     public void note(String word, Object... pairs) {
-        StringBuilder line = new StringBuilder(96).append(clock.getAsLong()).append('\t').append(word);
+        StringBuilder line =
+                new StringBuilder(96).append(clock.getAsLong()).append('\t').append(word);
         for (int i = 0; i < pairs.length; i += 2) {
             line.append('\t').append(pairs[i]).append('=').append(pairs[i + 1]);
         }
--- a/stand-ins/src/main/java/wharfhinge/standin/WorkerModel.java
+++ b/stand-ins/src/main/java/wharfhinge/standin/WorkerModel.java
@@ -30,10 +30,25 @@
     private static final long USUAL_WORK_US = 20_000;
 
     /** What a worker is; times in milliseconds, memory in MB. */
-    public record Spec(String zone, String kind, int cell, int cores, double speed, double memoryMb, int queue,
-                       int loadsAtOnce, long keepMs, boolean loadsOnCall, double coldFrom, long coldMs,
-                       double overloadFactor, long tipMs, long reportEveryMs, boolean cold, long meanWorkUs,
-                       long seed) { }
+    public record Spec(
+            String zone,
+            String kind,
+            int cell,
+            int cores,
+            double speed,
+            double memoryMb,
+            int queue,
+            int loadsAtOnce,
+            long keepMs,
+            boolean loadsOnCall,
+            double coldFrom,
+            long coldMs,
+            double overloadFactor,
+            long tipMs,
+            long reportEveryMs,
+            boolean cold,
+            long meanWorkUs,
+            long seed) {}
 
     /** Where an answer goes. */
     public interface Reply {
@@ -71,8 +86,9 @@
             this.lanes = h.getInt(WorkerProtocol.LANES.toString(), 1);
             this.loadMs = Double.parseDouble(h.get(WorkerProtocol.LOAD_MS, "500"));
             String cost = h.get(WorkerProtocol.COST_US); // steps of chains tell it; other calls carry it in their body
-            long told = request.content().readableBytes() < Long.BYTES ? -1
-                : request.content().getLong(request.content().readerIndex());
+            long told = request.content().readableBytes() < Long.BYTES
+                    ? -1
+                    : request.content().getLong(request.content().readerIndex());
             boolean work = told >= 0 && told < MOST_WORK_US; // else it is text that somebody typed
             this.workUs = cost != null ? Long.parseLong(cost) : work ? told : USUAL_WORK_US;
             this.reply = reply;
@@ -99,7 +115,7 @@
         }
     }
 
-    private record Order(Call figures, int count, BiConsumer<AnswerCode, Integer> ended) { }
+    private record Order(Call figures, int count, BiConsumer<AnswerCode, Integer> ended) {}
 
     private final EventLoop loop;
     private final String id;
@@ -211,8 +227,22 @@
     private void begin(boolean cold) {
         long now = System.nanoTime();
         startedAt = cold ? now : now - spec.coldMs() * 1_000_000L;
-        trace.note("start", "worker", id, "boot", boot(), "cold", cold, "cores", spec.cores(), "speed", spec.speed(),
-            "zone", spec.zone(), "cell", spec.cell());
+        trace.note(
+                "start",
+                "worker",
+                id,
+                "boot",
+                boot(),
+                "cold",
+                cold,
+                "cores",
+                spec.cores(),
+                "speed",
+                spec.speed(),
+                "zone",
+                spec.zone(),
+                "cell",
+                spec.cell());
     }
 
     /** Standing copies by function, as of the last report; any thread. */
@@ -259,7 +289,8 @@
             of.removeIf(c -> !c.loading && c.running == 0 && now - c.idleSince > spec.keepMs() * 1_000_000L);
         }
         Map<String, Integer> standing = new HashMap<>();
-        copies.forEach((function, of) -> standing.put(function, (int) of.stream().filter(c -> !c.loading).count()));
+        copies.forEach((function, of) ->
+                standing.put(function, (int) of.stream().filter(c -> !c.loading).count()));
         held = standing;
         double busy = 0;
         for (List<Copy> of : copies.values()) {
@@ -267,8 +298,15 @@
                 busy += c.loading || c.running > 0 ? c.memoryMb : 0;
             }
         }
-        report = Map.of("rif", (double) (running + queue.size()), "x0", busy / spec.memoryMb(), "q",
-            (double) queue.size(), "x1", (double) (loads + loadLine.size()));
+        report = Map.of(
+                "rif",
+                (double) (running + queue.size()),
+                "x0",
+                busy / spec.memoryMb(),
+                "q",
+                (double) queue.size(),
+                "x1",
+                (double) (loads + loadLine.size()));
     }
 
     Map<String, Double> report() {
@@ -282,28 +320,48 @@
         if (wait <= 0) {
             what.run();
         } else {
-            loop.schedule(() -> {
-                if (of == life) {
-                    what.run();
-                }
-            }, wait, TimeUnit.NANOSECONDS);
+            loop.schedule(
+                    () -> {
+                        if (of == life) {
+                            what.run();
+                        }
+                    },
+                    wait,
+                    TimeUnit.NANOSECONDS);
         }
     }
 
     private void after(double ms, Runnable what) {
         int of = life;
-        loop.schedule(() -> {
-            if (of == life) {
-                inbound(what);
-            }
-        }, (long) (ms * 1000), TimeUnit.MICROSECONDS);
+        loop.schedule(
+                () -> {
+                    if (of == life) {
+                        inbound(what);
+                    }
+                },
+                (long) (ms * 1000),
+                TimeUnit.MICROSECONDS);
     }
 
     // ---- Calls ------------------------------------------------------------------------------
 
     void call(Call call) {
-        trace.note("recv", "worker", id, "call", call.id, "attempt", call.attempt, "gw", call.gateway, "class",
-            call.type, "fn", call.function, "work_us", call.workUs);
+        trace.note(
+                "recv",
+                "worker",
+                id,
+                "call",
+                call.id,
+                "attempt",
+                call.attempt,
+                "gw",
+                call.gateway,
+                "class",
+                call.type,
+                "fn",
+                call.function,
+                "work_us",
+                call.workUs);
         if (overfed()) {
             trace.note("tip", "worker", id);
             tipped.run();
@@ -341,8 +399,10 @@
     }
 
     private int company(String function) {
-        int waiting = (int) queue.stream().filter(c -> c.function.equals(function)).count();
-        return Math.min(30, waiting + of(function).stream().mapToInt(c -> c.running).sum());
+        int waiting =
+                (int) queue.stream().filter(c -> c.function.equals(function)).count();
+        return Math.min(
+                30, waiting + of(function).stream().mapToInt(c -> c.running).sum());
     }
 
     private List<Copy> of(String function) {
@@ -387,8 +447,8 @@
         trace.note("run", "worker", id, "call", call.id, "attempt", call.attempt);
         double age = Math.min(1, (System.nanoTime() - startedAt) / 1e6 / spec.coldMs());
         double warmth = spec.coldFrom() + (1 - spec.coldFrom()) * age;
-        double ms = call.workUs / 1000.0 / spec.speed() / warmth * slower
-            * Math.max(1, running / (double) spec.cores());
+        double ms =
+                call.workUs / 1000.0 / spec.speed() / warmth * slower * Math.max(1, running / (double) spec.cores());
         after(ms, () -> {
             copy.running--;
             running--;
@@ -448,7 +508,8 @@
                 ended.accept(AnswerCode.FULL, standing(figures.function));
                 return;
             }
-            int missing = count - (int) of(figures.function).stream().filter(c -> !c.stale).count();
+            int missing = count
+                    - (int) of(figures.function).stream().filter(c -> !c.stale).count();
             boolean room = true;
             for (int i = 0; i < missing && room; i++) {
                 room = load(figures) != null;
@@ -484,10 +545,16 @@
     }
 
     private boolean makeRoom(double needed) {
-        double used = copies.values().stream().flatMap(List::stream).mapToDouble(c -> c.memoryMb).sum();
+        double used = copies.values().stream()
+                .flatMap(List::stream)
+                .mapToDouble(c -> c.memoryMb)
+                .sum();
         while (used + needed > spec.memoryMb()) {
-            Copy oldest = copies.values().stream().flatMap(List::stream).filter(c -> !c.loading && c.running == 0)
-                .min((a, b) -> Long.compare(a.idleSince, b.idleSince)).orElse(null);
+            Copy oldest = copies.values().stream()
+                    .flatMap(List::stream)
+                    .filter(c -> !c.loading && c.running == 0)
+                    .min((a, b) -> Long.compare(a.idleSince, b.idleSince))
+                    .orElse(null);
             if (oldest == null) {
                 return false;
             }
@@ -505,26 +572,30 @@
             loads++;
             loadsBegun++;
             trace.note("load", "worker", id, "fn", copy.function);
-            store.call(HttpMethod.GET, "/image/" + copy.function + "?ms=" + ms * FETCH_SHARE, Map.of(), new byte[0],
-                new HttpCaller.Reply() {
-                    @Override
-                    public void answered(int status, HttpHeaders headers, byte[] body) {
-                        fetched(status == 200);
-                    }
-
-                    @Override
-                    public void broken(boolean wasSent) {
-                        fetched(false);
-                    }
-
-                    private void fetched(boolean well) {
-                        loop.execute(() -> {
-                            if (of == life) {
-                                after(well ? ms * (1 - FETCH_SHARE) : 1, () -> loaded(copy, well));
-                            }
-                        });
-                    }
-                });
+            store.call(
+                    HttpMethod.GET,
+                    "/image/" + copy.function + "?ms=" + ms * FETCH_SHARE,
+                    Map.of(),
+                    new byte[0],
+                    new HttpCaller.Reply() {
+                        @Override
+                        public void answered(int status, HttpHeaders headers, byte[] body) {
+                            fetched(status == 200);
+                        }
+
+                        @Override
+                        public void broken(boolean wasSent) {
+                            fetched(false);
+                        }
+
+                        private void fetched(boolean well) {
+                            loop.execute(() -> {
+                                if (of == life) {
+                                    after(well ? ms * (1 - FETCH_SHARE) : 1, () -> loaded(copy, well));
+                                }
+                            });
+                        }
+                    });
         }
     }
 
--- a/stand-ins/src/main/java/wharfhinge/standin/WorkerStandIn.java
+++ b/stand-ins/src/main/java/wharfhinge/standin/WorkerStandIn.java
@@ -66,16 +66,16 @@
         if (listening == null) {
             Channel again = Net.listen(loop, loop, port, this::accepted);
             loop.submit(() -> {
-                listening = again;
-                model.reborn();
-            }).syncUninterruptibly();
+                        listening = again;
+                        model.reborn();
+                    })
+                    .syncUninterruptibly();
         }
     }
 
     /** Tells all connections to go away; what is open is finished. */
     public void goAway() {
-        loop.execute(() -> connections.forEach(c ->
-            c.writeAndFlush(new DefaultHttp2GoAwayFrame(Http2Error.NO_ERROR))));
+        loop.execute(() -> connections.forEach(c -> c.writeAndFlush(new DefaultHttp2GoAwayFrame(Http2Error.NO_ERROR))));
     }
 
     private void down() {
@@ -100,23 +100,34 @@
             pipeline(channel);
         } else {
             channel.config().setAutoRead(false);
-            loop.schedule(() -> {
-                pipeline(channel);
-                channel.config().setAutoRead(true);
-            }, slow, TimeUnit.MILLISECONDS);
+            loop.schedule(
+                    () -> {
+                        pipeline(channel);
+                        channel.config().setAutoRead(true);
+                    },
+                    slow,
+                    TimeUnit.MILLISECONDS);
         }
     }
 
     private void pipeline(Channel channel) {
-        channel.pipeline().addLast(Http2FrameCodecBuilder.forServer().initialSettings(Http2Settings.defaultSettings()
-            .maxConcurrentStreams(1000)).decoderEnforceMaxRstFramesPerWindow(0, 0).build(),
-            new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel stream) {
-                    stream.pipeline().addLast(new Http2StreamFrameToHttpObjectCodec(true),
-                        new HttpObjectAggregator(MOST_BODY), new Requests());
-                }
-            }), new Closer());
+        channel.pipeline()
+                .addLast(
+                        Http2FrameCodecBuilder.forServer()
+                                .initialSettings(Http2Settings.defaultSettings().maxConcurrentStreams(1000))
+                                .decoderEnforceMaxRstFramesPerWindow(0, 0)
+                                .build(),
+                        new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel stream) {
+                                stream.pipeline()
+                                        .addLast(
+                                                new Http2StreamFrameToHttpObjectCodec(true),
+                                                new HttpObjectAggregator(MOST_BODY),
+                                                new Requests());
+                            }
+                        }),
+                        new Closer());
     }
 
     /** A connection that breaks is closed and no more said of it. */
@@ -140,27 +151,27 @@
                 return;
             }
             if (path.startsWith(WorkerProtocol.CALL_PATH)) {
-                open = WorkerModel.Call.of(path.substring(WorkerProtocol.CALL_PATH.length()), request, gateway,
-                    new WorkerModel.Reply() {
-                        @Override
-                        public void answer(AnswerCode code, CopyNote note, int company, byte[] body) {
-                            FullHttpResponse response = Net.response(code.status(), body);
-                            response.headers().set(WorkerProtocol.OUTCOME, code.word());
-                            if (note != CopyNote.NONE) {
-                                response.headers().set(WorkerProtocol.NOTE, note.word());
+                open = WorkerModel.Call.of(
+                        path.substring(WorkerProtocol.CALL_PATH.length()), request, gateway, new WorkerModel.Reply() {
+                            @Override
+                            public void answer(AnswerCode code, CopyNote note, int company, byte[] body) {
+                                FullHttpResponse response = Net.response(code.status(), body);
+                                response.headers().set(WorkerProtocol.OUTCOME, code.word());
+                                if (note != CopyNote.NONE) {
+                                    response.headers().set(WorkerProtocol.NOTE, note.word());
+                                }
+                                response.headers().setInt(WorkerProtocol.COMPANY, company);
+                                reported(response);
+                                open = null;
+                                ctx.writeAndFlush(response);
+                            }
+
+                            @Override
+                            public void reset() {
+                                open = null;
+                                ctx.close();
                             }
-                            response.headers().setInt(WorkerProtocol.COMPANY, company);
-                            reported(response);
-                            open = null;
-                            ctx.writeAndFlush(response);
-                        }
-
-                        @Override
-                        public void reset() {
-                            open = null;
-                            ctx.close();
-                        }
-                    });
+                        });
                 model.call(open);
             } else if (path.startsWith(WorkerProtocol.COPIES_PATH)) {
                 copies(ctx, request, path.substring(WorkerProtocol.COPIES_PATH.length()), gateway);
@@ -180,7 +191,9 @@
         private void fenced(ChannelHandlerContext ctx, String path) {
             trace.note("fenced", "worker", id(), "path", path);
             FullHttpResponse response = Net.response(AnswerCode.FULL.status(), new byte[0]);
-            response.headers().set(WorkerProtocol.OUTCOME, AnswerCode.FULL.word()).setInt(WorkerProtocol.COUNT, 0);
+            response.headers()
+                    .set(WorkerProtocol.OUTCOME, AnswerCode.FULL.word())
+                    .setInt(WorkerProtocol.COUNT, 0);
             reported(response);
             ctx.writeAndFlush(response);
         }
@@ -208,8 +221,9 @@
         }
 
         private void reported(FullHttpResponse response) {
-            response.headers().set(WorkerProtocol.REPORT, LoadReport.format(model.report()))
-                .set(WorkerProtocol.BOOT, model.boot());
+            response.headers()
+                    .set(WorkerProtocol.REPORT, LoadReport.format(model.report()))
+                    .set(WorkerProtocol.BOOT, model.boot());
         }
 
         @Override
