--- a/worker/src/main/java/wharfhinge/worker/EventLog.java
+++ b/worker/src/main/java/wharfhinge/worker/EventLog.java
@@ -14,18 +14,18 @@
  */
 interface EventLog extends AutoCloseable {
     /** Writes nothing. */
-    EventLog NONE = (word, pairs) -> { };
+    EventLog NONE = (word, pairs) -> {};
 
     /** Notes something, with names and values in turn. */
     void note(String word, Object... pairs);
 
     @Override
-    default void close() throws IOException { }
+    default void close() throws IOException {}
 
     /** Writes to a file, after what it holds. */
     static EventLog to(Path file) throws IOException {
-        return new ToFile(FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-            StandardOpenOption.APPEND));
+        return new ToFile(
+                FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.APPEND));
     }
 
     /** Into a file. */
@@ -38,7 +38,10 @@
 
         @Override
         public void note(String word, Object... pairs) {
-            StringBuilder line = new StringBuilder(128).append(System.nanoTime()).append('\t').append(word);
+            StringBuilder line = new StringBuilder(128)
+                    .append(System.nanoTime())
+                    .append('\t')
+                    .append(word);
             for (int i = 0; i < pairs.length; i += 2) {
                 line.append('\t').append(pairs[i]).append('=').append(pairs[i + 1]);
             }
--- a/worker/src/main/java/wharfhinge/worker/ProcessMemory.java
+++ b/worker/src/main/java/wharfhinge/worker/ProcessMemory.java
@@ -10,7 +10,9 @@
 final class ProcessMemory {
     private static final Path ROLLUP = Path.of("/proc/self/smaps_rollup");
     private final BufferPoolMXBean mapped = ManagementFactory.getPlatformMXBeans(BufferPoolMXBean.class).stream()
-        .filter(pool -> pool.getName().equals("mapped")).findFirst().orElseThrow();
+            .filter(pool -> pool.getName().equals("mapped"))
+            .findFirst()
+            .orElseThrow();
     private final long before = mapped.getTotalCapacity(); // what others had mapped when the worker began
 
     /** Resident memory in KiB, or -1 where the system does not tell. */
--- a/worker/src/main/java/wharfhinge/worker/Worker.java
+++ b/worker/src/main/java/wharfhinge/worker/Worker.java
@@ -12,8 +12,8 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
-import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.slf4j.Logger;
@@ -105,8 +105,12 @@
         for (String file : settings.keyFiles()) {
             trusted.add(Keys.publicKey(base.resolve(file)));
         }
-        this.images = new Images(new ImageCache(folder, settings.imagesBytes()), settings.storeUrl(), trusted,
-            settings.fetchNs(), settings.freshNs());
+        this.images = new Images(
+                new ImageCache(folder, settings.imagesBytes()),
+                settings.storeUrl(),
+                trusted,
+                settings.fetchNs(),
+                settings.freshNs());
         this.regions = new Regions(folder);
         refresh();
         loop.scheduleAtFixedRate(this::refresh, settings.refreshMs(), settings.refreshMs(), TimeUnit.MILLISECONDS);
@@ -133,8 +137,22 @@
         long number = next++;
         long now = System.nanoTime();
         calls.put(number, new Call(head, body, reply));
-        events.note("recv", "worker", id, "call", head.id(), "attempt", head.attempt(), "gw", head.gateway(), "class",
-            head.requestClass(), "fn", function, "work_us", head.costUs());
+        events.note(
+                "recv",
+                "worker",
+                id,
+                "call",
+                head.id(),
+                "attempt",
+                head.attempt(),
+                "gw",
+                head.gateway(),
+                "class",
+                head.requestClass(),
+                "fn",
+                function,
+                "work_us",
+                head.costUs());
         decisions.call(now, number, function, head.hint(), now + head.waitMs() * MS);
         return number;
     }
@@ -215,8 +233,14 @@
         long now = System.nanoTime();
         decisions.tick(now);
         if (rounds++ % LEAK_ROUNDS == 0) {
-            decisions.leaked(now, ProcessMemory.leakedKb(process.residentKb(), process.mappedKb(), regions.residentKb(),
-                regions.mappedKb(), settings.ownKb()));
+            decisions.leaked(
+                    now,
+                    ProcessMemory.leakedKb(
+                            process.residentKb(),
+                            process.mappedKb(),
+                            regions.residentKb(),
+                            regions.mappedKb(),
+                            settings.ownKb()));
         }
         Map<String, Double> fresh = new LinkedHashMap<>();
         fresh.put("rif", (double) decisions.held());
@@ -239,8 +263,11 @@
         try {
             Images.Image image = images.get(function);
             long began = System.nanoTime();
-            Figures figures = new Figures(image.contents().manifest().memoryMb() * 1024L, image.contents().manifest().lanes());
-            boolean fits = loop.submit(() -> decisions.measured(System.nanoTime(), copy, figures)).get();
+            Figures figures = new Figures(
+                    image.contents().manifest().memoryMb() * 1024L,
+                    image.contents().manifest().lanes());
+            boolean fits = loop.submit(() -> decisions.measured(System.nanoTime(), copy, figures))
+                    .get();
             if (!fits) {
                 tell(copy, function, LoadEnd.MISJUDGED, null, "needs " + figures.kb() + " KiB");
                 return;
@@ -268,7 +295,12 @@
                 released = false;
             }
         }
-        tell(copy, function, released ? LoadEnd.FAILED : LoadEnd.FAILED_STUCK, released ? null : made, cause.getMessage());
+        tell(
+                copy,
+                function,
+                released ? LoadEnd.FAILED : LoadEnd.FAILED_STUCK,
+                released ? null : made,
+                cause.getMessage());
     }
 
     private void tell(long copy, String function, LoadEnd how, LoadedCopy made, String why) {
@@ -294,9 +326,13 @@
         call.copy = copy;
         events.note("run", "worker", id, "call", call.head.id(), "attempt", call.head.attempt());
         long limit = on.manifest().callMs() * MS;
-        call.running = on.run(call.head.id(), call.head.attempt(), call.body, limit,
-            (running, outcome) -> onLoop(() -> ended(number, outcome)),
-            running -> onLoop(() -> back(copy)));
+        call.running = on.run(
+                call.head.id(),
+                call.head.attempt(),
+                call.body,
+                limit,
+                (running, outcome) -> onLoop(() -> ended(number, outcome)),
+                running -> onLoop(() -> back(copy)));
         call.limit = loop.schedule(() -> overLimit(number), limit, TimeUnit.NANOSECONDS);
     }
 
@@ -307,11 +343,14 @@
             LOG.debug("call {} failed", call.head.id(), outcome.cause());
         }
         call.output = outcome.output();
-        decisions.callEnded(System.nanoTime(), number, switch (outcome.how()) {
-            case SERVED -> CallEnd.SERVED;
-            case ERROR -> CallEnd.ERROR;
-            case BROKE -> CallEnd.BROKE;
-        });
+        decisions.callEnded(
+                System.nanoTime(),
+                number,
+                switch (outcome.how()) {
+                    case SERVED -> CallEnd.SERVED;
+                    case ERROR -> CallEnd.ERROR;
+                    case BROKE -> CallEnd.BROKE;
+                });
         calls.remove(number);
     }
 
@@ -339,18 +378,22 @@
     @Override
     public void answer(long number, Answer answer, Met met, int company) {
         Call call = calls.get(number);
-        AnswerCode code = switch (answer) {
-            case SERVED -> AnswerCode.SERVED;
-            case ERROR -> AnswerCode.ERROR;
-            case FULL -> AnswerCode.FULL;
-            case MISS, MISS_LOAD_FAILED -> AnswerCode.MISS;
-        };
-        CopyNote note = answer == Answer.MISS_LOAD_FAILED ? CopyNote.LOAD_FAILED : met == null ? CopyNote.NONE
-            : switch (met) {
-                case FOUND -> CopyNote.FOUND;
-                case BEGAN -> CopyNote.BEGAN;
-                case WAITED -> CopyNote.WAITED;
-            };
+        AnswerCode code =
+                switch (answer) {
+                    case SERVED -> AnswerCode.SERVED;
+                    case ERROR -> AnswerCode.ERROR;
+                    case FULL -> AnswerCode.FULL;
+                    case MISS, MISS_LOAD_FAILED -> AnswerCode.MISS;
+                };
+        CopyNote note = answer == Answer.MISS_LOAD_FAILED
+                ? CopyNote.LOAD_FAILED
+                : met == null
+                        ? CopyNote.NONE
+                        : switch (met) {
+                            case FOUND -> CopyNote.FOUND;
+                            case BEGAN -> CopyNote.BEGAN;
+                            case WAITED -> CopyNote.WAITED;
+                        };
         events.note("reply", "worker", id, "call", call.head.id(), "attempt", call.head.attempt(), "code", code.word());
         if (call.running == null) {
             calls.remove(number);
@@ -362,11 +405,13 @@
     public void answerOrder(long order, OrderAnswer answer, int ready) {
         OrderReply reply = orders.remove(order);
         if (reply != null) {
-            reply.answer(switch (answer) {
-                case SERVED -> AnswerCode.SERVED;
-                case FULL -> AnswerCode.FULL;
-                case ERROR -> AnswerCode.ERROR;
-            }, ready);
+            reply.answer(
+                    switch (answer) {
+                        case SERVED -> AnswerCode.SERVED;
+                        case FULL -> AnswerCode.FULL;
+                        case ERROR -> AnswerCode.ERROR;
+                    },
+                    ready);
         }
     }
 
@@ -380,7 +425,9 @@
                     copies.remove(copy);
                     decisions.stopped(System.nanoTime(), copy);
                 } else {
-                    LOG.warn("a copy of {} does not stop; its memory stays counted as not free", stopping.manifest().name());
+                    LOG.warn(
+                            "a copy of {} does not stop; its memory stays counted as not free",
+                            stopping.manifest().name());
                     decisions.hung(System.nanoTime(), copy);
                     releaseLater(copy);
                 }
@@ -399,22 +446,25 @@
 
     /** A stuck copy is asked again, for its thread may come back after all. */
     private void releaseLater(long copy) {
-        loop.schedule(() -> {
-            LoadedCopy stuck = copies.get(copy);
-            if (stuck != null && !closed) {
-                stoppers.execute(() -> {
-                    boolean released = release(stuck);
-                    onLoop(() -> {
-                        if (released) {
-                            copies.remove(copy);
-                            decisions.stopped(System.nanoTime(), copy);
-                        } else {
-                            releaseLater(copy);
-                        }
-                    });
-                });
-            }
-        }, AGAIN_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(
+                () -> {
+                    LoadedCopy stuck = copies.get(copy);
+                    if (stuck != null && !closed) {
+                        stoppers.execute(() -> {
+                            boolean released = release(stuck);
+                            onLoop(() -> {
+                                if (released) {
+                                    copies.remove(copy);
+                                    decisions.stopped(System.nanoTime(), copy);
+                                } else {
+                                    releaseLater(copy);
+                                }
+                            });
+                        });
+                    }
+                },
+                AGAIN_MS,
+                TimeUnit.MILLISECONDS);
     }
 
     @Override
--- a/worker/src/main/java/wharfhinge/worker/WorkerCall.java
+++ b/worker/src/main/java/wharfhinge/worker/WorkerCall.java
@@ -11,8 +11,15 @@
  *
  * @param waitMs how long the gateway waits; the longest where untold
  */
-record WorkerCall(String id, int attempt, String gateway, String requestClass, String boot, Figures hint, long waitMs,
-                  long costUs) {
+record WorkerCall(
+        String id,
+        int attempt,
+        String gateway,
+        String requestClass,
+        String boot,
+        Figures hint,
+        long waitMs,
+        long costUs) {
     private static final long MOST_MS = 3_600_000;
     private static final long MOST_KB = 2047 * 1024;
     private static final int MOST_LANES = 256;
@@ -25,9 +32,15 @@
         long kb = (long) (number(h.apply(WorkerProtocol.MEMORY_MB), MOST_KB / 1024.0) * 1024);
         int lanes = (int) number(h.apply(WorkerProtocol.LANES), MOST_LANES);
         double wait = number(h.apply(WorkerProtocol.DEADLINE_MS), MOST_MS);
-        return new WorkerCall(word(h.apply(WorkerProtocol.CALL)), (int) number(h.apply(WorkerProtocol.ATTEMPT), 1e6),
-            word(h.apply(WorkerProtocol.GATEWAY)), word(h.apply(WorkerProtocol.CLASS)), h.apply(WorkerProtocol.BOOT),
-            new Figures(kb, lanes), wait > 0 ? Math.max(1, (long) wait) : MOST_MS, (long) number(h.apply(WorkerProtocol.COST_US), 1e12));
+        return new WorkerCall(
+                word(h.apply(WorkerProtocol.CALL)),
+                (int) number(h.apply(WorkerProtocol.ATTEMPT), 1e6),
+                word(h.apply(WorkerProtocol.GATEWAY)),
+                word(h.apply(WorkerProtocol.CLASS)),
+                h.apply(WorkerProtocol.BOOT),
+                new Figures(kb, lanes),
+                wait > 0 ? Math.max(1, (long) wait) : MOST_MS,
+                (long) number(h.apply(WorkerProtocol.COST_US), 1e12));
     }
 
     /** Tabs and line ends would forge lines of the event log. */
--- a/worker/src/main/java/wharfhinge/worker/WorkerServer.java
+++ b/worker/src/main/java/wharfhinge/worker/WorkerServer.java
@@ -72,20 +72,42 @@
         byte[] random = new byte[8];
         new SecureRandom().nextBytes(random);
         this.boot = HexFormat.of().formatHex(random);
-        this.events = settings.eventsFile().isEmpty() ? EventLog.NONE : EventLog.to(base.resolve(settings.eventsFile()));
+        this.events =
+                settings.eventsFile().isEmpty() ? EventLog.NONE : EventLog.to(base.resolve(settings.eventsFile()));
         this.worker = new Worker(settings, base, loop, events);
-        this.listening = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 1024)
-            .childOption(ChannelOption.TCP_NODELAY, true).childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    accepted(channel);
-                }
-            }).bind("127.0.0.1", settings.port()).syncUninterruptibly().channel();
+        this.listening = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, 1024)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        accepted(channel);
+                    }
+                })
+                .bind("127.0.0.1", settings.port())
+                .syncUninterruptibly()
+                .channel();
         this.id = "127.0.0.1:" + port();
         loop.submit(() -> worker.named(id)).syncUninterruptibly();
-        events.note("start", "worker", id, "boot", boot, "cold", true, "cores", Runtime.getRuntime().availableProcessors(),
-            "speed", 1, "zone", "-", "cell", 0);
+        events.note(
+                "start",
+                "worker",
+                id,
+                "boot",
+                boot,
+                "cold",
+                true,
+                "cores",
+                Runtime.getRuntime().availableProcessors(),
+                "speed",
+                1,
+                "zone",
+                "-",
+                "cell",
+                0);
     }
 
     /** Where it listens. */
@@ -130,9 +152,10 @@
         }
         listening.close().syncUninterruptibly();
         loop.submit(() -> Set.copyOf(connections).forEach(c -> {
-            c.flush();
-            c.close();
-        })).syncUninterruptibly();
+                    c.flush();
+                    c.close();
+                }))
+                .syncUninterruptibly();
         group.shutdownGracefully(0, 500, TimeUnit.MILLISECONDS).awaitUninterruptibly(1000);
         try {
             worker.close();
@@ -145,16 +168,25 @@
     private void accepted(Channel channel) {
         connections.add(channel);
         channel.closeFuture().addListener(closed -> connections.remove(channel));
-        channel.pipeline().addLast(Http2FrameCodecBuilder.forServer().initialSettings(Http2Settings.defaultSettings()
-            .maxConcurrentStreams(MOST_STREAMS).maxHeaderListSize(MOST_HEADERS))
-            .decoderEnforceMaxRstFramesPerWindow(0, 0).build(), // gateways cancel by the thousand, and are trusted
-            new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel stream) {
-                    stream.pipeline().addLast(new Http2StreamFrameToHttpObjectCodec(true),
-                        new HttpObjectAggregator(settings.mostBodyBytes()), new Requests());
-                }
-            }), new Breaks());
+        channel.pipeline()
+                .addLast(
+                        Http2FrameCodecBuilder.forServer()
+                                .initialSettings(Http2Settings.defaultSettings()
+                                        .maxConcurrentStreams(MOST_STREAMS)
+                                        .maxHeaderListSize(MOST_HEADERS))
+                                .decoderEnforceMaxRstFramesPerWindow(0, 0)
+                                .build(), // gateways cancel by the thousand, and are trusted
+                        new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel stream) {
+                                stream.pipeline()
+                                        .addLast(
+                                                new Http2StreamFrameToHttpObjectCodec(true),
+                                                new HttpObjectAggregator(settings.mostBodyBytes()),
+                                                new Requests());
+                            }
+                        }),
+                        new Breaks());
     }
 
     /** A connection that breaks is closed; its streams tell the worker that nobody waits. */
@@ -180,34 +212,38 @@
                 write(ctx, response(AnswerCode.SERVED, new byte[0]));
             } else if (path.equals(WorkerProtocol.MEMORY_PATH)) {
                 write(ctx, books());
-            } else if (path.startsWith(WorkerProtocol.CALL_PATH) && request.method().equals(HttpMethod.POST)) {
+            } else if (path.startsWith(WorkerProtocol.CALL_PATH)
+                    && request.method().equals(HttpMethod.POST)) {
                 called(ctx, path.substring(WorkerProtocol.CALL_PATH.length()), head, mine, request);
             } else if (path.startsWith(WorkerProtocol.COPIES_PATH)) {
                 copies(ctx, path.substring(WorkerProtocol.COPIES_PATH.length()), head, mine, request.method());
             } else {
-                wrong(ctx, "found " + shown(path) + ", allowed: POST /call/F, PUT or DELETE /copies/F, GET /probe, GET /memory");
+                wrong(
+                        ctx,
+                        "found " + shown(path)
+                                + ", allowed: POST /call/F, PUT or DELETE /copies/F, GET /probe, GET /memory");
             }
         }
 
-        private void called(ChannelHandlerContext ctx, String function, WorkerCall head, boolean mine,
-                            FullHttpRequest request) {
+        private void called(
+                ChannelHandlerContext ctx, String function, WorkerCall head, boolean mine, FullHttpRequest request) {
             if (!FUNCTION.matcher(function).matches()) {
                 wrong(ctx, "found function " + shown(function) + ", allowed: 1 to 128 letters, digits, '.', '_', '-'");
             } else if (!mine) {
                 write(ctx, response(AnswerCode.FULL, new byte[0])); // meant for a process that is no more
             } else {
                 boolean[] answered = {false};
-                long number = worker.call(function, head, ByteBufUtil.getBytes(request.content()),
-                    (code, note, company, body) -> {
-                        answered[0] = true;
-                        call = 0;
-                        FullHttpResponse response = response(code, body);
-                        if (note != CopyNote.NONE) {
-                            response.headers().set(WorkerProtocol.NOTE, note.word());
-                        }
-                        response.headers().setInt(WorkerProtocol.COMPANY, company);
-                        write(ctx, response);
-                    });
+                long number = worker.call(
+                        function, head, ByteBufUtil.getBytes(request.content()), (code, note, company, body) -> {
+                            answered[0] = true;
+                            call = 0;
+                            FullHttpResponse response = response(code, body);
+                            if (note != CopyNote.NONE) {
+                                response.headers().set(WorkerProtocol.NOTE, note.word());
+                            }
+                            response.headers().setInt(WorkerProtocol.COMPANY, company);
+                            write(ctx, response);
+                        });
                 call = answered[0] ? 0 : number;
             }
         }
@@ -218,8 +254,10 @@
             String count = at < 0 ? "0" : rest.substring(at + WorkerProtocol.COUNT_PARAMETER.length());
             boolean counted = count.matches("[0-9]{1,2}") && Integer.parseInt(count) <= WorkerProtocol.MOST_COPIES;
             if (!FUNCTION.matcher(function).matches() || !counted) {
-                wrong(ctx, "found " + shown(rest) + ", allowed: a function and a count of 0 to "
-                    + WorkerProtocol.MOST_COPIES);
+                wrong(
+                        ctx,
+                        "found " + shown(rest) + ", allowed: a function and a count of 0 to "
+                                + WorkerProtocol.MOST_COPIES);
             } else if (method.equals(HttpMethod.DELETE)) {
                 if (mine) {
                     worker.unload(function, head);
@@ -273,26 +311,32 @@
     }
 
     private static String shown(String text) {
-        return "'" + (text.length() > 60 ? text.substring(0, 60) + "..." : text).replaceAll("[^\\x20-\\x7e]", "?") + "'";
+        return "'" + (text.length() > 60 ? text.substring(0, 60) + "..." : text).replaceAll("[^\\x20-\\x7e]", "?")
+                + "'";
     }
 
     private FullHttpResponse response(AnswerCode code, byte[] body) {
         FullHttpResponse response = plain(HttpResponseStatus.valueOf(code.status()), body);
-        response.headers().set(WorkerProtocol.OUTCOME, code.word()).set(WorkerProtocol.REPORT, worker.report())
-            .set(WorkerProtocol.BOOT, boot);
+        response.headers()
+                .set(WorkerProtocol.OUTCOME, code.word())
+                .set(WorkerProtocol.REPORT, worker.report())
+                .set(WorkerProtocol.BOOT, boot);
         return response;
     }
 
     private FullHttpResponse books() {
         StringBuilder text = new StringBuilder();
-        worker.books().forEach((name, value) -> text.append(name).append(' ').append(value).append('\n'));
+        worker.books()
+                .forEach((name, value) ->
+                        text.append(name).append(' ').append(value).append('\n'));
         FullHttpResponse response = plain(HttpResponseStatus.OK, text.toString().getBytes(StandardCharsets.US_ASCII));
         response.headers().set(WorkerProtocol.BOOT, boot);
         return response;
     }
 
     private static FullHttpResponse plain(HttpResponseStatus status, byte[] body) {
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
         if (!status.equals(HttpResponseStatus.NO_CONTENT)) {
             response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
         }
--- a/worker/src/main/java/wharfhinge/worker/WorkerSettings.java
+++ b/worker/src/main/java/wharfhinge/worker/WorkerSettings.java
@@ -19,24 +19,34 @@
 
     @XmlAttribute(name = "name")
     private String name;
+
     @XmlElement(name = "listen")
     private Listen listen;
+
     @XmlElement(name = "memory")
     private Memory memory;
+
     @XmlElement(name = "calls")
     private Calls calls = new Calls();
+
     @XmlElement(name = "loads")
     private Loads loads = new Loads();
+
     @XmlElement(name = "store")
     private StoreAt store;
+
     @XmlElement(name = "images")
     private Images images;
+
     @XmlElement(name = "keys")
     private Keys keys = new Keys();
+
     @XmlElement(name = "reports")
     private Reports reports = new Reports();
+
     @XmlElement(name = "drain")
     private Drain drain = new Drain();
+
     @XmlElement(name = "events")
     private Events events = new Events();
 
@@ -52,8 +62,10 @@
     public static final class Memory {
         @XmlAttribute(name = "copies-mb")
         private int copiesMb;
+
         @XmlAttribute(name = "own-mb")
         private int ownMb = 256;
+
         @XmlAttribute(name = "usual-copy-mb")
         private int usualCopyMb = 64;
     }
@@ -63,12 +75,16 @@
     public static final class Calls {
         @XmlAttribute(name = "queue")
         private int queue = 64;
+
         @XmlAttribute(name = "not-loaded")
         private String notLoaded = "load";
+
         @XmlAttribute(name = "further-copies")
         private String furtherCopies = "own";
+
         @XmlAttribute(name = "keep-ms")
         private long keepMs = 60_000;
+
         @XmlAttribute(name = "most-body-kb")
         private int mostBodyKb = 1024;
     }
@@ -78,10 +94,13 @@
     public static final class Loads {
         @XmlAttribute(name = "at-once")
         private int atOnce = 4;
+
         @XmlAttribute(name = "line")
         private int line = 32;
+
         @XmlAttribute(name = "fetch-ms")
         private long fetchMs = 10_000;
+
         @XmlAttribute(name = "stop-ms")
         private long stopMs = 500;
     }
@@ -91,6 +110,7 @@
     public static final class StoreAt {
         @XmlAttribute(name = "url")
         private String url;
+
         @XmlAttribute(name = "fresh-ms")
         private long freshMs = 5000;
     }
@@ -100,6 +120,7 @@
     public static final class Images {
         @XmlAttribute(name = "folder")
         private String folder;
+
         @XmlAttribute(name = "most-mb")
         private long mostMb = 1024;
     }
@@ -156,8 +177,15 @@
 
     /** What the decisions go by. */
     CopySettings copies() {
-        return new CopySettings(memory.copiesMb * KB_IN_MB, memory.usualCopyMb * KB_IN_MB, calls.queue, loads.atOnce,
-            loads.line, calls.keepMs * MS, calls.notLoaded.equals("load"), calls.furtherCopies.equals("own"));
+        return new CopySettings(
+                memory.copiesMb * KB_IN_MB,
+                memory.usualCopyMb * KB_IN_MB,
+                calls.queue,
+                loads.atOnce,
+                loads.line,
+                calls.keepMs * MS,
+                calls.notLoaded.equals("load"),
+                calls.furtherCopies.equals("own"));
     }
 
     /** What the process may hold beside its copies, KiB. */
--- a/worker/src/main/java/wharfhinge/worker/api/CopyContext.java
+++ b/worker/src/main/java/wharfhinge/worker/api/CopyContext.java
@@ -10,4 +10,4 @@
  * @param memory   the copy's own memory of the stated size, all zero and already resident; given back after
  *                 {@link Function#stop}, after which touching it may end the whole process
  */
-public record CopyContext(String function, String version, ByteBuffer memory) { }
+public record CopyContext(String function, String version, ByteBuffer memory) {}
--- a/worker/src/main/java/wharfhinge/worker/api/Function.java
+++ b/worker/src/main/java/wharfhinge/worker/api/Function.java
@@ -12,7 +12,7 @@
      *
      * @throws Exception where the copy can't be made ready; the load has then failed
      */
-    default void start(CopyContext context) throws Exception { }
+    default void start(CopyContext context) throws Exception {}
 
     /**
      * Runs a call. Limited by the package's {@code call-ms}; past it the call is given up and the copy replaced.
@@ -23,5 +23,5 @@
     byte[] call(Invocation call) throws Exception;
 
     /** The copy is unloaded; threads of its own must end now, and its memory must not be touched any more. */
-    default void stop() { }
+    default void stop() {}
 }
--- a/worker/src/main/java/wharfhinge/worker/copy/CallSlot.java
+++ b/worker/src/main/java/wharfhinge/worker/copy/CallSlot.java
@@ -8,7 +8,15 @@
  * Lincheck.
  */
 final class CallSlot {
-    private enum State { READY, RUNNING, INTERRUPTING, INTERRUPTED, OVER, GIVING_UP, GIVEN_UP }
+    private enum State {
+        READY,
+        RUNNING,
+        INTERRUPTING,
+        INTERRUPTED,
+        OVER,
+        GIVING_UP,
+        GIVEN_UP
+    }
 
     private final AtomicReference<State> state = new AtomicReference<>(State.READY);
     private volatile Thread thread;
--- a/worker/src/main/java/wharfhinge/worker/copy/LoadedCopy.java
+++ b/worker/src/main/java/wharfhinge/worker/copy/LoadedCopy.java
@@ -26,10 +26,14 @@
     private static final int SETTLE_MS = 100;
 
     /** How a run ended. {@code output} is null unless SERVED. */
-    public record Outcome(How how, byte[] output, Throwable cause) { }
+    public record Outcome(How how, byte[] output, Throwable cause) {}
 
     /** What a run of code came to. */
-    public enum How { SERVED, ERROR, BROKE }
+    public enum How {
+        SERVED,
+        ERROR,
+        BROKE
+    }
 
     /** A call on its way through the copy. */
     public final class Running {
@@ -59,13 +63,18 @@
         this.region = memory;
         this.group = new ThreadGroup(name);
         this.loader = new PackageLoader(contents.files());
-        this.threads = new ThreadPoolExecutor(manifest.lanes(), manifest.lanes(), KEEP_THREADS_S, TimeUnit.SECONDS,
-            new LinkedBlockingQueue<>(), task -> {
-                Thread thread = new Thread(group, task, name);
-                thread.setDaemon(true);
-                thread.setContextClassLoader(loader);
-                return thread;
-            });
+        this.threads = new ThreadPoolExecutor(
+                manifest.lanes(),
+                manifest.lanes(),
+                KEEP_THREADS_S,
+                TimeUnit.SECONDS,
+                new LinkedBlockingQueue<>(),
+                task -> {
+                    Thread thread = new Thread(group, task, name);
+                    thread.setDaemon(true);
+                    thread.setContextClassLoader(loader);
+                    return thread;
+                });
         threads.allowCoreThreadTimeOut(true);
     }
 
@@ -108,14 +117,20 @@
      * @param ended told once, on that thread, unless the call was given up on
      * @param back  told in its place where it was
      */
-    public Running run(String id, int attempt, byte[] input, long limitNs, BiConsumer<Running, Outcome> ended,
-                       Consumer<Running> back) {
+    public Running run(
+            String id,
+            int attempt,
+            byte[] input,
+            long limitNs,
+            BiConsumer<Running, Outcome> ended,
+            Consumer<Running> back) {
         Running running = new Running();
         long endsAt = System.nanoTime() + limitNs;
         try {
             threads.execute(() -> {
                 Outcome outcome = running.slot.begin()
-                    ? guarded(new Invocation(id, attempt, input, endsAt, running.slot::cancelled)) : null;
+                        ? guarded(new Invocation(id, attempt, input, endsAt, running.slot::cancelled))
+                        : null;
                 if (running.slot.finish()) {
                     ended.accept(running, outcome);
                 } else {
@@ -131,8 +146,9 @@
     private Outcome guarded(Invocation call) {
         try {
             byte[] output = function.call(call);
-            return output == null ? new Outcome(How.ERROR, null, new NullPointerException("the function gave no answer"))
-                : new Outcome(How.SERVED, output, null);
+            return output == null
+                    ? new Outcome(How.ERROR, null, new NullPointerException("the function gave no answer"))
+                    : new Outcome(How.SERVED, output, null);
         } catch (Exception e) {
             return new Outcome(How.ERROR, null, e);
         } catch (Throwable e) { // memory, links, exits: the copy is not to be trusted, the worker is
--- a/worker/src/main/java/wharfhinge/worker/copy/PackageLoader.java
+++ b/worker/src/main/java/wharfhinge/worker/copy/PackageLoader.java
@@ -49,24 +49,30 @@
     private static byte[] guarded(byte[] bytes) {
         ClassReader reader = new ClassReader(bytes);
         ClassWriter writer = new ClassWriter(reader, 0);
-        reader.accept(new ClassVisitor(Opcodes.ASM9, writer) {
-            @Override
-            public MethodVisitor visitMethod(int access, String name, String type, String signature, String[] thrown) {
-                return new MethodVisitor(Opcodes.ASM9, super.visitMethod(access, name, type, signature, thrown)) {
+        reader.accept(
+                new ClassVisitor(Opcodes.ASM9, writer) {
                     @Override
-                    public void visitMethodInsn(int opcode, String owner, String method, String of, boolean isInterface) {
-                        boolean exits = method.equals("exit") || method.equals("halt");
-                        if (owner.equals("java/lang/System") && method.equals("exit")) {
-                            super.visitMethodInsn(Opcodes.INVOKESTATIC, REFUSED, "exit", "(I)V", false);
-                        } else if (owner.equals("java/lang/Runtime") && exits) {
-                            super.visitMethodInsn(Opcodes.INVOKESTATIC, REFUSED, "exit", "(Ljava/lang/Runtime;I)V", false);
-                        } else {
-                            super.visitMethodInsn(opcode, owner, method, of, isInterface);
-                        }
+                    public MethodVisitor visitMethod(
+                            int access, String name, String type, String signature, String[] thrown) {
+                        return new MethodVisitor(
+                                Opcodes.ASM9, super.visitMethod(access, name, type, signature, thrown)) {
+                            @Override
+                            public void visitMethodInsn(
+                                    int opcode, String owner, String method, String of, boolean isInterface) {
+                                boolean exits = method.equals("exit") || method.equals("halt");
+                                if (owner.equals("java/lang/System") && method.equals("exit")) {
+                                    super.visitMethodInsn(Opcodes.INVOKESTATIC, REFUSED, "exit", "(I)V", false);
+                                } else if (owner.equals("java/lang/Runtime") && exits) {
+                                    super.visitMethodInsn(
+                                            Opcodes.INVOKESTATIC, REFUSED, "exit", "(Ljava/lang/Runtime;I)V", false);
+                                } else {
+                                    super.visitMethodInsn(opcode, owner, method, of, isInterface);
+                                }
+                            }
+                        };
                     }
-                };
-            }
-        }, 0);
+                },
+                0);
         return writer.toByteArray();
     }
 }
--- a/worker/src/main/java/wharfhinge/worker/copy/Regions.java
+++ b/worker/src/main/java/wharfhinge/worker/copy/Regions.java
@@ -21,6 +21,7 @@
 public final class Regions implements AutoCloseable {
     /** The file that is mapped. */
     public static final String NAME = "copies.map";
+
     private static final long KB = 1024;
     private static final int PAGE = 4096;
     private static final int STEP = 1 << 16;
--- a/worker/src/main/java/wharfhinge/worker/image/ImageCache.java
+++ b/worker/src/main/java/wharfhinge/worker/image/ImageCache.java
@@ -30,7 +30,7 @@
         OutputStream append(Path file) throws IOException;
     }
 
-    private record Entry(Path path, long size, FileTime used) { }
+    private record Entry(Path path, long size, FileTime used) {}
 
     private final Path folder;
     private final long mostBytes;
@@ -38,7 +38,10 @@
 
     /** Uses a folder, which is made where it is missing. Files in it that are not images are left alone. */
     public ImageCache(Path folder, long mostBytes) throws IOException {
-        this(folder, mostBytes, file -> Files.newOutputStream(file, StandardOpenOption.CREATE, StandardOpenOption.APPEND));
+        this(
+                folder,
+                mostBytes,
+                file -> Files.newOutputStream(file, StandardOpenOption.CREATE, StandardOpenOption.APPEND));
     }
 
     ImageCache(Path folder, long mostBytes, Writing writing) throws IOException {
@@ -50,9 +53,12 @@
 
     /** The digest of the image of a function that was used last, or null. */
     String newest(String function) throws IOException {
-        return list().stream().filter(e -> e.path.getFileName().toString().startsWith(function + '@')
-            && e.path.toString().endsWith(".pkg")).max(Comparator.comparing(Entry::used))
-            .map(e -> digest(e.path)).orElse(null);
+        return list().stream()
+                .filter(e -> e.path.getFileName().toString().startsWith(function + '@')
+                        && e.path.toString().endsWith(".pkg"))
+                .max(Comparator.comparing(Entry::used))
+                .map(e -> digest(e.path))
+                .orElse(null);
     }
 
     private static String digest(Path path) {
@@ -100,7 +106,8 @@
         }
         Files.move(part, path(function, sha256, "pkg"), StandardCopyOption.ATOMIC_MOVE);
         for (Entry e : list()) {
-            boolean older = e.path.getFileName().toString().startsWith(function + '@') && !sha256.equals(digest(e.path));
+            boolean older =
+                    e.path.getFileName().toString().startsWith(function + '@') && !sha256.equals(digest(e.path));
             if (older) {
                 Files.deleteIfExists(e.path);
             }
@@ -138,7 +145,8 @@
         List<Entry> entries = new ArrayList<>();
         List<Path> files;
         try (Stream<Path> stream = Files.list(folder)) {
-            files = stream.filter(p -> FILE.matcher(p.getFileName().toString()).matches()).collect(Collectors.toList());
+            files = stream.filter(p -> FILE.matcher(p.getFileName().toString()).matches())
+                    .collect(Collectors.toList());
         }
         for (Path file : files) {
             try {
--- a/worker/src/main/java/wharfhinge/worker/image/Images.java
+++ b/worker/src/main/java/wharfhinge/worker/image/Images.java
@@ -37,7 +37,7 @@
      * @param fetchNs  waiting for the store, 0 where nothing was fetched
      * @param verifyNs reading and checking
      */
-    public record Image(String sha256, PackageReader.Contents contents, long fetchNs, long verifyNs) { }
+    public record Image(String sha256, PackageReader.Contents contents, long fetchNs, long verifyNs) {}
 
     /**
      * Images from a store.
@@ -153,7 +153,8 @@
 
     private PackageReader.Contents check(Path file, String sha256) throws IOException, InvalidPackageException {
         MessageDigest digest = Digests.sha256();
-        try (InputStream in = new DigestInputStream(new BufferedInputStream(Files.newInputStream(file), 64 << 10), digest)) {
+        try (InputStream in =
+                new DigestInputStream(new BufferedInputStream(Files.newInputStream(file), 64 << 10), digest)) {
             PackageReader.Contents contents;
             try {
                 contents = PackageReader.read(in, trusted);
--- a/worker/src/main/java/wharfhinge/worker/image/StoreClient.java
+++ b/worker/src/main/java/wharfhinge/worker/image/StoreClient.java
@@ -29,10 +29,14 @@
     }
 
     /** What a fetch ended as. */
-    enum Got { SAME, NEW, WITHDRAWN }
+    enum Got {
+        SAME,
+        NEW,
+        WITHDRAWN
+    }
 
     /** {@code sha256} is that of the image which is now to be checked (NEW) or stands (SAME). */
-    record Result(Got got, String sha256) { }
+    record Result(Got got, String sha256) {}
 
     /** The store turned a fetch away, or broke it. */
     private static final class TryAgain extends IOException {
@@ -75,7 +79,8 @@
     }
 
     private Result once(String function, String known, String[] tag, long endNs) throws IOException {
-        HttpURLConnection c = (HttpURLConnection) URI.create(url + "/packages/" + function).toURL().openConnection();
+        HttpURLConnection c = (HttpURLConnection)
+                URI.create(url + "/packages/" + function).toURL().openConnection();
         c.setConnectTimeout(CONNECT_MS);
         c.setReadTimeout(READ_MS);
         c.setUseCaches(false);
@@ -98,7 +103,8 @@
         }
     }
 
-    private Result answer(String function, String known, HttpURLConnection c, String[] tag, long endNs) throws IOException {
+    private Result answer(String function, String known, HttpURLConnection c, String[] tag, long endNs)
+            throws IOException {
         int status = c.getResponseCode();
         if (status == 304 && known != null) {
             return new Result(Got.SAME, known);
@@ -121,8 +127,9 @@
         long whole = c.getContentLengthLong();
         if (status == 206) {
             Matcher range = RANGE.matcher(String.valueOf(c.getHeaderField("Content-Range")));
-            if (!range.matches() || !sha.equals(tag[0])
-                || Long.parseLong(range.group(1)) != cache.partSize(function, sha)) {
+            if (!range.matches()
+                    || !sha.equals(tag[0])
+                    || Long.parseLong(range.group(1)) != cache.partSize(function, sha)) {
                 throw new TryAgain("store: another range than asked for");
             }
             whole = Long.parseLong(range.group(2));
@@ -139,7 +146,8 @@
 
     private void copy(String function, String sha, long whole, InputStream from, long endNs) throws IOException {
         byte[] part = new byte[64 << 10];
-        try (InputStream in = from; OutputStream out = open(function, sha, whole)) {
+        try (InputStream in = from;
+                OutputStream out = open(function, sha, whole)) {
             for (int n = in.read(part); n >= 0; n = in.read(part)) {
                 write(out, part, n);
                 if (System.nanoTime() > endNs) {
--- a/worker/src/main/java/wharfhinge/worker/pack/Digests.java
+++ b/worker/src/main/java/wharfhinge/worker/pack/Digests.java
@@ -7,7 +7,7 @@
 /** SHA-256, which every JDK has. */
 public final class Digests {
 
-    private Digests() { }
+    private Digests() {}
 
     /** A digest to be fed. */
     public static MessageDigest sha256() {
--- a/worker/src/main/java/wharfhinge/worker/pack/Keys.java
+++ b/worker/src/main/java/wharfhinge/worker/pack/Keys.java
@@ -22,7 +22,7 @@
     private static final String ALGORITHM = "Ed25519";
     private static final Base64.Encoder LINES = Base64.getMimeEncoder(64, new byte[] {'\n'});
 
-    private Keys() { }
+    private Keys() {}
 
     /** Makes a pair and writes {@code file} (private, for its owner alone) and {@code file.pub}; neither may exist. */
     public static void generate(Path file) throws IOException {
@@ -30,8 +30,10 @@
             KeyPair pair = KeyPairGenerator.getInstance(ALGORITHM).generateKeyPair();
             Files.createFile(file, PosixFilePermissions.asFileAttribute(PosixFilePermissions.fromString("rw-------")));
             Files.writeString(file, pem("PRIVATE KEY", pair.getPrivate().getEncoded()));
-            Files.writeString(file.resolveSibling(file.getFileName() + ".pub"),
-                pem("PUBLIC KEY", pair.getPublic().getEncoded()), StandardOpenOption.CREATE_NEW);
+            Files.writeString(
+                    file.resolveSibling(file.getFileName() + ".pub"),
+                    pem("PUBLIC KEY", pair.getPublic().getEncoded()),
+                    StandardOpenOption.CREATE_NEW);
         } catch (GeneralSecurityException e) {
             throw new IllegalStateException(e);
         }
@@ -40,7 +42,8 @@
     /** Reads a private key. @throws IOException where the file is none, without showing it */
     public static PrivateKey privateKey(Path file) throws IOException {
         try {
-            return KeyFactory.getInstance(ALGORITHM).generatePrivate(new PKCS8EncodedKeySpec(body(file, "PRIVATE KEY")));
+            return KeyFactory.getInstance(ALGORITHM)
+                    .generatePrivate(new PKCS8EncodedKeySpec(body(file, "PRIVATE KEY")));
         } catch (GeneralSecurityException e) {
             throw new IOException(file + ": no Ed25519 private key");
         }
--- a/worker/src/main/java/wharfhinge/worker/pack/Manifest.java
+++ b/worker/src/main/java/wharfhinge/worker/pack/Manifest.java
@@ -21,8 +21,16 @@
  * @param startMs  limit of a copy's start
  * @param files    files by path
  */
-public record Manifest(String name, String version, String entry, int memoryMb, int lanes, String effect, int callMs,
-                       int startMs, Map<String, FileMark> files) {
+public record Manifest(
+        String name,
+        String version,
+        String entry,
+        int memoryMb,
+        int lanes,
+        String effect,
+        int callMs,
+        int startMs,
+        Map<String, FileMark> files) {
     /** Its file. */
     public static final String NAME = "manifest";
     /** Its first line: the format and its version. */
@@ -46,7 +54,7 @@
     private static final int MOST_MS = 3_600_000;
 
     /** A file's digest, in hexadecimal, and its size unpacked. */
-    public record FileMark(String sha256, long size) { }
+    public record FileMark(String sha256, long size) {}
 
     /**
      * Reads a manifest.
@@ -59,7 +67,10 @@
         }
         String text;
         try {
-            text = StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString();
+            text = StandardCharsets.UTF_8
+                    .newDecoder()
+                    .decode(ByteBuffer.wrap(bytes))
+                    .toString();
         } catch (CharacterCodingException e) {
             throw new InvalidPackageException(NAME, "found bytes that are no UTF-8");
         }
@@ -75,10 +86,16 @@
             }
             line("line " + (i + 1), lines[i], fields, files);
         }
-        Manifest manifest = new Manifest(text(fields, "name", WORD), text(fields, "version", WORD),
-            text(fields, "entry", CLASS), number(fields, "memory-mb", MOST_MEMORY_MB), number(fields, "lanes", MOST_LANES),
-            text(fields, "effect", EFFECT), number(fields, "call-ms", MOST_MS), number(fields, "start-ms", MOST_MS),
-            Collections.unmodifiableMap(files));
+        Manifest manifest = new Manifest(
+                text(fields, "name", WORD),
+                text(fields, "version", WORD),
+                text(fields, "entry", CLASS),
+                number(fields, "memory-mb", MOST_MEMORY_MB),
+                number(fields, "lanes", MOST_LANES),
+                text(fields, "effect", EFFECT),
+                number(fields, "call-ms", MOST_MS),
+                number(fields, "start-ms", MOST_MS),
+                Collections.unmodifiableMap(files));
         if (!fields.isEmpty()) {
             throw new InvalidPackageException(NAME, "found unknown names " + fields.keySet());
         }
@@ -90,7 +107,7 @@
     }
 
     private static void line(String place, String line, Map<String, String> fields, Map<String, FileMark> files)
-        throws InvalidPackageException {
+            throws InvalidPackageException {
         int equals = line.indexOf('=');
         if (equals < 1) {
             throw new InvalidPackageException(NAME + " " + place, "found '" + shown(line) + "', allowed: name=value");
@@ -106,8 +123,9 @@
         String[] parts = value.split(" ", 3);
         boolean formed = parts.length == 3 && SHA.matcher(parts[0]).matches() && parts[1].matches("[0-9]{1,10}");
         if (!formed) {
-            throw new InvalidPackageException(NAME + " " + place, "found '" + shown(value)
-                + "', allowed: SHA-256 in 64 hexadecimal digits, size, path");
+            throw new InvalidPackageException(
+                    NAME + " " + place,
+                    "found '" + shown(value) + "', allowed: SHA-256 in 64 hexadecimal digits, size, path");
         }
         checkPath(NAME + " " + place, parts[2]);
         if (files.put(parts[2], new FileMark(parts[0], Long.parseLong(parts[1]))) != null) {
@@ -115,8 +133,10 @@
         }
         long content = files.values().stream().mapToLong(FileMark::size).sum();
         if (content > MOST_CONTENT || files.size() > MOST_FILES) {
-            throw new InvalidPackageException(NAME + " " + place, "found " + files.size() + " files of " + content
-                + " bytes so far, allowed: " + MOST_FILES + " of " + MOST_CONTENT);
+            throw new InvalidPackageException(
+                    NAME + " " + place,
+                    "found " + files.size() + " files of " + content + " bytes so far, allowed: " + MOST_FILES + " of "
+                            + MOST_CONTENT);
         }
     }
 
@@ -127,12 +147,15 @@
             climbs |= part.equals("..") || part.equals(".");
         }
         if (climbs || !PATH.matcher(path).matches()) {
-            throw new InvalidPackageException(place, "found path '" + shown(path)
-                + "', allowed: classes/ and names of letters, digits, '_', '$', '.', '-', that do not climb");
+            throw new InvalidPackageException(
+                    place,
+                    "found path '" + shown(path)
+                            + "', allowed: classes/ and names of letters, digits, '_', '$', '.', '-', that do not climb");
         }
     }
 
-    private static String text(Map<String, String> fields, String name, Pattern allowed) throws InvalidPackageException {
+    private static String text(Map<String, String> fields, String name, Pattern allowed)
+            throws InvalidPackageException {
         String value = fields.remove(name);
         if (value == null) {
             throw new InvalidPackageException(NAME, name + " is missing");
@@ -164,11 +187,30 @@
     /** Writes it; {@link #parse} of that gives the same. */
     public byte[] format() {
         StringBuilder text = new StringBuilder(HEAD).append('\n');
-        text.append("name=").append(name).append("\nversion=").append(version).append("\nentry=").append(entry)
-            .append("\nmemory-mb=").append(memoryMb).append("\nlanes=").append(lanes).append("\neffect=").append(effect)
-            .append("\ncall-ms=").append(callMs).append("\nstart-ms=").append(startMs).append('\n');
-        files.forEach((path, mark) -> text.append("file=").append(mark.sha256).append(' ').append(mark.size).append(' ')
-            .append(path).append('\n'));
+        text.append("name=")
+                .append(name)
+                .append("\nversion=")
+                .append(version)
+                .append("\nentry=")
+                .append(entry)
+                .append("\nmemory-mb=")
+                .append(memoryMb)
+                .append("\nlanes=")
+                .append(lanes)
+                .append("\neffect=")
+                .append(effect)
+                .append("\ncall-ms=")
+                .append(callMs)
+                .append("\nstart-ms=")
+                .append(startMs)
+                .append('\n');
+        files.forEach((path, mark) -> text.append("file=")
+                .append(mark.sha256)
+                .append(' ')
+                .append(mark.size)
+                .append(' ')
+                .append(path)
+                .append('\n'));
         return text.toString().getBytes(StandardCharsets.UTF_8);
     }
 }
--- a/worker/src/main/java/wharfhinge/worker/pack/PackageBuilder.java
+++ b/worker/src/main/java/wharfhinge/worker/pack/PackageBuilder.java
@@ -18,7 +18,7 @@
 public final class PackageBuilder {
     private static final long NO_TIME = 315_532_800_000L; // 1980: zips know no earlier
 
-    private PackageBuilder() { }
+    private PackageBuilder() {}
 
     /** The class files below a folder, by their paths in a package. */
     public static Map<String, byte[]> classes(Path folder) throws IOException {
@@ -42,11 +42,19 @@
      * @throws InvalidPackageException where a worker would refuse it
      */
     public static Manifest write(Manifest about, Map<String, byte[]> files, PrivateKey key, OutputStream out)
-        throws IOException, InvalidPackageException {
+            throws IOException, InvalidPackageException {
         Map<String, Manifest.FileMark> marks = new TreeMap<>();
         files.forEach((path, bytes) -> marks.put(path, new Manifest.FileMark(Digests.of(bytes), bytes.length)));
-        Manifest manifest = new Manifest(about.name(), about.version(), about.entry(), about.memoryMb(), about.lanes(),
-            about.effect(), about.callMs(), about.startMs(), marks);
+        Manifest manifest = new Manifest(
+                about.name(),
+                about.version(),
+                about.entry(),
+                about.memoryMb(),
+                about.lanes(),
+                about.effect(),
+                about.callMs(),
+                about.startMs(),
+                marks);
         byte[] head = manifest.format();
         Manifest.parse(head);
         ZipOutputStream zip = new ZipOutputStream(out, StandardCharsets.UTF_8);
--- a/worker/src/main/java/wharfhinge/worker/pack/PackageReader.java
+++ b/worker/src/main/java/wharfhinge/worker/pack/PackageReader.java
@@ -21,12 +21,13 @@
 public final class PackageReader {
     /** The entry that holds the manifest's signature: 64 bytes. */
     public static final String SIGNATURE = "signature";
+
     private static final int SIGNATURE_BYTES = 64;
 
-    private PackageReader() { }
+    private PackageReader() {}
 
     /** A package that was found whole. {@code contents} by path. */
-    public record Contents(Manifest manifest, boolean signed, Map<String, byte[]> files) { }
+    public record Contents(Manifest manifest, boolean signed, Map<String, byte[]> files) {}
 
     /**
      * Reads a package to its end.
@@ -43,7 +44,7 @@
     }
 
     private static Contents entries(ZipInputStream zip, List<PublicKey> trusted)
-        throws IOException, InvalidPackageException {
+            throws IOException, InvalidPackageException {
         ZipEntry first = zip.getNextEntry();
         if (first == null || !first.getName().equals(Manifest.NAME)) {
             throw new InvalidPackageException("zip", "found no " + Manifest.NAME + " as first entry");
--- a/worker/src/main/java/wharfhinge/worker/store/ByteRange.java
+++ b/worker/src/main/java/wharfhinge/worker/store/ByteRange.java
@@ -45,8 +45,9 @@
         if (digits.isEmpty()) {
             return ABSENT;
         }
-        return digits.length() <= 18 && digits.chars().allMatch(c -> c >= '0' && c <= '9') ? Long.parseLong(digits)
-            : MALFORMED;
+        return digits.length() <= 18 && digits.chars().allMatch(c -> c >= '0' && c <= '9')
+                ? Long.parseLong(digits)
+                : MALFORMED;
     }
 
     /** How many bytes. */
--- a/worker/src/main/java/wharfhinge/worker/store/Store.java
+++ b/worker/src/main/java/wharfhinge/worker/store/Store.java
@@ -46,11 +46,12 @@
 public final class Store implements AutoCloseable {
     /** Where packages are found. */
     public static final String PATH = "/packages/";
+
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9_-][A-Za-z0-9._-]{0,127}");
     private static final int IDLE_S = 30;
     private static final int TAGS = 1024;
 
-    private record Tag(long size, long modified, String sha256) { }
+    private record Tag(long size, long modified, String sha256) {}
 
     private final Path folder;
     private final int most;
@@ -69,15 +70,25 @@
     public Store(EventLoopGroup group, int port, Path folder, int most) {
         this.folder = folder;
         this.most = most;
-        this.listening = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(new IdleStateHandler(0, 0, IDLE_S), new HttpServerCodec(),
-                        new HttpObjectAggregator(1024), new Fetches());
-                }
-            }).bind("127.0.0.1", port).syncUninterruptibly().channel();
+        this.listening = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(
+                                        new IdleStateHandler(0, 0, IDLE_S),
+                                        new HttpServerCodec(),
+                                        new HttpObjectAggregator(1024),
+                                        new Fetches());
+                    }
+                })
+                .bind("127.0.0.1", port)
+                .syncUninterruptibly()
+                .channel();
     }
 
     /** Where it listens. */
@@ -116,7 +127,8 @@
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) throws IOException {
             String name = request.uri().startsWith(PATH) ? request.uri().substring(PATH.length()) : "";
             Path file = folder.resolve(name + ".pkg");
-            boolean read = request.method().equals(HttpMethod.GET) || request.method().equals(HttpMethod.HEAD);
+            boolean read =
+                    request.method().equals(HttpMethod.GET) || request.method().equals(HttpMethod.HEAD);
             if (!read) {
                 empty(ctx, HttpResponseStatus.METHOD_NOT_ALLOWED, null);
             } else if (!NAME.matcher(name).matches() || !Files.isRegularFile(file)) {
@@ -143,21 +155,26 @@
             long size = file.length();
             String condition = request.headers().get(HttpHeaderNames.IF_RANGE);
             boolean same = condition == null || condition.equals(tag);
-            ByteRange range = same ? ByteRange.parse(request.headers().get(HttpHeaderNames.RANGE), size) : ByteRange.WHOLE;
+            ByteRange range =
+                    same ? ByteRange.parse(request.headers().get(HttpHeaderNames.RANGE), size) : ByteRange.WHOLE;
             if (range == ByteRange.BEYOND) {
                 over();
                 DefaultFullHttpResponse beyond = response(HttpResponseStatus.REQUESTED_RANGE_NOT_SATISFIABLE);
-                beyond.headers().set(HttpHeaderNames.CONTENT_RANGE, "bytes */" + size).set(HttpHeaderNames.ETAG, tag);
+                beyond.headers()
+                        .set(HttpHeaderNames.CONTENT_RANGE, "bytes */" + size)
+                        .set(HttpHeaderNames.ETAG, tag);
                 ctx.writeAndFlush(beyond);
                 return;
             }
             boolean part = range != ByteRange.WHOLE;
             long from = part ? range.from() : 0;
             long length = part ? range.length() : size;
-            HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1,
-                part ? HttpResponseStatus.PARTIAL_CONTENT : HttpResponseStatus.OK);
-            head.headers().set(HttpHeaderNames.CONTENT_LENGTH, length).set(HttpHeaderNames.ETAG, tag)
-                .set(HttpHeaderNames.ACCEPT_RANGES, "bytes");
+            HttpResponse head = new DefaultHttpResponse(
+                    HttpVersion.HTTP_1_1, part ? HttpResponseStatus.PARTIAL_CONTENT : HttpResponseStatus.OK);
+            head.headers()
+                    .set(HttpHeaderNames.CONTENT_LENGTH, length)
+                    .set(HttpHeaderNames.ETAG, tag)
+                    .set(HttpHeaderNames.ACCEPT_RANGES, "bytes");
             if (part) {
                 head.headers().set(HttpHeaderNames.CONTENT_RANGE, "bytes " + from + '-' + range.to() + '/' + size);
             }
@@ -210,7 +227,8 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.writeAndFlush(response(HttpResponseStatus.INTERNAL_SERVER_ERROR)).addListener(ChannelFutureListener.CLOSE);
+            ctx.writeAndFlush(response(HttpResponseStatus.INTERNAL_SERVER_ERROR))
+                    .addListener(ChannelFutureListener.CLOSE);
         }
     }
 }
