--- /dev/null
+++ b/gateway/src/main/java/wharfhinge/gateway/loop/OpenCalls.java
@@ -0,0 +1,259 @@
+package wharfhinge.gateway.loop;
+
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Supplier;
+import wharfhinge.Dispatcher;
+import wharfhinge.Dispatcher.Completion;
+import wharfhinge.Dispatcher.Note;
+import wharfhinge.Dispatcher.Outcome;
+import wharfhinge.config.GatewayConfig;
+import wharfhinge.decisions.door.DoorDecisions;
+import wharfhinge.gateway.loop.LoopStats.Count;
+import wharfhinge.gateway.loop.OpenCall.LiveAttempt;
+import wharfhinge.gateway.loop.WorkerSide.Result;
+import wharfhinge.protocol.FinalAnswer;
+
+/**
+ * The calls that are open or whose attempts are, from when the loop came round to them to their last end: one final
+ * answer for each, and what the dispatcher is told of its attempts. Loop's thread alone.
+ */
+final class OpenCalls {
+    private final LoopThread thread;
+    private final HandOver handOver;
+    private final LoopStats stats;
+    private final AnswerLog log;
+    private final Supplier<Dispatcher> dispatcher;
+    private final Runnable whenFewer;
+    private final Map<String, Long> aims = new HashMap<>(); // by class, nanoseconds
+    private final Map<String, OpenCall> calls = new HashMap<>();
+    private final Map<ClientCall, OpenCall> byClient = new IdentityHashMap<>();
+    private long callNumber;
+    private boolean ending;
+
+    /**
+     * None yet.
+     *
+     * @param dispatcher the one of now
+     * @param whenFewer  run after a call was answered or its last attempt ended
+     */
+    OpenCalls(
+            GatewayConfig config,
+            LoopThread thread,
+            HandOver handOver,
+            LoopStats stats,
+            AnswerLog log,
+            Supplier<Dispatcher> dispatcher,
+            Runnable whenFewer) {
+        this.thread = thread;
+        this.handOver = handOver;
+        this.stats = stats;
+        this.log = log;
+        this.dispatcher = dispatcher;
+        this.whenFewer = whenFewer;
+        config.settings().classes().forEach(c -> aims.put(c.name(), c.onTimeNs()));
+    }
+
+    /** Keeps a call that the loop came round to; its deadline counts from when its last byte came. */
+    OpenCall add(ClientCall call, boolean throughDoor) {
+        long deadline = thread.clock().at(call.receivedAt()) + call.deadlineNs();
+        String id = Long.toString(callNumber++, Character.MAX_RADIX);
+        OpenCall c = new OpenCall(id, call, thread.now(), deadline);
+        c.throughDoor = throughDoor;
+        calls.put(c.id, c);
+        byClient.put(call, c);
+        return c;
+    }
+
+    /** The call of that id, or null. */
+    OpenCall get(String id) {
+        return calls.get(id);
+    }
+
+    /** Whether nothing is open and no answer is on its way to a client, and none is being ended right now. */
+    boolean idle() {
+        return !ending && handOver.open() == 0 && calls.values().stream().noneMatch(OpenCall::streams);
+    }
+
+    // ---- Ends of attempts -------------------------------------------------------------------
+
+    /** An attempt ended on the wire. */
+    void attemptEnded(LiveAttempt a, Result result) {
+        if (a.ended) {
+            stats.add(Count.LATE_ANSWERS);
+            ReferenceCountUtil.release(result.body());
+            return;
+        }
+        a.ended = true;
+        a.how = result.how();
+        a.tookNs = result.tookNs();
+        OpenCall c = a.call;
+        c.live--;
+        if (a.stream != null) {
+            ReferenceCountUtil.release(result.body());
+            completed(a, result);
+            return;
+        }
+        if (result.outcome() == Outcome.SERVED && !c.answered) {
+            c.call.responder().served(result.body(), result.contentType(), c.facts(a.worker, "", loaded(result)));
+            answered(c, Count.SERVED, "served", null);
+        } else {
+            if (c.answered && result.outcome() == Outcome.SERVED) {
+                stats.add(Count.LATE_ANSWERS);
+            }
+            ReferenceCountUtil.release(result.body());
+        }
+        completed(a, result);
+    }
+
+    private static boolean loaded(Result result) {
+        return result.note() == Note.BEGAN_LOAD || result.note() == Note.WAITED_FOR_LOAD;
+    }
+
+    private void completed(LiveAttempt a, Result result) {
+        Completion completion = new Completion(
+                a.call.id,
+                result.outcome(),
+                a.index,
+                result.tookNs(),
+                a.worker,
+                result.note(),
+                result.company(),
+                a.call.answered,
+                result.report());
+        dispatcher.get().completed(thread.now(), completion);
+        forget(a.call);
+    }
+
+    /** Ends an attempt from this side: the wire is told to stop, the decisions how it ended. */
+    void end(LiveAttempt a, Outcome outcome) {
+        if (!a.ended) {
+            a.sent.cancel();
+            a.ended = true;
+            a.how = outcome.name().toLowerCase(Locale.ROOT);
+            a.tookNs = thread.now() - a.sentAt;
+            a.call.live--;
+            completed(a, new Result(outcome, Note.NONE, 0, Map.of(), 0, a.tookNs, null, null, a.how));
+        }
+    }
+
+    /** A streamed answer began. */
+    void streamBegan(LiveAttempt a, WorkerSide.Stream stream) {
+        OpenCall c = a.call;
+        if (a.ended || c.answered) {
+            stream.cancel();
+            end(a, Outcome.CANCELLED);
+            return;
+        }
+        a.stream = stream;
+        a.how = "streams";
+        stats.add(Count.STREAMS);
+        c.call.responder().streams(stream, c.facts(a.worker, "", false));
+        answered(c, Count.SERVED, "served", null);
+        dispatcher.get().established(thread.now(), c.id, a.index, a.worker);
+    }
+
+    // ---- Ends of calls ----------------------------------------------------------------------
+
+    /** The client of a call went away; attempts are told to stop where that is allowed, else only what was not sent is. */
+    void left(ClientCall call, boolean cancelAll) {
+        OpenCall c = byClient.get(call);
+        if (c == null) {
+            return;
+        }
+        if (c.answered) { // but its answer may still flow, which a worker would go on with for nobody
+            c.attempts.stream().filter(a -> !a.ended && a.stream != null).forEach(a -> a.stream.cancel());
+            return;
+        }
+        answered(c, Count.LEFT, "left", null);
+        dispatcher.get().clientLeft(thread.now(), c.id);
+        for (LiveAttempt a : List.copyOf(c.attempts)) {
+            if (!a.ended && (cancelAll || a.stream != null)) {
+                end(a, Outcome.CANCELLED);
+            } else if (!a.ended) {
+                a.sent.withdraw(); // what still waits for a connection is for nobody now
+            }
+        }
+        forget(c);
+    }
+
+    /** The dispatcher ends a call without a worker's answer. */
+    void finalAnswer(String id, FinalAnswer answer, long coolDownNs, Count as) {
+        OpenCall c = calls.get(id);
+        if (c != null && !c.answered) {
+            c.call.responder().ended(answer, coolDownNs, c.facts(null, "not-sent", false));
+            answered(c, as, answer.word(), "not-sent");
+            forget(c);
+        }
+    }
+
+    /** Gives every open call its final answer and resets what is out; begun streams belong to their clients. */
+    int endAll(String why, boolean streamsToo) {
+        List<OpenCall> all = new ArrayList<>(calls.values());
+        int ended = 0;
+        ending = true;
+        for (OpenCall c : all) {
+            for (LiveAttempt a : c.attempts) {
+                if (!a.ended && (a.stream == null || streamsToo)) {
+                    a.ended = true;
+                    a.sent.cancel();
+                }
+            }
+            if (!c.answered) {
+                ended++;
+                FinalAnswer answer = c.attempts.isEmpty() ? FinalAnswer.REFUSED : FinalAnswer.FAILED;
+                c.call.responder().ended(answer, 0, c.facts(null, why, false));
+                Count as = answer == FinalAnswer.REFUSED ? Count.REFUSED : Count.FAILED;
+                answered(c, as, answer.word(), why);
+            }
+        }
+        calls.clear();
+        byClient.clear();
+        ending = false;
+        return ended;
+    }
+
+    private void answered(OpenCall c, Count as, String answer, String why) {
+        c.answered = true;
+        stats.add(as);
+        handOver.ended();
+        if (c.throughDoor) {
+            long tookNs = thread.now() - c.takenAt;
+            handOver.leftDoor(c.call.head().tenant(), doorEnding(as), tookNs, aims.get(c.call.requestClass()));
+        }
+        ReferenceCountUtil.release(c.call.body());
+        if (log.wantsAnswers()) {
+            List<String> trail = c.trail();
+            log.answered(new AnswerLog.Line(
+                    c.outerId(),
+                    c.call.head().function(),
+                    c.call.requestClass(),
+                    c.call.head().tenant(),
+                    answer,
+                    thread.now() - thread.clock().at(c.call.receivedAt()),
+                    why == null || !trail.isEmpty() ? trail : List.of(why)));
+        }
+        whenFewer.run();
+    }
+
+    private static DoorDecisions.Ending doorEnding(Count as) {
+        return switch (as) {
+            case SERVED -> DoorDecisions.Ending.ANSWERED;
+            case REFUSED -> DoorDecisions.Ending.REFUSED;
+            default -> DoorDecisions.Ending.OTHERWISE;
+        };
+    }
+
+    private void forget(OpenCall c) {
+        if (c.answered && c.live == 0) {
+            calls.remove(c.id, c);
+            byClient.remove(c.call, c);
+            whenFewer.run();
+        }
+    }
+}
