--- a/capture/src/main/java/wharfhinge/capture/Account.java
+++ b/capture/src/main/java/wharfhinge/capture/Account.java
@@ -127,12 +127,12 @@
         List<Belief> warm = beliefs.stream()
                 .filter(b -> b.up() && !b.ejected() && b.standing())
                 .toList();
-        long room = warm.stream().filter(Belief::belowValve).count();
+        long room = warm.stream().filter(Belief::belowLimit).count();
         String why;
         if (chosen.ejected()) {
             why = "a trial of an ejected worker";
         } else if (chosen.standing()
-                && warm.stream().filter(Belief::belowValve).allMatch(b -> b.inFlight() >= chosen.inFlight())) {
+                && warm.stream().filter(Belief::belowLimit).allMatch(b -> b.inFlight() >= chosen.inFlight())) {
             why = "believed warm, with the fewest own calls in flight of the " + room
                     + " warm ones that are not saturated";
         } else if (chosen.standing()) {
@@ -157,15 +157,15 @@
                 .limit(SHOWN)
                 .forEach(b -> lines.add(String.format(
                         Locale.ROOT,
-                        "      %-22s %s%s%s%s%s in flight %d, valve %.2f, load %.2f, failures %.2f",
+                        "      %-22s %s%s%s%s%s in flight %d, limit %.2f, load %.2f, failures %.2f",
                         b.worker(),
                         b.standing() ? "warm " : b.loading() ? "loading " : "",
                         b.up() ? "" : "leaving ",
                         b.ejected() ? "ejected " : "",
                         b.cold() ? "cold " : "",
-                        b.belowValve() ? "" : "saturated ",
+                        b.belowLimit() ? "" : "saturated ",
                         b.inFlight(),
-                        b.valve(),
+                        b.limit(),
                         b.load(),
                         b.failures())));
     }
--- a/policy/src/main/java/wharfhinge/Choice.java
+++ b/policy/src/main/java/wharfhinge/Choice.java
@@ -12,12 +12,12 @@
 
     private static final long MS = 1_000_000L;
 
-    // Ranking. The valve starts at the design's eight and follows latency against the aim.
-    private static final double VALVE_START = 8, FEW = 4; // front ends that figures for one are meant for
-    private static final double VALVE_MIN = 0.03; // many front ends on a worker: one at a time is too many
-    private static final double VALVE_STEP = 0.1, VALVE_CUT = 0.85; // raise an answer, cut a latency
-    private static final double VALVE_PACE = 0.5; // below one, where answers are rare: cut; inverted, raise
-    private static final double VALVE_HIGH = 0.7, VALVE_LOW = 0.45; // of the aim: next is late, there is room
+    // Ranking. The limit starts at the design's eight and follows latency against the aim.
+    private static final double LIMIT_START = 8, FEW = 4; // front ends that figures for one are meant for
+    private static final double LIMIT_MIN = 0.03; // many front ends on a worker: one at a time is too many
+    private static final double LIMIT_STEP = 0.1, LIMIT_CUT = 0.85; // raise an answer, cut a latency
+    private static final double LIMIT_PACE = 0.5; // below one, where answers are rare: cut; inverted, raise
+    private static final double LIMIT_HIGH = 0.7, LIMIT_LOW = 0.45; // of the aim: next is late, there is room
 
     private static final long SHARE_WINDOW = 15_000 * MS; // memory of each function's share of own calls
     private static final int HOMES_KEPT = 16, ASK_MOST = 5; // beside twice those needed; asked for a copy
@@ -52,7 +52,7 @@
     private static final double LOADS_START = 8, LOADS_MIN = 2, LOADS_CUT = 0.7, SMOOTH_LOADS = 0.05;
     private static final double CROWDED = 3, ORDER_PATIENCE = 4; // times the told load time: line, given up
 
-    private static final double REFUSE_OVER = 1.25; // times the valve on the least busy worker
+    private static final double REFUSE_OVER = 1.25; // times the limit on the least busy worker
     private static final long PRESSURE_WINDOW = 4000 * MS; // memory of what share of answers told saturation
     private static final double ADVICE = 0.1; // of the aim
     private static final double PRESSURE_FREE = 0.25, PRESSURE_SLOPE = 1.5; // borne; refused above
@@ -196,18 +196,18 @@
         private boolean up, ejected;
         private int inFlight, overdue; // overdue: attempts past their patience since the last timely answer
         private double homeScore; // for the request being ranked; least first
-        private double valve, lateness, latencyNs; // latency, and over the class's aim, smoothed
-        private long lastSentAt, gapNs, valveCutAt, heardAt, sampledAt; // gap: between the last two sends
+        private double limit, lateness, latencyNs; // latency, and over the class's aim, smoothed
+        private long lastSentAt, gapNs, limitCutAt, heardAt, sampledAt; // gap: between the last two sends
         private double reported; // in flight for each unit of told size, by all front ends
         private double failures, coldTokens, homedMb; // memory of the functions that have their place here
         private final Set<Known> homed = new LinkedHashSet<>();
         private long reportedAt, trialAt, coldAt, pause = EJECT_FIRST;
 
-        WorkerState(String id, long place, long now, double valve, long aim, double phase) {
+        WorkerState(String id, long place, long now, double limit, long aim, double phase) {
             this.id = id;
             this.place = place;
             this.coldTokens = phase; // so that many front ends do not reach their first token together
-            this.valve = valve;
+            this.limit = limit;
             this.latencyNs = aim / 4.0; // until it is known
             this.heardAt = this.coldAt = now;
             this.hash = mix(id.hashCode());
@@ -234,7 +234,7 @@
         WorkerState old = workers.get(entry.id());
         boolean fresh = old == null || entry.startedAt() != 0 && entry.startedAt() != old.told.startedAt();
         WorkerState w = fresh ? new WorkerState(entry.id(), old != null ? old.place : ++places, now,
-            Math.max(1, VALVE_START * few), settings.classes().get(0).onTimeNs(), random.nextDouble()) : old;
+            Math.max(1, LIMIT_START * few), settings.classes().get(0).onTimeNs(), random.nextDouble()) : old;
         w.told = entry;
         w.up = entry.availability() == Availability.UP;
         workers.put(entry.id(), w);
@@ -425,13 +425,13 @@
     @Override public List<Belief> beliefs(long at, String function) {
         now = at;
         return workers.values().stream().map(w -> new Belief(w.id, w.up, w.ejected, cold(w),
-            standing(w, function), loading(w, function), belowValve(w, 1), w.inFlight, w.valve, load(w),
+            standing(w, function), loading(w, function), belowLimit(w, 1), w.inFlight, w.limit, load(w),
             w.failures)).toList();
     }
 
     // ---- 2. Ranking -------------------------------------------------------------------------
 
-    // The design's order: believed warm, below the valve and with a free lane, then the home among workers
+    // The design's order: believed warm, below the limit and with a free lane, then the home among workers
     // below it, then the fewest in flight. Departure: at the load limit a spill stays on warm workers.
     private WorkerState rank(RequestState r) {
         String function = r.request.function();
@@ -442,27 +442,27 @@
         int homes = homes(r);
         List<WorkerState> like = homes == 0 ? some : withHomes(r, homes);
         WorkerState warm = fewest(like, function, w -> (w.homeMark == rankings || standing(w, function))
-            && belowValve(w, 1) && freeLane(w, r.request));
+            && belowLimit(w, 1) && freeLane(w, r.request));
         // Departure: while no order is out or waits, a call for a worker that tells more in flight than its
         // size, and than most, orders a further copy: hot functions crowd it else. At worst a load is wasted.
         boolean idle = onlyOrdersLoad() && loadsOut + pendingOrders.size() == 0;
         if (warm != null && !(idle && slow(warm) && load(warm) > 1)) { return warm; }
         WorkerState ahead = onlyOrdersLoad() ? null
-            : fewest(some, function, w -> loading(w, function) && belowValve(w, 1));
+            : fewest(some, function, w -> loading(w, function) && belowLimit(w, 1));
         if (ahead != null) { return ahead; } // ordered for it: another home would load a second copy
-        Predicate<WorkerState> lacks = w -> mayGet(w) && !believedWarm(w, function) && belowValve(w, 1);
+        Predicate<WorkerState> lacks = w -> mayGet(w) && !believedWarm(w, function) && belowLimit(w, 1);
         WorkerState place = placeOf(function);
         WorkerState home = place != null && lacks.test(place) ? place
             : home(function, r.hash, w -> lacks.test(w) && roomy(w, r.request.memoryMb()));
         if (onlyOrdersLoad()) {
-            warm = fewest(some, function, w -> standing(w, function) && belowValve(w, 1));
+            warm = fewest(some, function, w -> standing(w, function) && belowLimit(w, 1));
             if (warm != null && home != null && some.stream().noneMatch(w -> loading(w, function))) {
                 order(record(home, r.request));
             }
             boolean stands = some.stream().anyMatch(w -> standing(w, function)); // else a load is waited for
             warm = warm != null || stands ? warm : fewest(some, function, w -> loading(w, function));
         } else if (crowdsStore()) {
-            warm = fewest(some, function, w -> believedWarm(w, function) && belowValve(w, 1));
+            warm = fewest(some, function, w -> believedWarm(w, function) && belowLimit(w, 1));
         }
         warm = warm != null ? warm : home != null ? home : fewest(some, function, w -> standing(w, function));
         warm = warm != null || place == null || !mayGet(place) ? warm : place;
@@ -637,9 +637,9 @@
     }
 
     /** Own requests, below one paced by the latency, and what the worker told of everybody's. */
-    private boolean belowValve(WorkerState w, double over) {
-        return w.inFlight < Math.max(1, over * w.valve)
-            && (w.valve >= 1 || (now - w.lastSentAt) * w.valve * over >= w.latencyNs)
+    private boolean belowLimit(WorkerState w, double over) {
+        return w.inFlight < Math.max(1, over * w.limit)
+            && (w.limit >= 1 || (now - w.lastSentAt) * w.limit * over >= w.latencyNs)
             && load(w) <= over * Math.max(REPORT_FULL * meanReported, REPORT_IDLE);
     }
 
@@ -650,27 +650,27 @@
         return z ^ (z >>> 31);
     }
 
-    private void turnValve(WorkerState w, RequestState r, long tookNs) {
+    private void adjustLimit(WorkerState w, RequestState r, long tookNs) {
         double late = tookNs / (double) r.aim;
         double weight = Math.max(SMOOTH_LATENCY, 1 - Math.exp((w.sampledAt - now) / (double) SMOOTH_WINDOW));
         w.sampledAt = now;
         w.latencyNs += weight * (tookNs - w.latencyNs);
         w.lateness += weight * (late - w.lateness);
         meanLateness += SMOOTH_USUAL * (late - meanLateness);
-        if (w.lateness > VALVE_HIGH && now - w.valveCutAt > w.lateness * r.aim) {
-            cutValve(w);
-        } else if (w.lateness < VALVE_LOW && (w.valve <= 1 || w.inFlight >= w.valve / 2)) {
-            w.valve = w.valve < VALVE_PACE ? w.valve / VALVE_PACE : w.valve + VALVE_STEP;
+        if (w.lateness > LIMIT_HIGH && now - w.limitCutAt > w.lateness * r.aim) {
+            cutLimit(w);
+        } else if (w.lateness < LIMIT_LOW && (w.limit <= 1 || w.inFlight >= w.limit / 2)) {
+            w.limit = w.limit < LIMIT_PACE ? w.limit / LIMIT_PACE : w.limit + LIMIT_STEP;
         }
     }
 
     // Departure: a front end that sends to a worker seldom must feel a cut, so it at least doubles the own
     // interval there. Guards against many that return too soon; one bad answer idles a good worker.
-    private void cutValve(WorkerState w) {
+    private void cutLimit(WorkerState w) {
         double own = Math.max(few, w.latencyNs / Math.max(w.latencyNs, w.gapNs)); // mean own in flight there
-        w.valve = w.valve > 1 ? w.valve * VALVE_CUT
-            : Math.max(VALVE_MIN, VALVE_PACE * Math.min(w.valve, own));
-        w.valveCutAt = now;
+        w.limit = w.limit > 1 ? w.limit * LIMIT_CUT
+            : Math.max(LIMIT_MIN, LIMIT_PACE * Math.min(w.limit, own));
+        w.limitCutAt = now;
     }
 
     // ---- 3. Eligibility ---------------------------------------------------------------------
@@ -743,8 +743,8 @@
         boolean alive = c.outcome() == Outcome.FULL || c.outcome() == Outcome.MISS;
         w.heardAt = alive || c.outcome() == Outcome.SERVED || c.outcome() == Outcome.ERROR ? now : w.heardAt;
         if (c.outcome() == Outcome.FULL) {
-            w.valve = Math.min(w.valve, w.inFlight + 1);
-            cutValve(w);
+            w.limit = Math.min(w.limit, w.inFlight + 1);
+            cutLimit(w);
         }
         // A time-out tells nothing new. Departure: nor does an error on what nobody served and another failed
         // too: it is the caller's. It hurts where all fail what is new, until one serves it.
@@ -762,7 +762,7 @@
         w.failures += SMOOTH_FAILURES * ((bad ? 1 : 0) - w.failures);
         if (!bad && (c.note() == Note.NONE || c.note() == Note.FOUND_LOADED)) {
             usual.get(a.request.type.name()).learn(c.tookNs() / Math.max(1.0, a.request.request.costNs()));
-            turnValve(w, a.request, c.tookNs());
+            adjustLimit(w, a.request, c.tookNs());
         }
         boolean timely = !bad && c.tookNs() <= a.patience;
         w.overdue = timely ? 0 : w.overdue;
@@ -846,7 +846,7 @@
         } else if (e != null && e.ordered && e.loading && onlyOrdersLoad()) {
             await(r, e);
         } else if (w == null || paced || refuses()
-            || standing(w, r.request.function()) && !belowValve(w, REFUSE_OVER)) {
+            || standing(w, r.request.function()) && !belowLimit(w, REFUSE_OVER)) {
             decline(r);
         } else if (crowdsStore() && !onlyOrdersLoad() && standing(w, r.request.function())
             && !freeLane(w, r.request) && now - r.arrived < LANE_WAIT * r.aim) {
@@ -995,7 +995,7 @@
         boolean lacks = c.outcome() == Outcome.MISS && onlyOrdersLoad() && c.note() != Note.LOAD_FAILED;
         String function = r.request.function();
         boolean elsewhere = lacks && holding(function).stream().anyMatch(w -> w != a.worker && w.up
-            && !w.ejected && standing(w, function) && belowValve(w, 1)); // a load takes longer than a send
+            && !w.ejected && standing(w, function) && belowLimit(w, 1)); // a load takes longer than a send
         if (lacks && !elsewhere && a.worker.up && (roomy(a.worker, 0) || belongs(a.worker, function))) {
             Entry e = record(a.worker, r.request);
             e.loading = true;
@@ -1085,7 +1085,7 @@
         eligible(r);
         if (holding(request.function()).stream()
             .noneMatch(w -> mayGet(w) && believedWarm(w, request.function()))) {
-            Optional.ofNullable(home(request.function(), r.hash, w -> mayGet(w) && belowValve(w, 1)))
+            Optional.ofNullable(home(request.function(), r.hash, w -> mayGet(w) && belowLimit(w, 1)))
                 .ifPresent(w -> order(record(w, request)));
         }
     }
@@ -1156,7 +1156,7 @@
 
     /** Even the least busy worker is so full that the answer would come too late. */
     private boolean refuses() {
-        return ready.stream().noneMatch(w -> mayGet(w) && belowValve(w, REFUSE_OVER));
+        return ready.stream().noneMatch(w -> mayGet(w) && belowLimit(w, REFUSE_OVER));
     }
 
     private void pressure(Attempt a, Completion c) { // a late load is no queue at a worker
--- a/policy/src/main/java/wharfhinge/Dispatcher.java
+++ b/policy/src/main/java/wharfhinge/Dispatcher.java
@@ -128,7 +128,7 @@
      * What a dispatcher believes of one worker for one function, for accounts of its decisions.
      *
      * @param standing   a copy is believed to stand; {@code loading}: one was ordered
-     * @param belowValve it is not saturated
+     * @param belowLimit it is not saturated
      * @param load       told by it of all dispatchers' requests, faded
      */
     record Belief(
@@ -138,9 +138,9 @@
             boolean cold,
             boolean standing,
             boolean loading,
-            boolean belowValve,
+            boolean belowLimit,
             int inFlight,
-            double valve,
+            double limit,
             double load,
             double failures) {}
 
--- a/policy/src/test/java/wharfhinge/ChoiceTest.java
+++ b/policy/src/test/java/wharfhinge/ChoiceTest.java
@@ -75,7 +75,7 @@
     }
 
     @Test
-    void spillsPastTheSaturationValve() {
+    void spillsPastTheSaturationLimit() {
         Recorder t = loading();
         t.fleet("b", "c", "d", "e");
         assertEquals(t.sentTo(t.query("f1")), t.sentTo(t.query("f1")));
