Drills do not charge gateways for a standstill of the clients' own process

In a kept trace calls were sent up to 358 ms after they were offered, while the clients leave 150 ms after the deadline as counted from the offer; the deadline a gateway is told counts from when the call is sent.

Ruled out by reading: DecisionLoop.left and WorkerPool (a withdrawn call of a client that left is owed nothing).

Tests: JudgeTest, with a standstill around the end, elsewhere in the call, and after a late answer.

--- a/app/src/main/java/wharfhinge/app/drill/Day.java
+++ b/app/src/main/java/wharfhinge/app/drill/Day.java
@@ -23,6 +23,7 @@
 import wharfhinge.standin.RosterStandIn;
 import wharfhinge.standin.Scenario;
 import wharfhinge.standin.Scenario.Trouble;
+import wharfhinge.standin.StandstillWatch;
 import wharfhinge.standin.StoreStandIn;
 import wharfhinge.standin.Trace;
 import wharfhinge.standin.WorkerModel;
@@ -89,6 +90,7 @@
         clients = new LoadClients(group, ports, scenario.offered(), scenario.seed(), trace);
         scenario.troubles().forEach(this::plan);
         MemoryWatch watch = real == null ? null : new MemoryWatch(group, real.processes());
+        StandstillWatch standstills = new StandstillWatch(trace);
         clients.start(scenario.seconds());
         Thread.sleep((long) (scenario.seconds() * 1000));
         long most = scenario.offered().classes().stream()
@@ -100,6 +102,7 @@
         }
         player.shutdownNow();
         Thread.sleep(200);
+        standstills.close();
         if (real != null) {
             memory = watch.stop();
             real.stop();
--- a/stand-ins/src/test/java/wharfhinge/standin/judge/JudgeTest.java
+++ b/stand-ins/src/test/java/wharfhinge/standin/judge/JudgeTest.java
@@ -68,6 +68,31 @@
         assertEquals(Set.of(), broken());
     }
 
+    /** The clients' own process stood still around the end of a call; one that stood still before or after excuses nobody. */
+    @Test
+    void aStandstillOfTheClientsOwnProcessIsNotTheGateways() {
+        offer(0, "a", "safe"); // until 1000
+        at(1300, "recorder-stalled", "ms", 400);
+        at(1301, "left", "call", "a", "gw", "g", "early", false);
+        offer(2000, "b", "safe");
+        at(3500, "recorder-stalled", "ms", 600);
+        answer(3501, "b", "failed");
+        assertEquals(Set.of(), broken());
+        offer(4000, "c", "safe");
+        at(4700, "recorder-stalled", "ms", 400);
+        at(5160, "left", "call", "c", "gw", "g", "early", false);
+        assertEquals(Set.of(1), broken());
+    }
+
+    @Test
+    void anAnswerThatIsLateBesideAStandstillBreaksRuleOne() {
+        offer(0, "a", "safe");
+        at(900, "recorder-stalled", "ms", 400);
+        answer(1400, "a", "failed");
+        at(2000, "recorder-stalled", "ms", 400);
+        assertEquals(Set.of(1), broken());
+    }
+
     @Test
     void noAnswerALateOneAndALostConnectionBreakRuleOne() {
         offer(0, "a", "safe");
