Drills note when their I/O threads are behind, and judge orders and overlaps around it as unknown

Change: each I/O thread of the drill comes round every 20 ms and notes when it was away for over 100 ms. Orders noted then are not counted, as those of a worker that stood; an overlap of two attempts is not judged at such a time; that a call ran twice still is. Tests: JudgeTest.

--- a/app/src/main/java/wharfhinge/app/drill/Day.java
+++ b/app/src/main/java/wharfhinge/app/drill/Day.java
@@ -90,7 +90,7 @@
         clients = new LoadClients(group, ports, scenario.offered(), scenario.seed(), trace);
         scenario.troubles().forEach(this::plan);
         MemoryWatch watch = real == null ? null : new MemoryWatch(group, real.processes());
-        StandstillWatch standstills = new StandstillWatch(trace);
+        StandstillWatch standstills = new StandstillWatch(group, trace);
         clients.start(scenario.seconds());
         Thread.sleep((long) (scenario.seconds() * 1000));
         long most = scenario.offered().classes().stream()
--- a/stand-ins/src/main/java/wharfhinge/standin/StandstillWatch.java
+++ b/stand-ins/src/main/java/wharfhinge/standin/StandstillWatch.java
@@ -1,44 +1,49 @@
 package wharfhinge.standin;
 
+import io.netty.util.concurrent.EventExecutor;
+import io.netty.util.concurrent.EventExecutorGroup;
+import io.netty.util.concurrent.Future;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /**
- * Notes in the trace when this process itself stood still, so that what its clients and workers noted late is not held
- * against a gateway. Looks from a thread of its own until it is closed.
+ * Notes in the trace when an I/O thread of this process stood still or was behind, so that what its clients and workers
+ * noted late is not held against a gateway. Each thread is asked to come round at a fixed pace until the watch is closed.
  */
 public final class StandstillWatch implements AutoCloseable {
-    private static final long LOOK_MS = 20;
+    private static final long PACE_MS = 20;
     private static final long STANDSTILL_MS = 100;
 
     private final Trace trace;
-    private final Thread thread = new Thread(this::watch, "standstill-watch");
+    private final List<Future<?>> beats = new ArrayList<>();
 
-    /** A watch that begins at once. */
-    public StandstillWatch(Trace trace) {
+    /** A watch over these threads that begins at once. */
+    public StandstillWatch(EventExecutorGroup threads, Trace trace) {
         this.trace = trace;
-        thread.setDaemon(true);
-        thread.start();
+        for (EventExecutor thread : threads) {
+            Beat beat = new Beat();
+            beats.add(thread.scheduleWithFixedDelay(beat, PACE_MS, PACE_MS, TimeUnit.MILLISECONDS));
+        }
     }
 
-    private void watch() {
-        long looked = System.nanoTime();
-        while (!Thread.currentThread().isInterrupted()) {
-            try {
-                TimeUnit.MILLISECONDS.sleep(LOOK_MS);
-            } catch (InterruptedException e) {
-                return;
-            }
+    /** Comes round on one thread, and notes how long it was away. */
+    private final class Beat implements Runnable {
+        private long lastAt = System.nanoTime();
+
+        @Override
+        public void run() {
             long now = System.nanoTime();
-            long gapMs = TimeUnit.NANOSECONDS.toMillis(now - looked);
-            if (gapMs > STANDSTILL_MS) {
-                trace.note("recorder-stalled", "ms", gapMs);
+            long awayMs = TimeUnit.NANOSECONDS.toMillis(now - lastAt);
+            if (awayMs > STANDSTILL_MS) {
+                trace.note("recorder-stalled", "ms", awayMs);
             }
-            looked = now;
+            lastAt = now;
         }
     }
 
     @Override
     public void close() {
-        thread.interrupt();
+        beats.forEach(beat -> beat.cancel(false));
     }
 }
--- a/stand-ins/src/main/java/wharfhinge/standin/judge/Judge.java
+++ b/stand-ins/src/main/java/wharfhinge/standin/judge/Judge.java
@@ -259,7 +259,8 @@
                     Line next = c.received.get(i);
                     boolean lost = end == null && diedAfter(former.get("worker"), former.at, next.at)
                             || stood(former.get("worker"), former.at, next.at)
-                            || stood(next.get("worker"), next.at, next.at);
+                            || stood(next.get("worker"), next.at, next.at)
+                            || recorderStood(next.at - SLACK, next.at + SLACK);
                     if ((end == null || end.at > next.at + SLACK) && !lost) {
                         broke(2, id + " was out twice at once");
                     }
@@ -435,7 +436,8 @@
                 taken.computeIfAbsent(process, g -> new ArrayList<>()).add(takenAt(line));
             } else if (line.word.equals("hold")
                     && line.number("count") > 0
-                    && !stood(line.get("worker"), line.at, line.at)) { // read late: when it came is not known
+                    && !stood(line.get("worker"), line.at, line.at)
+                    && !recorderStood(line.at - SLACK, line.at)) { // read late: when it came is not known
                 orders.computeIfAbsent(process, g -> new ArrayList<>()).add(line.at);
             }
         }
--- a/stand-ins/src/test/java/wharfhinge/standin/judge/JudgeTest.java
+++ b/stand-ins/src/test/java/wharfhinge/standin/judge/JudgeTest.java
@@ -84,6 +84,22 @@
         assertEquals(Set.of(1), broken());
     }
 
+    /** Orders that came over two seconds are all noted as the recording process goes on; as many noted while it ran are too many. */
+    @Test
+    void ordersNotedAfterAStandstillAreNotCounted() {
+        offer(0, "a", "safe");
+        answer(20, "a", "refused");
+        at(1000, "recorder-stalled", "ms", 400);
+        for (int i = 0; i < 4; i++) {
+            at(1001 + i, "hold", "worker", "w", "fn", "f" + i, "count", 1, "gw", "g");
+        }
+        assertEquals(Set.of(), broken());
+        for (int i = 0; i < 4; i++) {
+            at(1300 + i, "hold", "worker", "w", "fn", "f" + i, "count", 1, "gw", "g");
+        }
+        assertEquals(Set.of(5), broken());
+    }
+
     @Test
     void anAnswerThatIsLateBesideAStandstillBreaksRuleOne() {
         offer(0, "a", "safe");
