Leases on the endpoint list: no new work for workers whose state is not known

Cause: the list in force had no end. When the control feed was lost, EndpointWatch reconnected and told nobody, so what was last heard counted as true for as long as the outage lasted, and a draining worker's `overload` counted as a full queue. Change: the watch tells when the feed is heard (data, or one response head after data) and when it has to be asked again; the engine passes that on; EndpointLeases (policy) decides. While the feed is heard, the list renews every lease. Otherwise each worker needs evidence younger than nine tenths of the drain grace: a call that it served, from when that was sent, or a query of loaded copies that it answered over a connection opened for it (LeaseRenewal lets requests wait for that). Turned away, refused or silent: the lease is revoked, with a backoff. A worker that refused, or was without a connection for longer than a restart takes, counts as just started. Without load orders only workers that serve calls stay in use. The transport checks the condition where the first byte is written (LEASE_EXPIRED: never ran). Queries have a counter of their own, load_queries.

--- a/capture/src/main/java/wharfhinge/capture/ForwardingDispatcher.java
+++ b/capture/src/main/java/wharfhinge/capture/ForwardingDispatcher.java
@@ -8,6 +8,7 @@
 import wharfhinge.policy.EndpointUpdateMode;
 import wharfhinge.policy.Outcome;
 import wharfhinge.policy.Request;
+import wharfhinge.policy.SendCondition;
 import wharfhinge.policy.WorkerSnapshot;
 
 /** Hands every event on to other decisions; those who stand before them change what they must. */
@@ -24,6 +25,26 @@
         delegate.onEndpointUpdate(now, mode, revision, entries);
     }
 
+    @Override
+    public void onEndpointsConfirmed(long now, long at) {
+        delegate.onEndpointsConfirmed(now, at);
+    }
+
+    @Override
+    public void onEndpointsUnconfirmed(long now) {
+        delegate.onEndpointsUnconfirmed(now);
+    }
+
+    @Override
+    public void onWorkerDisconnected(long now, String worker) {
+        delegate.onWorkerDisconnected(now, worker);
+    }
+
+    @Override
+    public SendCondition sendCondition(long now, String worker, SendCondition.Purpose purpose) {
+        return delegate.sendCondition(now, worker, purpose);
+    }
+
     @Override
     public void onRequest(long now, Request request) {
         delegate.onRequest(now, request);
--- a/capture/src/main/java/wharfhinge/capture/Recorder.java
+++ b/capture/src/main/java/wharfhinge/capture/Recorder.java
@@ -11,6 +11,7 @@
 import wharfhinge.policy.EndpointUpdateMode;
 import wharfhinge.policy.Outcome;
 import wharfhinge.policy.Request;
+import wharfhinge.policy.SendCondition;
 
 /**
  * Records the events and actions of a dispatcher, in order. Each frame goes to {@code sink} once the dispatcher has returned or
@@ -64,6 +65,29 @@
         record(now, new Event.Members(mode, revision, List.copyOf(entries)));
     }
 
+    // The next four are handed on and not recorded: captures have no form for them, and a source that tells them has no
+    // captures.
+
+    @Override
+    public void onEndpointsConfirmed(long now, long at) {
+        delegate.onEndpointsConfirmed(now, at);
+    }
+
+    @Override
+    public void onEndpointsUnconfirmed(long now) {
+        delegate.onEndpointsUnconfirmed(now);
+    }
+
+    @Override
+    public void onWorkerDisconnected(long now, String worker) {
+        delegate.onWorkerDisconnected(now, worker);
+    }
+
+    @Override
+    public SendCondition sendCondition(long now, String worker, SendCondition.Purpose purpose) {
+        return delegate.sendCondition(now, worker, purpose);
+    }
+
     @Override
     public void onRequest(long now, Request request) {
         record(now, new Event.Query(request));
--- a/engine/src/main/java/wharfhinge/engine/DispatchEngine.java
+++ b/engine/src/main/java/wharfhinge/engine/DispatchEngine.java
@@ -97,6 +97,7 @@
     };
     private final EndpointList endpoints = new EndpointList();
     private final ChainExecutor chains;
+    private final EndpointStatus endpointStatus = new EndpointStatus();
     private Dispatcher dispatcher;
     private int incarnation;
 
@@ -125,6 +126,7 @@
                 settings.chains(),
                 settings.dispatcher().tenants().stream().map(Tenant::name).collect(Collectors.toSet()),
                 journal);
+        workers.setDisconnectListener(this::onWorkerDisconnected);
     }
 
     /** Counters and latencies of this engine. Any thread. */
@@ -175,6 +177,31 @@
         eventLoop.execute("endpoint-update", () -> applyEndpointUpdate(update));
     }
 
+    /** Gets what the endpoint source tells of itself. */
+    public EndpointStatusListener endpointStatusListener() {
+        return new EndpointStatusListener() {
+            @Override
+            public void onConfirmed(long atNanos) {
+                eventLoop.execute("endpoints-confirmed", () -> {
+                    endpointStatus.confirm(eventLoop.clock().fromNanoTime(atNanos));
+                    endpointStatus.tell(dispatcher, eventLoop.now());
+                });
+            }
+
+            @Override
+            public void onUnconfirmed() {
+                eventLoop.execute("endpoints-unconfirmed", () -> {
+                    endpointStatus.unconfirm();
+                    endpointStatus.tell(dispatcher, eventLoop.now());
+                });
+            }
+        };
+    }
+
+    private void onWorkerDisconnected(String worker) {
+        eventLoop.execute("worker-disconnected", () -> dispatcher.onWorkerDisconnected(eventLoop.now(), worker));
+    }
+
     /** Another dispatcher sent a datagram. */
     public void onPeerMessage(int peer, byte[] payload) {
         eventLoop.execute("peer-message", () -> dispatcher.onPeerMessage(eventLoop.now(), peer, payload));
@@ -219,6 +246,7 @@
                 factory.create(eventLoop.now(), settings.seed() + incarnation, settings.dispatcher(), newActions());
         dispatcher.onEndpointUpdate(
                 eventLoop.now(), EndpointUpdateMode.SNAPSHOT, endpoints.revision(), endpoints.endpoints());
+        endpointStatus.tell(dispatcher, eventLoop.now());
     }
 
     private DispatcherActions newActions() {
--- a/engine/src/main/java/wharfhinge/engine/EngineActions.java
+++ b/engine/src/main/java/wharfhinge/engine/EngineActions.java
@@ -13,6 +13,7 @@
 import wharfhinge.policy.DispatcherActions;
 import wharfhinge.policy.Outcome;
 import wharfhinge.policy.RequestClass;
+import wharfhinge.policy.SendCondition;
 import wharfhinge.protocol.CallHead;
 import wharfhinge.protocol.FinalAnswer;
 
@@ -125,7 +126,18 @@
                 clientCall.contentType(),
                 streamingClasses.contains(clientCall.requestClass()),
                 head.idempotencyKey(),
-                clientCall.clientCancelled()::get);
+                clientCall.clientCancelled()::get,
+                writeCondition(attempt.worker, SendCondition.Purpose.WORK));
+    }
+
+    private WorkerTransport.WriteCondition writeCondition(String worker, SendCondition.Purpose purpose) {
+        SendCondition condition = dispatcher.get().sendCondition(eventLoop.now(), worker, purpose);
+        if (condition.equals(SendCondition.NONE)) {
+            return WorkerTransport.WriteCondition.NONE;
+        }
+        boolean isLimited = condition.notAfter() != Long.MAX_VALUE;
+        long notAfterNanos = isLimited ? eventLoop.clock().toNanoTime(condition.notAfter()) : 0;
+        return new WorkerTransport.WriteCondition(isLimited, notAfterNanos, condition.onNewConnection());
     }
 
     private WorkerTransport.AttemptListener listener(PendingAttempt attempt) {
@@ -163,22 +175,23 @@
 
     @Override
     public void ensureLoaded(String worker, String function, int count) {
-        metrics.increment(Counter.LOAD_ORDERS);
+        metrics.increment(count > 0 ? Counter.LOAD_ORDERS : Counter.LOAD_QUERIES);
         WorkerTransport.FunctionInfo known =
                 functions.getOrDefault(function, new WorkerTransport.FunctionInfo(function, 0, 0, 0));
-        workers.ensureLoaded(
-                worker, known, count, settings.dispatcher().functionLoading().loadTimeoutNanos(), result -> {
-                    ReferenceCountUtil.release(result.body());
-                    executeInIncarnation("load-completed", () -> dispatcher
-                            .get()
-                            .onLoadCompleted(
-                                    eventLoop.now(),
-                                    worker,
-                                    function,
-                                    result.loadedCopies(),
-                                    result.outcome(),
-                                    result.tookNanos()));
-                });
+        SendCondition.Purpose purpose = count > 0 ? SendCondition.Purpose.WORK : SendCondition.Purpose.QUERY;
+        long timeoutNanos = settings.dispatcher().functionLoading().loadTimeoutNanos();
+        workers.ensureLoaded(worker, known, count, timeoutNanos, writeCondition(worker, purpose), result -> {
+            ReferenceCountUtil.release(result.body());
+            executeInIncarnation("load-completed", () -> dispatcher
+                    .get()
+                    .onLoadCompleted(
+                            eventLoop.now(),
+                            worker,
+                            function,
+                            result.loadedCopies(),
+                            result.outcome(),
+                            result.tookNanos()));
+        });
     }
 
     @Override
--- a/engine/src/main/java/wharfhinge/engine/EngineMetrics.java
+++ b/engine/src/main/java/wharfhinge/engine/EngineMetrics.java
@@ -23,6 +23,7 @@
         SUPERSEDED("moot"),
         PROBES,
         LOAD_ORDERS("holds"),
+        LOAD_QUERIES,
         UNLOADS,
         REJECTED_QUEUE_FULL("turned_away_hand_over"),
         REJECTED_TOO_MANY_PENDING("turned_away_open"),
--- a/engine/src/main/java/wharfhinge/engine/WorkerTransport.java
+++ b/engine/src/main/java/wharfhinge/engine/WorkerTransport.java
@@ -18,6 +18,24 @@
      */
     record FunctionInfo(String name, double memoryMb, int concurrencyPerCopy, double loadMillis) {}
 
+    /**
+     * Under which condition a message may be written.
+     *
+     * @param isLimited       whether {@code notAfterNanos} applies
+     * @param notAfterNanos   {@link System#nanoTime} from which on the first byte may not be written any more; the result is then
+     *                        {@link Outcome#LEASE_EXPIRED}
+     * @param onNewConnection whether it has to go over a connection that is opened for it
+     */
+    record WriteCondition(boolean isLimited, long notAfterNanos, boolean onNewConnection) {
+        /** At any time, over any connection. */
+        public static final WriteCondition NONE = new WriteCondition(false, 0, false);
+
+        /** Whether the first byte may be written at this {@link System#nanoTime}. */
+        public boolean allowsWriteAt(long nanos) {
+            return !isLimited || nanos - notAfterNanos < 0;
+        }
+    }
+
     /**
      * One attempt to be sent. The transport retains {@code body} as long as it needs it.
      *
@@ -25,6 +43,7 @@
      *                   attempt is written, not when it is requested
      * @param idempotencyKey the client's, passed on unchanged; null where there is none
      * @param clientCancelled whether the client has cancelled or disconnected; read on I/O threads before a byte is written
+     * @param condition  under which it may be written
      */
     record AttemptRequest(
             String worker,
@@ -39,7 +58,8 @@
             CharSequence contentType,
             boolean streaming,
             String idempotencyKey,
-            BooleanSupplier clientCancelled) {}
+            BooleanSupplier clientCancelled,
+            WriteCondition condition) {}
 
     /**
      * The result of an attempt, probe or load order.
@@ -116,7 +136,16 @@
     void probe(String worker, Consumer<ExchangeResult> ended);
 
     /** Orders a worker to keep {@code count} copies loaded; 0 only queries how many are. */
-    void ensureLoaded(String worker, FunctionInfo function, int count, long waitNanos, Consumer<ExchangeResult> ended);
+    void ensureLoaded(
+            String worker,
+            FunctionInfo function,
+            int count,
+            long waitNanos,
+            WriteCondition condition,
+            Consumer<ExchangeResult> ended);
+
+    /** Names the listener to be told, on an I/O thread, of a worker whose last open connection was closed; not all transports do. */
+    default void setDisconnectListener(Consumer<String> listener) {}
 
     /** Orders a worker to unload idle copies; no result follows. */
     void unload(String worker, String function);
--- a/gateway/src/main/java/wharfhinge/gateway/upstream/HttpWorkerTransport.java
+++ b/gateway/src/main/java/wharfhinge/gateway/upstream/HttpWorkerTransport.java
@@ -121,7 +121,12 @@
 
     @Override
     public void ensureLoaded(
-            String worker, FunctionInfo function, int count, long waitNanos, Consumer<ExchangeResult> onCompleted) {
+            String worker,
+            FunctionInfo function,
+            int count,
+            long waitNanos,
+            WriteCondition condition,
+            Consumer<ExchangeResult> onCompleted) {
         Http2Headers headers = functionHeaders(
                         worker,
                         "PUT",
--- a/policy/src/main/java/wharfhinge/policy/AttemptCompletionHandler.java
+++ b/policy/src/main/java/wharfhinge/policy/AttemptCompletionHandler.java
@@ -3,6 +3,7 @@
 /** Learns from how an attempt ended, and then ends its request, sends it again, or lets it wait for a load. */
 final class AttemptCompletionHandler {
     private final DispatcherContext context;
+    private final EndpointLeases leases;
     private final FunctionCacheIndex cache;
     private final FunctionAssignment assignment;
     private final ConcurrencyLimiter limiter;
@@ -18,6 +19,7 @@
 
     AttemptCompletionHandler(DispatcherComponents components, RequestRouter router) {
         this.context = components.context;
+        this.leases = components.leases;
         this.cache = components.cache;
         this.assignment = components.assignment;
         this.limiter = components.limiter;
@@ -37,6 +39,9 @@
         loadReports.onReport(attempt.worker(), completion.report());
         attempts.onCompleted(attempt, completion);
         updateCache(attempt, completion);
+        if (leases.onWorkEnded(attempt.worker(), completion.outcome(), attempt.sentAt())) {
+            router.dropPendingLoads(attempt.worker());
+        }
         admission.onAttemptCompleted(attempt, completion);
         outliers.onAttemptCompleted(attempt, completion);
         if (completion.answered() || state.finished) {
@@ -79,7 +84,7 @@
                 && outcome != Outcome.SERVED
                 && outcome != Outcome.ERROR
                 && outcome != Outcome.SATURATED
-                && !AttemptTracker.isConnectionBroken(outcome);
+                && !AttemptTracker.tellsNothingOfCopies(outcome);
     }
 
     /** Whether a copy may stay on the worker, or be loaded there again, given the worker's memory. */
@@ -103,7 +108,7 @@
         if (missed && cache.isLoaded(worker, function)) {
             router.drop(worker.cachedFunctions.get(function));
         }
-        double cost = missed ? 0 : 1;
+        double cost = missed || completion.outcome() == Outcome.LEASE_EXPIRED ? 0 : 1;
         if (completion.outcome() != Outcome.SUPERSEDED
                 && retryBudget.canSpend(cost)
                 && idempotency.mayRetryLater(state)) {
--- a/policy/src/main/java/wharfhinge/policy/AttemptPatienceHandler.java
+++ b/policy/src/main/java/wharfhinge/policy/AttemptPatienceHandler.java
@@ -3,6 +3,7 @@
 /** Acts when an attempt's patience is over: counts it against the worker, and hedges or cancels it. */
 final class AttemptPatienceHandler {
     private final DispatcherContext context;
+    private final EndpointLeases leases;
     private final EligibilityFilter eligibility;
     private final WorkerRanker ranker;
     private final AdmissionController admission;
@@ -13,6 +14,7 @@
 
     AttemptPatienceHandler(DispatcherComponents components, RequestRouter router) {
         this.context = components.context;
+        this.leases = components.leases;
         this.eligibility = components.eligibility;
         this.ranker = components.ranker;
         this.admission = components.admission;
@@ -43,8 +45,11 @@
     /** Sends the request to another worker beside the attempt in flight. */
     private void hedge(RequestState state, Attempt attempt) {
         if (eligibility.select(state) && !eligibility.isEligible(attempt.worker()) && !admission.isFleetSaturated()) {
-            retryBudget.spend(1);
-            router.send(state, ranker.rank(state));
+            WorkerState worker = ranker.rank(state);
+            if (worker != null && leases.isValid(worker)) {
+                retryBudget.spend(1);
+                router.send(state, worker);
+            }
         }
     }
 }
--- a/policy/src/main/java/wharfhinge/policy/AttemptTracker.java
+++ b/policy/src/main/java/wharfhinge/policy/AttemptTracker.java
@@ -33,9 +33,9 @@
         this.retryBudget = retryBudget;
     }
 
-    /** Whether the connection was lost or refused, which tells nothing of the function's copies or of the store. */
-    static boolean isConnectionBroken(Outcome outcome) {
-        return outcome == Outcome.RESET || outcome == Outcome.CONNECT_FAILED;
+    /** Whether the connection was lost, refused or not used, which tells nothing of the function's copies or the store. */
+    static boolean tellsNothingOfCopies(Outcome outcome) {
+        return outcome == Outcome.RESET || outcome == Outcome.CONNECT_FAILED || outcome == Outcome.LEASE_EXPIRED;
     }
 
     /** Sends the request to the worker and schedules the end of the attempt's patience. */
--- a/policy/src/main/java/wharfhinge/policy/CacheAwareDispatcher.java
+++ b/policy/src/main/java/wharfhinge/policy/CacheAwareDispatcher.java
@@ -29,6 +29,7 @@
     private final LoadReportTracker loadReports;
     private final ConcurrencyLimiter limiter;
     private final WorkerRegistry registry;
+    private final EndpointLeases leases;
     private final FunctionCacheIndex cache;
     private final PreferredWorkers preferred;
     private final FunctionAssignment assignment;
@@ -38,11 +39,11 @@
     private final LoadScheduler loads;
     private final AdmissionController admission;
     private final PendingReplies replies;
-    private final ResidencyQueries residency;
     private final RequestQueue queue;
     private final RequestRouter router;
     private final AttemptCompletionHandler completionHandler;
     private final AttemptPatienceHandler patienceHandler;
+    private final LoadCompletionHandler loadCompletionHandler;
 
     /**
      * Makes a dispatcher that knows nothing yet.
@@ -59,6 +60,7 @@
         loadReports = components.loadReports;
         limiter = components.limiter;
         registry = components.registry;
+        leases = components.leases;
         cache = components.cache;
         preferred = components.preferred;
         assignment = components.assignment;
@@ -68,11 +70,11 @@
         loads = components.loads;
         admission = components.admission;
         replies = components.replies;
-        residency = components.residency;
         queue = components.queue;
         router = new RequestRouter(components);
         completionHandler = new AttemptCompletionHandler(components, router);
         patienceHandler = new AttemptPatienceHandler(components, router);
+        loadCompletionHandler = new LoadCompletionHandler(components, router);
         start();
     }
 
@@ -142,15 +144,6 @@
         }
     }
 
-    private void onResidencyAnswer(WorkerState worker, Request request, boolean loaded) {
-        residency.onAnswer(worker, request, loaded);
-        for (RequestState state : replies.snapshot()) {
-            if (residency.completesWait(state, worker, request.function(), loaded)) {
-                router.endWaitForReplies(state);
-            }
-        }
-    }
-
     // ---- An attempt ends ----
 
     @Override
@@ -255,6 +248,33 @@
         router.retryQueued();
     }
 
+    @Override
+    public void onEndpointsConfirmed(long now, long at) {
+        context.now = now;
+        leases.onConfirmed(at);
+    }
+
+    @Override
+    public void onEndpointsUnconfirmed(long now) {
+        context.now = now;
+        leases.onUnconfirmed();
+    }
+
+    @Override
+    public void onWorkerDisconnected(long now, String workerId) {
+        context.now = now;
+        WorkerState worker = registry.find(workerId);
+        if (worker != null) {
+            leases.onDisconnected(worker);
+        }
+    }
+
+    @Override
+    public SendCondition sendCondition(long now, String workerId, SendCondition.Purpose purpose) {
+        WorkerState worker = registry.find(workerId);
+        return worker == null ? SendCondition.NONE : leases.condition(worker, purpose);
+    }
+
     private void update(Endpoint endpoint) {
         WorkerState previous = registry.find(endpoint.id());
         WorkerState current = registry.update(endpoint);
@@ -331,29 +351,6 @@
     public void onLoadCompleted(
             long now, String workerId, String function, int count, Outcome outcome, long tookNanos) {
         context.now = now;
-        WorkerState worker = registry.find(workerId);
-        Request queryFor = residency.takeAnswered(workerId, function);
-        if (queryFor == null) {
-            onOrderCompleted(worker, function, outcome == Outcome.SERVED || count > 0, tookNanos);
-        } else if (worker != null) {
-            onResidencyAnswer(worker, queryFor, count > 0);
-        }
-    }
-
-    private void onOrderCompleted(WorkerState worker, String function, boolean loaded, long tookNanos) {
-        CachedFunction cached = worker == null ? null : worker.cachedFunctions.get(function);
-        loads.onOrderCompleted(cached, loaded, tookNanos);
-        if (cached != null) {
-            cached.loadOrdered = false;
-            if (loaded) {
-                worker.lastResponseAt = context.now;
-                cached.loading = false;
-                cached.lastUsedAt = context.now;
-                router.routeWaiting(cached, false);
-            } else {
-                router.drop(cached);
-            }
-        }
-        loads.sendPendingOrders();
+        loadCompletionHandler.onCompleted(workerId, function, count, outcome, tookNanos);
     }
 }
--- a/policy/src/main/java/wharfhinge/policy/Dispatcher.java
+++ b/policy/src/main/java/wharfhinge/policy/Dispatcher.java
@@ -17,6 +17,23 @@
     /** The endpoint list changed, or came for the first time. */
     void onEndpointUpdate(long now, EndpointUpdateMode mode, long revision, List<Endpoint> entries);
 
+    /**
+     * The source of the endpoint list has told everything that there was up to {@code at}. Where neither this nor {@link
+     * #onEndpointsUnconfirmed} is ever told, the list counts as current for ever.
+     */
+    default void onEndpointsConfirmed(long now, long at) {}
+
+    /** The source of the endpoint list has to be asked again; the list may be stale until it is confirmed. */
+    default void onEndpointsUnconfirmed(long now) {}
+
+    /** The last open connection to the worker was closed, by whichever side. */
+    default void onWorkerDisconnected(long now, String worker) {}
+
+    /** The condition under which a message may be written to the worker; changes no later decision. */
+    default SendCondition sendCondition(long now, String worker, SendCondition.Purpose purpose) {
+        return SendCondition.NONE;
+    }
+
     /** A request arrived; it gets exactly one final answer. */
     void onRequest(long now, Request request);
 
--- a/policy/src/main/java/wharfhinge/policy/DispatcherComponents.java
+++ b/policy/src/main/java/wharfhinge/policy/DispatcherComponents.java
@@ -10,6 +10,8 @@
     final LoadReportTracker loadReports;
     final ConcurrencyLimiter limiter;
     final WorkerRegistry registry;
+    final LoadQueries queries;
+    final EndpointLeases leases;
     final FunctionCacheIndex cache;
     final PreferredWorkers preferred;
     final FunctionTraffic traffic;
@@ -26,6 +28,7 @@
     final ProbeCoordinator probes;
     final ResidencyQueries residency;
     final RequestQueue queue;
+    final LeaseRenewal leaseRenewal;
     final AttemptTracker attempts;
 
     DispatcherComponents(DispatcherContext context) {
@@ -33,6 +36,8 @@
         loadReports = new LoadReportTracker(context);
         limiter = new ConcurrencyLimiter(context, loadReports);
         registry = new WorkerRegistry(context, limiter.initialLimit());
+        queries = new LoadQueries(context);
+        leases = new EndpointLeases(context, registry, queries);
         cache = new FunctionCacheIndex(context);
         preferred = new PreferredWorkers(registry);
         traffic = new FunctionTraffic(context);
@@ -41,15 +46,17 @@
         outliers = new OutlierDetector(context, registry, limiter, slowStart, traffic);
         idempotency = new IdempotencyGuard(context);
         retryBudget = new RetryBudget();
-        eligibility = new EligibilityFilter(registry, assignment, idempotency, slowStart, outliers);
-        loads = new LoadScheduler(context);
+        eligibility = new EligibilityFilter(registry, leases, assignment, idempotency, slowStart, outliers);
+        loads = new LoadScheduler(context, leases);
         ranker = new WorkerRanker(
                 context, registry, eligibility, cache, preferred, assignment, limiter, loadReports, loads);
         admission = new AdmissionController(context, registry, eligibility, limiter);
         replies = new PendingReplies(context);
         probes = new ProbeCoordinator(context, eligibility, ranker, loadReports, admission, replies);
-        residency = new ResidencyQueries(context, cache, traffic, assignment, preferred, eligibility, ranker, replies);
+        residency = new ResidencyQueries(
+                context, cache, traffic, assignment, preferred, eligibility, ranker, replies, queries);
         queue = new RequestQueue(context, loads);
+        leaseRenewal = new LeaseRenewal(leases, replies, queue);
         attempts = new AttemptTracker(context, cache, loads, outliers, slowStart, idempotency, retryBudget);
     }
 }
--- a/policy/src/main/java/wharfhinge/policy/EligibilityFilter.java
+++ b/policy/src/main/java/wharfhinge/policy/EligibilityFilter.java
@@ -11,6 +11,7 @@
     private static final double MIN_REMAINING_SHARE = 0.5;
 
     private final WorkerRegistry registry;
+    private final EndpointLeases leases;
     private final FunctionAssignment assignment;
     private final IdempotencyGuard idempotency;
     private final SlowStartBudget slowStart;
@@ -20,11 +21,13 @@
 
     EligibilityFilter(
             WorkerRegistry registry,
+            EndpointLeases leases,
             FunctionAssignment assignment,
             IdempotencyGuard idempotency,
             SlowStartBudget slowStart,
             OutlierDetector outliers) {
         this.registry = registry;
+        this.leases = leases;
         this.assignment = assignment;
         this.idempotency = idempotency;
         this.slowStart = slowStart;
@@ -52,6 +55,9 @@
         assignment.refresh();
         generation++;
         eligibleCount = registry.active().size();
+        if (!leases.isListCurrent()) {
+            excludeWithoutLease();
+        }
         boolean unrestricted =
                 registry.restricted().isEmpty() && state.attempts.isEmpty() && state.triedWorkers.isEmpty();
         if (!unrestricted) {
@@ -62,6 +68,15 @@
         return eligibleCount > 0;
     }
 
+    private void excludeWithoutLease() {
+        boolean anyValid = leases.isAnyValid();
+        for (WorkerState worker : registry.active()) {
+            if (!leases.isUsable(worker, anyValid)) {
+                exclude(worker);
+            }
+        }
+    }
+
     private void excludeForbidden(RequestState state) {
         boolean firstSend = state.possiblyExecuted.isEmpty() && !state.finished;
         List<WorkerState> questionable = firstSend ? registry.restricted() : registry.active();
--- a/policy/src/main/java/wharfhinge/policy/IdempotencyGuard.java
+++ b/policy/src/main/java/wharfhinge/policy/IdempotencyGuard.java
@@ -61,7 +61,7 @@
 
     private static boolean provesNotExecuted(Outcome outcome) {
         return switch (outcome) {
-            case SATURATED, CONNECT_FAILED, SUPERSEDED, NOT_LOADED -> true;
+            case SATURATED, CONNECT_FAILED, SUPERSEDED, NOT_LOADED, LEASE_EXPIRED -> true;
             case SERVED, ERROR, TIMEOUT, RESET, CANCELLED -> false;
         };
     }
--- /dev/null
+++ b/policy/src/main/java/wharfhinge/policy/LoadQueries.java
@@ -0,0 +1,41 @@
+package wharfhinge.policy;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** The queries of loaded copies (load orders of none) that are in flight, at most one for a worker and a function. */
+final class LoadQueries {
+    /**
+     * One query.
+     *
+     * @param request the request that residency is asked for, or null where it only renews a lease
+     * @param renewsLease whether an answer renews the worker's lease
+     */
+    record Query(Request request, long sentAt, boolean renewsLease) {}
+
+    private final DispatcherContext context;
+    private final Map<String, Query> inFlight = new HashMap<>();
+
+    LoadQueries(DispatcherContext context) {
+        this.context = context;
+    }
+
+    /** Sends a query unless one is in flight; whether it did. */
+    boolean send(WorkerState worker, String function, Request request, boolean renewsLease) {
+        Query query = new Query(request, context.now, renewsLease);
+        if (inFlight.putIfAbsent(key(worker.id, function), query) != null) {
+            return false;
+        }
+        context.actions.ensureLoaded(worker.id, function, 0);
+        return true;
+    }
+
+    /** The query that was answered, or null: then the answer is that of a load order. */
+    Query takeAnswered(String workerId, String function) {
+        return inFlight.remove(key(workerId, function));
+    }
+
+    private static String key(String workerId, String function) {
+        return workerId + ' ' + function;
+    }
+}
--- a/policy/src/main/java/wharfhinge/policy/LoadScheduler.java
+++ b/policy/src/main/java/wharfhinge/policy/LoadScheduler.java
@@ -1,8 +1,10 @@
 package wharfhinge.policy;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
+import java.util.List;
 
 /**
  * Orders loads and limits how many of this dispatcher's loads are in flight.
@@ -24,6 +26,7 @@
     private static final double ORDER_PATIENCE_MULTIPLE = 4;
 
     private final DispatcherContext context;
+    private final EndpointLeases leases;
     private final FunctionLoading settings;
     private final ArrayDeque<CachedFunction> pendingOrders = new ArrayDeque<>();
     private final ArrayDeque<Long> orderTimes = new ArrayDeque<>();
@@ -34,8 +37,9 @@
     /** Smoothed share of the sends to functions not known to be loaded that do load: peers keep most of them loaded. */
     private double loadProbability = 1;
 
-    LoadScheduler(DispatcherContext context) {
+    LoadScheduler(DispatcherContext context, EndpointLeases leases) {
         this.context = context;
+        this.leases = leases;
         this.settings = context.settings.functionLoading();
     }
 
@@ -87,9 +91,11 @@
 
     /** Sends as many orders as quota and limit allow, those that most requests wait for first. */
     void sendPendingOrders() {
-        while (!pendingOrders.isEmpty() && inFlight < inFlightLimit && isWithinQuota()) {
+        List<CachedFunction> sendable = sendableOrders();
+        while (!sendable.isEmpty() && inFlight < inFlightLimit && isWithinQuota()) {
             CachedFunction next =
-                    Collections.max(pendingOrders, Comparator.comparingInt(pending -> pending.waitingRequests.size()));
+                    Collections.max(sendable, Comparator.comparingInt(pending -> pending.waitingRequests.size()));
+            sendable.remove(next);
             pendingOrders.remove(next);
             next.loadOrderedAt = context.now;
             inFlight++;
@@ -98,6 +104,19 @@
         }
     }
 
+    /** The pending orders whose workers may get them now; the others' workers are asked for a lease. */
+    private List<CachedFunction> sendableOrders() {
+        List<CachedFunction> sendable = new ArrayList<>(pendingOrders.size());
+        for (CachedFunction order : pendingOrders) {
+            if (!leases.needsRenewal(order.worker)) {
+                sendable.add(order);
+            } else if (leases.isUsable(order.worker, true)) {
+                leases.renew(order.worker, order.function);
+            }
+        }
+        return sendable;
+    }
+
     /** Own orders of the quota period, the next one included, against own requests of that period. */
     private boolean isWithinQuota() {
         forgetOldTimes();
@@ -123,7 +142,7 @@
         if (!attempt.mayLoad()) {
             return;
         }
-        if (AttemptTracker.isConnectionBroken(completion.outcome())) {
+        if (AttemptTracker.tellsNothingOfCopies(completion.outcome())) {
             inFlight--;
             return;
         }
--- a/policy/src/main/java/wharfhinge/policy/Outcome.java
+++ b/policy/src/main/java/wharfhinge/policy/Outcome.java
@@ -10,5 +10,7 @@
     RESET,
     CANCELLED,
     SUPERSEDED,
-    NOT_LOADED
+    NOT_LOADED,
+    /** The worker's lease ended before a byte was written: it never ran. */
+    LEASE_EXPIRED
 }
--- a/policy/src/main/java/wharfhinge/policy/OutlierDetector.java
+++ b/policy/src/main/java/wharfhinge/policy/OutlierDetector.java
@@ -121,7 +121,7 @@
     private static boolean isAnswer(Outcome outcome) {
         return switch (outcome) {
             case SERVED, ERROR, SATURATED, NOT_LOADED -> true;
-            case TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, SUPERSEDED -> false;
+            case TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, SUPERSEDED, LEASE_EXPIRED -> false;
         };
     }
 
@@ -129,7 +129,7 @@
     private boolean tellsNothingOfHealth(Attempt attempt, Outcome outcome) {
         boolean callerError = isCallerError(attempt, outcome);
         return switch (outcome) {
-            case SATURATED, NOT_LOADED, TIMEOUT, CANCELLED, SUPERSEDED -> true;
+            case SATURATED, NOT_LOADED, TIMEOUT, CANCELLED, SUPERSEDED, LEASE_EXPIRED -> true;
             case SERVED, ERROR, CONNECT_FAILED, RESET -> callerError;
         };
     }
--- a/policy/src/main/java/wharfhinge/policy/PendingReplies.java
+++ b/policy/src/main/java/wharfhinge/policy/PendingReplies.java
@@ -5,7 +5,7 @@
 
 /** Requests that wait for replies of workers, to probes or to residency queries, before their first send. */
 final class PendingReplies {
-    private static final long TIMEOUT_NANOS = 40 * DispatcherContext.NANOS_PER_MILLI;
+    static final long TIMEOUT_NANOS = 40 * DispatcherContext.NANOS_PER_MILLI;
 
     private final DispatcherContext context;
     private final LinkedHashSet<RequestState> waiting = new LinkedHashSet<>();
--- a/policy/src/main/java/wharfhinge/policy/RequestRouter.java
+++ b/policy/src/main/java/wharfhinge/policy/RequestRouter.java
@@ -27,6 +27,7 @@
     private final PendingReplies replies;
     private final ProbeCoordinator probes;
     private final ResidencyQueries residency;
+    private final LeaseRenewal leaseRenewal;
     private final AttemptTracker attempts;
     private final Map<String, RequestState> requests = new HashMap<>();
 
@@ -42,6 +43,7 @@
         this.replies = components.replies;
         this.probes = components.probes;
         this.residency = components.residency;
+        this.leaseRenewal = components.leaseRenewal;
         this.attempts = components.attempts;
     }
 
@@ -80,7 +82,7 @@
             rejectOrFail(state);
         } else if (shouldAwaitSlot(state, worker)) {
             queue.add(state);
-        } else if (!probes.probeBeforeSend(state, worker)) {
+        } else if (!leaseRenewal.renewBeforeSend(state, worker) && !probes.probeBeforeSend(state, worker)) {
             send(state, worker);
         }
     }
@@ -121,6 +123,7 @@
     /** Routes a request that waited for replies, whether all came or not; nothing if it waits no longer. */
     void endWaitForReplies(RequestState state) {
         if (replies.remove(state)) {
+            LeaseRenewal.onWaitEnded(state);
             probes.onWaitEnded(state);
             state.awaitedWorkers.clear();
             route(state);
@@ -159,6 +162,15 @@
         routeWaiting(cached, true);
     }
 
+    /** Drops the loads that wait to be ordered on the worker. */
+    void dropPendingLoads(WorkerState worker) {
+        for (CachedFunction cached : List.copyOf(worker.cachedFunctions.values())) {
+            if (loads.isPending(cached)) {
+                drop(cached);
+            }
+        }
+    }
+
     void routeWaiting(CachedFunction cached, boolean elsewhere) {
         List<RequestState> waiting = List.copyOf(cached.waitingRequests);
         cached.waitingRequests.clear();
--- a/policy/src/main/java/wharfhinge/policy/RequestState.java
+++ b/policy/src/main/java/wharfhinge/policy/RequestState.java
@@ -30,6 +30,12 @@
     /** Workers whose reply to a probe or a residency query it waits for. */
     final Set<WorkerState> awaitedWorkers = new LinkedHashSet<>();
 
+    /** Workers that were queried for a lease for it. */
+    final Set<WorkerState> renewedLeases = new LinkedHashSet<>();
+
+    /** The worker whose lease it waits for, or null. */
+    WorkerState awaitedLease;
+
     /** The load that it waits for, or null. */
     CachedFunction awaitedLoad;
 
--- a/policy/src/main/java/wharfhinge/policy/ResidencyQueries.java
+++ b/policy/src/main/java/wharfhinge/policy/ResidencyQueries.java
@@ -1,8 +1,5 @@
 package wharfhinge.policy;
 
-import java.util.HashMap;
-import java.util.Map;
-
 /**
  * Asks a function's preferred workers whether they have a copy (a load order of none) before a first send.
  *
@@ -25,11 +22,9 @@
     private final EligibilityFilter eligibility;
     private final WorkerRanker ranker;
     private final PendingReplies replies;
+    private final LoadQueries queries;
     private final boolean enabled;
 
-    /** The request for which a query was sent, by worker and function, until it is answered. */
-    private final Map<String, Request> unanswered = new HashMap<>();
-
     ResidencyQueries(
             DispatcherContext context,
             FunctionCacheIndex cache,
@@ -38,7 +33,8 @@
             PreferredWorkers preferred,
             EligibilityFilter eligibility,
             WorkerRanker ranker,
-            PendingReplies replies) {
+            PendingReplies replies,
+            LoadQueries queries) {
         this.context = context;
         this.cache = cache;
         this.traffic = traffic;
@@ -47,6 +43,7 @@
         this.eligibility = eligibility;
         this.ranker = ranker;
         this.replies = replies;
+        this.queries = queries;
         this.enabled = !ProbeCoordinator.isLargeGroup(context)
                 && context.settings.functionLoading().loadOrdersAllowed()
                 && !context.loadsOnlyByOrder;
@@ -70,19 +67,13 @@
         for (WorkerState worker : preferred.head(function, state.functionHash, MAX_WORKERS_ASKED)) {
             if (eligibility.isEligible(worker)
                     && state.awaitedWorkers.size() < MAX_WORKERS_ASKED
-                    && state.awaitedWorkers.add(worker)
-                    && unanswered.putIfAbsent(key(worker.id, function), state.request) == null) {
-                context.actions.ensureLoaded(worker.id, function, 0);
+                    && state.awaitedWorkers.add(worker)) {
+                queries.send(worker, function, state.request, false);
             }
         }
         replies.scheduleTimeout(state);
     }
 
-    /** The request for which the worker was queried, or null: then the answer is that of a load order. */
-    Request takeAnswered(String workerId, String function) {
-        return unanswered.remove(key(workerId, function));
-    }
-
     /** Learns whether the worker has a copy. Where memory is short, one that isn't assigned there is left to expire. */
     void onAnswer(WorkerState worker, Request request, boolean loaded) {
         FunctionStats function = traffic.find(request.function());
@@ -104,8 +95,4 @@
                 && state.awaitedWorkers.remove(worker)
                 && (loaded || state.awaitedWorkers.isEmpty());
     }
-
-    private static String key(String workerId, String function) {
-        return workerId + ' ' + function;
-    }
 }
--- a/policy/src/main/java/wharfhinge/policy/SlowStartBudget.java
+++ b/policy/src/main/java/wharfhinge/policy/SlowStartBudget.java
@@ -46,7 +46,7 @@
     }
 
     private double ratePerNano(WorkerState worker) {
-        double age = Math.max(0, context.now - worker.endpoint.startedAt()) / (double) rules.slowStartNanos();
+        double age = Math.max(0, context.now - worker.startedAt()) / (double) rules.slowStartNanos();
         double rampShare = rules.slowStartFrom() + (1 - rules.slowStartFrom()) * age;
         // Of the mean worker's part of the answers, or of its own by capacity where it is smaller than the mean.
         double workerShare = Math.min(1.0 / registry.upCount(), worker.capacity() / registry.upCapacity());
--- a/policy/src/main/java/wharfhinge/policy/WorkerRegistry.java
+++ b/policy/src/main/java/wharfhinge/policy/WorkerRegistry.java
@@ -137,7 +137,7 @@
             restricted.add(worker);
         }
         if (warmingUp) {
-            activeValidUntil = Math.min(activeValidUntil, worker.endpoint.startedAt() + slowStartNanos);
+            activeValidUntil = Math.min(activeValidUntil, worker.startedAt() + slowStartNanos);
         }
     }
 
--- a/policy/src/main/java/wharfhinge/policy/WorkerState.java
+++ b/policy/src/main/java/wharfhinge/policy/WorkerState.java
@@ -14,6 +14,12 @@
     /** Order in which workers were first listed. */
     static final Comparator<WorkerState> BY_ORDINAL = Comparator.comparingLong(worker -> worker.ordinal);
 
+    /** A time before all others. */
+    static final long NEVER = 0;
+
+    /** In place of the time since when it is not observed: a connection to it is open. */
+    static final long OBSERVED = -1;
+
     private static final double INITIAL_OBJECTIVE_DIVISOR = 4.0;
 
     final String id;
@@ -26,6 +32,17 @@
     Endpoint endpoint;
     boolean up;
 
+    // EndpointLeases
+    long leaseProvenAt = NEVER;
+    long leaseRevokedAt = NEVER;
+    long leaseRevokedUntil = NEVER;
+    long leaseRevocationNanos = EndpointLeases.FIRST_REVOCATION_NANOS;
+    long leaseQueriedAt = NEVER;
+    long unobservedSince;
+    boolean connectedBefore;
+    boolean mayHaveRestarted;
+    long suspectedStartAt = NEVER;
+
     // FunctionCacheIndex
     final Map<String, CachedFunction> cachedFunctions = new LinkedHashMap<>();
 
@@ -78,6 +95,7 @@
         this.slowStartTokens = slowStartPhase;
         this.concurrencyLimit = concurrencyLimit;
         this.latencyNanos = latencyObjectiveNanos / INITIAL_OBJECTIVE_DIVISOR;
+        this.unobservedSince = now;
         this.lastResponseAt = now;
         this.slowStartRefilledAt = now;
         this.hash = PreferredWorkers.mix(id.hashCode());
@@ -90,6 +108,11 @@
 
     /** Whether it started so recently that its share of the traffic is still ramped up. */
     boolean isWarmingUp(long now, long slowStartNanos) {
-        return endpoint.startedAt() > 0 && now - endpoint.startedAt() < slowStartNanos;
+        return startedAt() > 0 && now - startedAt() < slowStartNanos;
+    }
+
+    /** When it started, as listed or as suspected; 0 if that was long ago. */
+    long startedAt() {
+        return Math.max(endpoint.startedAt(), suspectedStartAt);
     }
 }
--- a/policy/src/main/java/wharfhinge/policy/package-info.java
+++ b/policy/src/main/java/wharfhinge/policy/package-info.java
@@ -12,7 +12,8 @@
  * <ol>
  *   <li>{@code AdmissionController} sheds it under overload.
  *   <li>{@code EligibilityFilter} leaves out workers that may not get it: {@code IdempotencyGuard} for a repeat,
- *       {@code SlowStartBudget} for workers that are warming up, {@code OutlierDetector} for ejected ones.
+ *       {@code SlowStartBudget} for workers that are warming up, {@code OutlierDetector} for ejected ones, {@code
+ *       EndpointLeases} for those that may drain while the endpoint list is stale ({@code LeaseRenewal} asks them).
  *   <li>{@code WorkerRanker} picks one: with the function loaded ({@code FunctionCacheIndex}) and below its limit
  *       ({@code ConcurrencyLimiter}, {@code LoadReportTracker}), else the one that the function is assigned to
  *       ({@code FunctionAssignment}, {@code PreferredWorkers}).
