--- a/policy/src/main/java/wharfhinge/policy/EndpointLeases.java
+++ b/policy/src/main/java/wharfhinge/policy/EndpointLeases.java
@@ -74,7 +74,11 @@
 
     /** The source has to be asked again: what happens from now on may not be told. */
     void onUnconfirmed() {
-        if (!sourceTells || isListCurrent()) {
+        if (!sourceTells) {
+            // What the list at the start says was true when it was written, which is not known to be within the grace.
+            unconfirmedAt = context.now - validNanos;
+            context.actions.logDiagnostic("endpoint list not confirmed yet");
+        } else if (isListCurrent()) {
             unconfirmedAt = context.now;
             context.actions.logDiagnostic("endpoint list may be stale");
         }
--- a/policy/src/main/java/wharfhinge/policy/LeaseRenewal.java
+++ b/policy/src/main/java/wharfhinge/policy/LeaseRenewal.java
@@ -32,12 +32,17 @@
         return true;
     }
 
-    /** The request waits no longer; a worker that has not answered is avoided while there are others. */
-    static void onWaitEnded(RequestState state) {
+    /**
+     * The request waits no longer; a worker that has not answered is avoided while there are others.
+     *
+     * @return the worker that has renewed its lease for the request, or null
+     */
+    WorkerState onWaitEnded(RequestState state) {
         WorkerState worker = state.awaitedLease;
         state.awaitedLease = null;
         if (worker != null && worker.leaseQueriedAt != WorkerState.NEVER) {
             state.triedWorkers.add(worker);
         }
+        return worker != null && leases.isValid(worker) ? worker : null;
     }
 }
--- a/policy/src/main/java/wharfhinge/policy/RequestRouter.java
+++ b/policy/src/main/java/wharfhinge/policy/RequestRouter.java
@@ -120,12 +120,23 @@
         attempts.send(state, worker);
     }
 
-    /** Routes a request that waited for replies, whether all came or not; nothing if it waits no longer. */
+    /**
+     * Routes a request that waited for replies, whether all came or not; nothing if it waits no longer. Where it waited
+     * for a lease, it goes to that worker even if others rank before it by now: they would be queried in turn.
+     */
     void endWaitForReplies(RequestState state) {
-        if (replies.remove(state)) {
-            LeaseRenewal.onWaitEnded(state);
-            probes.onWaitEnded(state);
-            state.awaitedWorkers.clear();
+        if (!replies.remove(state)) {
+            return;
+        }
+        WorkerState leased = leaseRenewal.onWaitEnded(state);
+        probes.onWaitEnded(state);
+        state.awaitedWorkers.clear();
+        if (leased != null
+                && eligibility.select(state)
+                && eligibility.isEligible(leased)
+                && isAdmitted(state, leased)) {
+            send(state, leased);
+        } else {
             route(state);
         }
     }
