--- a/policy/src/main/java/wharfhinge/policy/EligibilityFilter.java
+++ b/policy/src/main/java/wharfhinge/policy/EligibilityFilter.java
@@ -55,7 +55,7 @@
         assignment.refresh();
         generation++;
         eligibleCount = registry.active().size();
-        if (!leases.isListCurrent()) {
+        if (leases.mayExclude()) {
             excludeWithoutLease();
         }
         boolean unrestricted =
--- a/policy/src/main/java/wharfhinge/policy/EndpointLeases.java
+++ b/policy/src/main/java/wharfhinge/policy/EndpointLeases.java
@@ -50,6 +50,9 @@
     private long confirmedAt;
     private long unconfirmedAt;
 
+    /** When the last revocation of all ends. */
+    private long revocationsEndAt = WorkerState.NEVER;
+
     EndpointLeases(DispatcherContext context, WorkerRegistry registry, LoadQueries queries) {
         this.context = context;
         this.registry = registry;
@@ -98,6 +101,7 @@
         if (!isListCurrent()) {
             detectRestart(worker);
         }
+        worker.leaseRevokedUntil = WorkerState.NEVER;
         worker.leaseRevocationNanos = FIRST_REVOCATION_NANOS;
         worker.mayHaveRestarted = false;
         worker.unobservedSince = WorkerState.OBSERVED;
@@ -123,6 +127,7 @@
         if (context.now >= worker.leaseRevokedUntil) {
             context.actions.logDiagnostic("lease of " + worker.id + " revoked: " + outcome);
             worker.leaseRevokedUntil = context.now + worker.leaseRevocationNanos;
+            revocationsEndAt = Math.max(revocationsEndAt, worker.leaseRevokedUntil);
             worker.leaseRevocationNanos = Math.min(MAX_REVOCATION_NANOS, 2 * worker.leaseRevocationNanos);
         }
         worker.leaseRevokedAt = context.now;
@@ -183,6 +188,14 @@
         return queriesAllowed && !isListCurrent() && context.now - provenAt(worker) >= renewAfterNanos;
     }
 
+    /**
+     * Whether {@link #isUsable} may say no. A revocation runs on to its end after the list is current again, since the
+     * updates that explain it may come later than the source is heard.
+     */
+    boolean mayExclude() {
+        return !isListCurrent() || context.now < revocationsEndAt;
+    }
+
     /** Whether any active worker has a lease. */
     boolean isAnyValid() {
         return registry.active().stream().anyMatch(this::isValid);
@@ -195,12 +208,12 @@
      *     where no other has a lease
      */
     boolean isUsable(WorkerState worker, boolean anyValid) {
-        if (isListCurrent() || isValid(worker)) {
-            return true;
-        }
         if (context.now < worker.leaseRevokedUntil) {
             return false;
         }
+        if (isListCurrent() || isValid(worker)) {
+            return true;
+        }
         if (queriesAllowed) {
             return worker.leaseQueriedAt == WorkerState.NEVER
                     || context.now - worker.leaseQueriedAt < PendingReplies.TIMEOUT_NANOS;
--- a/policy/src/test/java/wharfhinge/policy/EndpointLeasesTest.java
+++ b/policy/src/test/java/wharfhinge/policy/EndpointLeasesTest.java
@@ -174,6 +174,29 @@
         assertFalse(asked.contains(away), "not within its backoff");
     }
 
+    /** The feed is heard again before it has told that the worker drains. */
+    @Test
+    void revocation_outlastsTheOutage() {
+        host.listWorkers("b", "c");
+        confirm(host);
+        lose(host, 200);
+        sendUnanswered("f1");
+        String away = queries(host).get(0).split(" ")[1];
+        answerQuery(Outcome.SATURATED);
+        answerQuery(Outcome.SERVED);
+        confirm(host);
+        for (int i = 0; i < 20; i++) {
+            assertFalse(away.equals(host.workerOf(sendUnanswered("h" + i))));
+        }
+        host.advanceMillis(600);
+        confirm(host);
+        Set<String> used = new HashSet<>();
+        for (int i = 0; i < 20; i++) {
+            used.add(host.workerOf(sendUnanswered("k" + i)));
+        }
+        assertTrue(used.contains(away), "the list is taken at its word again");
+    }
+
     @Test
     void loadOrder_waitsForTheLease() {
         FakeDispatcherHost byOrder = new FakeDispatcherHost(FakeDispatcherHost.withMemory(1000, 100));
