Drills: gateways and workers note when the machine did not run them; the red drill is traced

So neither gateway nor worker was at fault, and the judge took the times of noting for those of coming. Change: each I/O thread of workers and gateways under a drill, and the gateway's engine thread, has a heartbeat of 20 ms; late by over 100 ms with under a quarter of that on the processor is noted. The judge moves what was noted after such a span to its beginning, allows a gateway the length of its spans, and counts what only they explain as 'not judged'. What didn't help: watching I/O threads alone; schedstat, which is empty on this machine.

--- a/app/src/main/java/wharfhinge/app/ServeCommand.java
+++ b/app/src/main/java/wharfhinge/app/ServeCommand.java
@@ -19,6 +19,11 @@
 
     @Override
     public Integer call() throws InterruptedException {
-        return Serving.serve(config, DispatcherFactory.CACHE_AWARE, UnaryOperator.identity(), UnaryOperator.identity());
+        return Serving.serve(
+                config,
+                DispatcherFactory.CACHE_AWARE,
+                UnaryOperator.identity(),
+                UnaryOperator.identity(),
+                gateway -> {});
     }
 }
--- a/app/src/main/java/wharfhinge/app/Serving.java
+++ b/app/src/main/java/wharfhinge/app/Serving.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
 import wharfhinge.config.GatewayConfig;
 import wharfhinge.config.InvalidConfigurationException;
@@ -15,12 +16,17 @@
 
     private Serving() {}
 
-    /** Serves with the given decisions; returns once the gateway has stopped. */
+    /**
+     * Serves with the given decisions; returns once the gateway has stopped.
+     *
+     * @param onCreated given the gateway before it is warmed up
+     */
     public static int serve(
             Path file,
             DispatcherFactory decisions,
             UnaryOperator<GatewayConfig> changed,
-            UnaryOperator<EndpointSource> heard)
+            UnaryOperator<EndpointSource> heard,
+            Consumer<Gateway> onCreated)
             throws InterruptedException {
         GatewayConfig config;
         try {
@@ -32,6 +38,7 @@
         Logs.set(config.log());
         Gateway gateway = new Gateway(
                 config, decisions, (group, type) -> heard.apply(new HttpEndpointSource(config, group, type)));
+        onCreated.accept(gateway);
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime()
                 .addShutdownHook(new Thread(
--- a/app/src/main/java/wharfhinge/app/drill/Day.java
+++ b/app/src/main/java/wharfhinge/app/drill/Day.java
@@ -110,6 +110,9 @@
                 trace.take(worker.events());
             }
         }
+        for (GatewayProcess gateway : gateways) {
+            trace.take(gateway.spansNotRun());
+        }
         trace.write(folder.resolve("trace.tsv"));
         return Judge.judge(scenario.judged(), trace.lines());
     }
--- a/app/src/main/java/wharfhinge/app/drill/GatewayProcess.java
+++ b/app/src/main/java/wharfhinge/app/drill/GatewayProcess.java
@@ -9,12 +9,17 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import wharfhinge.app.Program;
 import wharfhinge.standin.Trace;
 
 /** One gateway in a process of its own, to be killed, stopped and started again. */
 final class GatewayProcess {
     private static final long START_MS = 20_000;
+    /** A whole line: a killed process may leave half of one. */
+    private static final Pattern SPAN_NOT_RUN =
+            Pattern.compile("\\d+\t" + DrillGatewayCommand.NOT_RUN + "\tgw=\\w+\tms=\\d+");
 
     private final String name;
     private final int port;
@@ -63,9 +68,11 @@
                 "-cp",
                 System.getProperty("java.class.path"),
                 Program.MAIN));
-        command.addAll(mutant == null ? List.of("serve") : List.of("drill-gateway", "--mutant", mutant.name()));
-        command.addAll(List.of("--config", config.toString()));
-        Path log = config.resolveSibling(name + ".log");
+        command.addAll(List.of("drill-gateway", "--name", name, "--config", config.toString()));
+        if (mutant != null) {
+            command.addAll(List.of("--mutant", mutant.name()));
+        }
+        Path log = log();
         long before = Files.exists(log) ? Files.size(log) : 0;
         process = new ProcessBuilder(command)
                 .redirectErrorStream(true)
@@ -90,6 +97,17 @@
         }
     }
 
+    private Path log() {
+        return config.resolveSibling(name + ".log");
+    }
+
+    /** Lines for the trace of spans in which the machine did not run it. */
+    List<String> spansNotRun() throws IOException {
+        try (Stream<String> lines = Files.lines(log(), StandardCharsets.UTF_8)) {
+            return lines.filter(SPAN_NOT_RUN.asMatchPredicate()).toList();
+        }
+    }
+
     /** As a crash would. */
     void kill() throws InterruptedException {
         trace.note("gw-down", "gw", name);
--- a/gateway/src/main/java/wharfhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/wharfhinge/gateway/Gateway.java
@@ -187,6 +187,16 @@
                 warmUpResult.fastestCallMicros());
     }
 
+    /** The threads that carry all connections. */
+    public EventLoopGroup eventLoops() {
+        return netty.ioGroup();
+    }
+
+    /** Runs something short on the engine's thread, after what it has before it; any thread. */
+    public void runOnEngine(Runnable task) {
+        engine.workerStates("", states -> task.run());
+    }
+
     /** What came of the warm-up. */
     WarmUp.Result warmUpResult() {
         return warmUpResult;
--- a/stand-ins/src/test/java/wharfhinge/standin/judge/JudgeTest.java
+++ b/stand-ins/src/test/java/wharfhinge/standin/judge/JudgeTest.java
@@ -176,6 +176,33 @@
         assertEquals(Set.of(2), broken(), "that it ran twice is known whenever it came");
     }
 
+    /** A worker that the machine did not run notes so itself; only what may have come before or during the answer is explained by it. */
+    @Test
+    void workerNotRun_explainsWhatMayHaveComeBeforeTheAnswerAlone() {
+        offer(0, "a", "safe");
+        answer(900, "a", "failed");
+        ran(2000, "a", 0);
+        at(1990, "worker-not-run", "worker", "w", "ms", 1200);
+        assertEquals(Set.of(), broken());
+        offer(3000, "b", "safe");
+        answer(3900, "b", "failed");
+        ran(5000, "b", 0);
+        at(4990, "worker-not-run", "worker", "w", "ms", 800);
+        assertEquals(Set.of(1), broken(), "it stood still from 4190 on: what it read then was sent after the answer");
+    }
+
+    @Test
+    void spansWithoutRunning_thatFollowEachOther_areOne() {
+        offer(0, "a", "safe");
+        answer(900, "a", "failed");
+        ran(2000, "a", 0);
+        at(1990, "worker-not-run", "worker", "w", "ms", 400);
+        at(1550, "worker-not-run", "worker", "w", "ms", 300);
+        assertEquals(Set.of(1), broken());
+        at(1200, "worker-not-run", "worker", "w", "ms", 200);
+        assertEquals(Set.of(), broken());
+    }
+
     @Test
     void callsAndOrdersAfterTheGraceBreakRuleThree() {
         at(0, "told", "gw", "g", "worker", "w", "state", "DRAINING");
--- /dev/null
+++ b/worker/src/main/java/wharfhinge/worker/ProcessorWaitWatch.java
@@ -0,0 +1,56 @@
+package wharfhinge.worker;
+
+import io.netty.channel.EventLoop;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
+
+/**
+ * Tells when a thread was not run by the machine for a while: its heartbeat is late although the thread used little processor time
+ * meanwhile. What came in such a span is read, and noted, after it. A thread that is late because of its own work is not told. Each
+ * {@link #run} is a heartbeat, and is confined to the thread that is watched.
+ */
+public final class ProcessorWaitWatch implements Runnable {
+    /** Between two heartbeats. */
+    public static final long HEARTBEAT_MILLIS = 20;
+
+    private static final long REPORTED_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+    /** A span is told if the thread ran for less than this part of it. */
+    private static final int MAX_RUNNING_DIVISOR = 4;
+
+    private final ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+    private final LongConsumer onNotRun;
+    private boolean isStarted;
+    private long lastNanos;
+    private long lastProcessorNanos;
+
+    /**
+     * A watch that begins with its first heartbeat.
+     *
+     * @param onNotRun given the length of each span in milliseconds, at its end, on the watched thread
+     */
+    public ProcessorWaitWatch(LongConsumer onNotRun) {
+        this.onNotRun = onNotRun;
+    }
+
+    /** Watches an event loop until it ends; any thread. */
+    public static void start(EventLoop loop, LongConsumer onNotRun) {
+        loop.scheduleWithFixedDelay(
+                new ProcessorWaitWatch(onNotRun), HEARTBEAT_MILLIS, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void run() {
+        long now = System.nanoTime();
+        long processorNanos = threads.getCurrentThreadCpuTime();
+        long elapsedNanos = now - lastNanos;
+        boolean isOwnWork = processorNanos - lastProcessorNanos > elapsedNanos / MAX_RUNNING_DIVISOR;
+        if (isStarted && elapsedNanos > REPORTED_NANOS && !isOwnWork) {
+            onNotRun.accept(TimeUnit.NANOSECONDS.toMillis(elapsedNanos));
+        }
+        isStarted = true;
+        lastNanos = now;
+        lastProcessorNanos = processorNanos;
+    }
+}
--- a/worker/src/main/java/wharfhinge/worker/WorkerServer.java
+++ b/worker/src/main/java/wharfhinge/worker/WorkerServer.java
@@ -92,6 +92,9 @@
                 .channel();
         this.id = "127.0.0.1:" + port();
         loop.submit(() -> worker.named(id)).syncUninterruptibly();
+        if (events != EventLog.NONE) {
+            ProcessorWaitWatch.start(loop, millis -> events.note("worker-not-run", "worker", id, "ms", millis));
+        }
         events.note(
                 "start",
                 "worker",
