--- a/app/src/test/java/wharfhinge/app/ArchitectureTest.java
+++ b/app/src/test/java/wharfhinge/app/ArchitectureTest.java
@@ -5,9 +5,12 @@
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
 
+import com.tngtech.archunit.base.DescribedPredicate;
+import com.tngtech.archunit.core.domain.JavaAccess;
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /** Arrows point down only, and the decisions touch neither I/O nor clocks nor threads. */
@@ -16,6 +19,14 @@
             .withImportOption(new ImportOption.DoNotIncludeTests())
             .importPackages("wharfhinge");
 
+    private static final Set<String> WALL_CLOCK_READERS = Set.of(
+            "java.lang.System.currentTimeMillis",
+            "java.time.Instant.now",
+            "java.time.Clock.systemUTC",
+            "java.time.Clock.systemDefaultZone",
+            "java.time.LocalDateTime.now",
+            "java.time.ZonedDateTime.now");
+
     @Test
     void arrowsPointDownOnly() {
         layeredArchitecture()
@@ -186,4 +197,31 @@
                         "wharfhinge.gateway..", "wharfhinge.platform..", "wharfhinge.config..", "io.netty.channel..")
                 .check(ALL);
     }
+
+    /**
+     * Spans are measured by the monotonic clock. Each class listed says what bounds the harm of a step of the wall clock: ages in
+     * {@code SteadyWallClock}, the order of files in {@code CaptureWriter} and {@code ImageCache}, the end of tokens in {@code Gateway}.
+     */
+    @Test
+    void wallClockIsReadInListedClassesAlone() {
+        DescribedPredicate<JavaAccess<?>> readsWallClock = DescribedPredicate.describe(
+                "reads the wall clock",
+                access -> WALL_CLOCK_READERS.contains(access.getTargetOwner().getName()
+                        + '.'
+                        + access.getTarget().getName()));
+        noClasses()
+                .that()
+                .doNotHaveFullyQualifiedName("wharfhinge.engine.SteadyWallClock")
+                .and()
+                .doNotHaveFullyQualifiedName("wharfhinge.capture.CaptureWriter")
+                .and()
+                .doNotHaveFullyQualifiedName("wharfhinge.worker.image.ImageCache")
+                .and()
+                .doNotHaveFullyQualifiedName("wharfhinge.gateway.Gateway")
+                .and()
+                .resideOutsideOfPackage("wharfhinge.app..")
+                .should()
+                .accessTargetWhere(readsWallClock)
+                .check(ALL);
+    }
 }
--- a/capture/src/main/java/wharfhinge/capture/CaptureWriter.java
+++ b/capture/src/main/java/wharfhinge/capture/CaptureWriter.java
@@ -252,6 +252,7 @@
         prune(path);
     }
 
+    /** Ages are by the wall clock, which dates the files: after a step of it segments are deleted by as much too early or too late. */
     private void prune(Path writing) throws IOException {
         List<Path> all;
         try (Stream<Path> files = Files.list(folder)) {
--- a/platform/src/main/java/wharfhinge/platform/SteadyWallClock.java
+++ b/engine/src/main/java/wharfhinge/engine/SteadyWallClock.java
@@ -1,26 +1,27 @@
-package wharfhinge.platform;
+package wharfhinge.engine;
 
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
 /**
  * Unix time that runs on with the monotonic clock: it reads the wall clock once, so that a step of the wall clock, forward or back, changes
- * no age of a worker that is listed afterwards. Such a step makes a worker that has just started count as warm, or a warm one as new.
+ * no age that is measured in this process. Such a step makes a worker that has just started count as warm, or a warm one as new, and a
+ * record that was just written as expired.
  *
  * <p>A wall clock that is wrong at the start stays wrong here, as it would without this class. Any thread.
  */
-final class SteadyWallClock implements LongSupplier {
+public final class SteadyWallClock implements LongSupplier {
     private final LongSupplier nanoTime;
     private final long startMillis;
     private final long startNanos;
 
     /** A clock of this process. */
-    SteadyWallClock() {
+    public SteadyWallClock() {
         this(System::currentTimeMillis, System::nanoTime);
     }
 
     /** A clock that starts at what {@code wallMillis} says now and runs on with {@code nanoTime}. */
-    SteadyWallClock(LongSupplier wallMillis, LongSupplier nanoTime) {
+    public SteadyWallClock(LongSupplier wallMillis, LongSupplier nanoTime) {
         this.nanoTime = nanoTime;
         this.startMillis = wallMillis.getAsLong();
         this.startNanos = nanoTime.getAsLong();
--- a/gateway/src/main/java/wharfhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/wharfhinge/gateway/Gateway.java
@@ -25,6 +25,7 @@
 import wharfhinge.engine.EngineSettings;
 import wharfhinge.engine.PeerTransport;
 import wharfhinge.engine.Slf4jAccessLog;
+import wharfhinge.engine.SteadyWallClock;
 import wharfhinge.engine.StepJournal;
 import wharfhinge.gateway.discovery.EndpointSnapshotFile;
 import wharfhinge.gateway.discovery.HttpEndpointSource;
@@ -90,7 +91,7 @@
         endpointSource = sourceFactory == null
                 ? new HttpEndpointSource(config, netty.ioGroup(), netty.channelType())
                 : sourceFactory.apply(netty.ioGroup(), netty.channelType());
-        endpointSnapshot = new EndpointSnapshotFile(config.endpointSource().snapshotFile(), System::currentTimeMillis);
+        endpointSnapshot = new EndpointSnapshotFile(config.endpointSource().snapshotFile(), new SteadyWallClock());
         accessLog = new Slf4jAccessLog(config.log().diagnosticsPerSecond());
         journal = openJournal(config.chains());
         recording = config.capture() == null
@@ -137,7 +138,7 @@
     private static StepJournal openJournal(ChainConfig chains) {
         return chains.resumeFile() == null
                 ? StepJournal.NONE
-                : new MvStoreStepJournal(chains.resumeFile(), chains.resumeWindowNanos(), System::currentTimeMillis);
+                : new MvStoreStepJournal(chains.resumeFile(), chains.resumeWindowNanos(), new SteadyWallClock());
     }
 
     private UdpPeerTransport openPeers() throws InterruptedException {
@@ -160,6 +161,8 @@
             return new CallAuthenticator(null, false);
         }
         try {
+            // a token's end is a point of Unix time: a step of the wall clock moves it by as much, until the clock is
+            // corrected
             BearerTokens tokens =
                     proof.tokenKey() == null ? null : new BearerTokens(proof.tokenKey(), System::currentTimeMillis);
             return new CallAuthenticator(tokens, proof.required());
--- a/gateway/src/main/java/wharfhinge/gateway/discovery/HttpEndpointSource.java
+++ b/gateway/src/main/java/wharfhinge/gateway/discovery/HttpEndpointSource.java
@@ -137,31 +137,34 @@
             return;
         }
         streamStart = view.hasRevision() ? start : StreamStart.FULL_LIST;
-        channel = bootstrap
+        ChannelFuture connecting = bootstrap
                 .clone()
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
-                    protected void initChannel(Channel connecting) {
-                        initPipeline(connecting);
+                    protected void initChannel(Channel newChannel) {
+                        initPipeline(newChannel);
                     }
                 })
-                .connect()
-                .addListener((ChannelFuture connected) -> {
-                    if (!connected.isSuccess()) {
-                        LOG.warn(
-                                "{}: connect failed: {}",
-                                this,
-                                connected.cause().getMessage());
-                        onStreamEnded();
-                    }
-                })
-                .channel();
+                .connect();
+        // without a socket (EMFILE, ENFILE, ENOBUFS) there is no channel to close, and the failure is told on another
+        // thread
+        channel = connecting.channel().isRegistered() ? connecting.channel() : null;
+        connecting.addListener(connected -> {
+            if (!connected.isSuccess()) {
+                eventLoop.execute(() -> onConnectFailed(connected.cause()));
+            }
+        });
+    }
+
+    private void onConnectFailed(Throwable cause) {
+        LOG.warn("{}: connect failed: {}", this, cause.getMessage());
+        onStreamEnded();
     }
 
-    private void initPipeline(Channel connecting) {
+    private void initPipeline(Channel newChannel) {
         ReadTimeoutHandler silence =
                 new ReadTimeoutHandler(config.endpointSource().silenceTimeoutNanos(), TimeUnit.NANOSECONDS);
-        connecting.pipeline().addLast(new HttpClientCodec(), silence, new StreamHandler());
+        newChannel.pipeline().addLast(new HttpClientCodec(), silence, new StreamHandler());
     }
 
     /** Doubles with each failure up to the limit set; jitter takes up to half of it away. */
--- a/gateway/src/main/java/wharfhinge/gateway/upstream/WorkerConnectionPool.java
+++ b/gateway/src/main/java/wharfhinge/gateway/upstream/WorkerConnectionPool.java
@@ -143,8 +143,9 @@
             }
         });
         connect.connect().addListener((ChannelFuture connected) -> {
-            if (!connected.isSuccess() && connections.remove(connection)) {
-                onConnectFailed();
+            if (!connected.isSuccess()) {
+                // without a socket (EMFILE, ENFILE, ENOBUFS) this runs on another thread
+                eventLoop.execute(() -> removeFailed(connection));
             }
         });
         eventLoop.schedule(
@@ -157,6 +158,12 @@
                 TimeUnit.NANOSECONDS);
     }
 
+    private void removeFailed(WorkerConnection connection) {
+        if (connections.remove(connection)) {
+            onConnectFailed();
+        }
+    }
+
     private static Http2FrameCodec newCodec() {
         return Http2FrameCodecBuilder.forClient()
                 .initialSettings(Http2Settings.defaultSettings()
--- a/gateway/src/test/java/wharfhinge/gateway/MvStoreStepJournalTest.java
+++ b/gateway/src/test/java/wharfhinge/gateway/MvStoreStepJournalTest.java
@@ -83,6 +83,20 @@
         }
     }
 
+    /** A step of the wall clock between two processes is not taken for time that has passed; the second start reads what the first left. */
+    @Test
+    void wallClockSteppedByAnHourBetweenProcesses_stepIsRestoredWithinItsWindow() throws Exception {
+        Path file = folder.resolve("stepped");
+        try (MvStoreStepJournal journal = new MvStoreStepJournal(file, WINDOW, wall::get)) {
+            assertTrue(journal.recordStep("t", "k", "d", 2, 0, new Answer(new byte[] {'x'}, "a/b"), () -> {}));
+        }
+        wall.addAndGet(3_600_000);
+        assertEquals(List.of("tkd20xa/b15000"), restored(file));
+        assertEquals(List.of("tkd20xa/b15000"), restored(file));
+        wall.addAndGet(-7_200_000);
+        assertEquals(List.of("tkd20xa/b0"), restored(file));
+    }
+
     /** The form on disk outlives versions: a gateway restores what the one before it recorded. */
     @Test
     void recordedStep_keepsItsFormOnDisk() throws Exception {
--- a/worker/src/main/java/wharfhinge/worker/image/ImageCache.java
+++ b/worker/src/main/java/wharfhinge/worker/image/ImageCache.java
@@ -66,7 +66,7 @@
         return m.matches() ? m.group(2) : null;
     }
 
-    /** A whole image; marks it used. */
+    /** A whole image; marks it used. After a step of the wall clock another image may be evicted first, and is fetched again. */
     Path whole(String function, String sha256) throws IOException {
         Path file = path(function, sha256, "pkg");
         Files.setLastModifiedTime(file, FileTime.fromMillis(System.currentTimeMillis()));
