--- a/gateway/src/main/java/wharfhinge/gateway/MvStoreStepJournal.java
+++ b/gateway/src/main/java/wharfhinge/gateway/MvStoreStepJournal.java
@@ -23,30 +23,48 @@
  *
  * <p>A thread of its own writes and commits in batches and acknowledges each step only then, so that a chain continues
  * only from what a killed process would still find. Steps beyond the queue are left out, since a gateway that blocks is
- * worse than a step that runs again.
+ * worse than a step that runs again. So are steps while the file can't be written (ENOSPC, EIO): the file is opened again with
+ * exponential backoff until the steps that could not be written are.
+ *
+ * <p>Ages are measured by a clock that runs on with the monotonic one. Between two processes only the wall clock is left, which may have been
+ * stepped: a restored step counts as no older than half the window, so that a step forward doesn't drop what a retry may ask for; after a
+ * step back steps stay on disk for so much longer.
  */
 final class MvStoreStepJournal implements StepJournal {
     private static final Logger LOG = LoggerFactory.getLogger(MvStoreStepJournal.class);
     private static final int QUEUE_CAPACITY = 4096;
     private static final long POLL_MILLIS = 50;
     private static final long CLOSE_TIMEOUT_MILLIS = 2000;
+    private static final long MIN_REOPEN_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+    private static final long MAX_REOPEN_NANOS = TimeUnit.SECONDS.toNanos(10);
 
     /** A step on its way to the writer; {@code onRecorded} runs once it is committed or known to be lost. */
     private record QueuedStep(String mapKey, byte[] value, Runnable onRecorded) {}
 
-    private final MVStore store;
-    private final MVMap<String, byte[]> steps;
+    private final Path file;
     private final LongSupplier wallMillis;
     private final long windowMillis;
+    private final long startedAtMillis;
     private final BlockingQueue<QueuedStep> queue = new ArrayBlockingQueue<>(QUEUE_CAPACITY);
     private final Thread writer = new Thread(this::write, "step-journal");
+    private volatile MVStore store;
+    private volatile MVMap<String, byte[]> steps;
     private volatile boolean closing;
-    private volatile boolean writerEnded;
+    private volatile boolean writable = true;
+    private final List<QueuedStep> notWritten = new ArrayList<>(); // the writer's thread alone, as the next two
+    private long reopenAtNanos;
+    private long reopenDelayNanos = MIN_REOPEN_NANOS;
 
-    /** Opens {@code file}; steps older than {@code windowNanos} by the wall clock are removed. */
+    /**
+     * Opens {@code file}; steps older than {@code windowNanos} are removed.
+     *
+     * @param wallMillis Unix time, which should run on with the monotonic clock
+     */
     MvStoreStepJournal(Path file, long windowNanos, LongSupplier wallMillis) {
+        this.file = file;
         this.wallMillis = wallMillis;
         this.windowMillis = TimeUnit.NANOSECONDS.toMillis(windowNanos);
+        this.startedAtMillis = wallMillis.getAsLong();
         this.store = open(file);
         this.steps = store.openMap("steps");
         writer.setDaemon(true);
@@ -90,7 +108,7 @@
             int step,
             StepAnswerCache.Answer answer,
             Runnable onRecorded) {
-        if (writerEnded) {
+        if (closing || !writable) {
             return false;
         }
         JournaledStep record = new JournaledStep(wallMillis.getAsLong(), tenant, key, digest, stepCount, step, answer);
@@ -98,7 +116,7 @@
         if (!queue.offer(queued)) {
             return false;
         }
-        return !writerEnded || !queue.remove(queued); // the writer may have ended meanwhile
+        return writable || !queue.remove(queued); // it may have begun to fail meanwhile
     }
 
     private void write() {
@@ -106,31 +124,91 @@
         try {
             while (!closing || !queue.isEmpty()) {
                 QueuedStep first = queue.poll(POLL_MILLIS, TimeUnit.MILLISECONDS);
-                if (first == null) {
-                    removeExpired();
-                    continue;
+                if (first != null) {
+                    batch.add(first);
+                    queue.drainTo(batch);
                 }
-                batch.add(first);
-                queue.drainTo(batch);
-                batch.forEach(queued -> steps.put(queued.mapKey(), queued.value()));
-                store.commit();
-                batch.forEach(queued -> queued.onRecorded().run());
-                batch.clear();
+                if (!writable) {
+                    reopenIfDue();
+                }
+                commitOrSkip(batch);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-        } catch (MVStoreException e) {
-            LOG.error("step journal: write failed, finished steps are held in memory only from now on", e);
         } finally {
-            writerEnded = true;
+            writable = false;
             queue.drainTo(batch);
-            batch.forEach(queued -> queued.onRecorded().run());
+            acknowledge(batch);
+        }
+    }
+
+    /** Commits a batch, or removes what has expired where it is empty; then acknowledges it in any case. */
+    private void commitOrSkip(List<QueuedStep> batch) {
+        try {
+            if (writable && batch.isEmpty()) {
+                removeExpired();
+            } else if (writable) {
+                batch.forEach(queued -> steps.put(queued.mapKey(), queued.value()));
+                store.commit();
+            }
+        } catch (MVStoreException e) {
+            notWritten.addAll(batch);
+            onWriteFailed(e);
+        } finally {
+            acknowledge(batch);
         }
     }
 
+    private static void acknowledge(List<QueuedStep> batch) {
+        batch.forEach(queued -> queued.onRecorded().run());
+        batch.clear();
+    }
+
+    /** The store refuses everything from here on, so it is closed; what it committed is on disk. */
+    private void onWriteFailed(MVStoreException cause) {
+        writable = false;
+        reopenAtNanos = System.nanoTime() + reopenDelayNanos;
+        LOG.error(
+                "step journal {}: write failed, finished steps are held in memory only until it can be written",
+                file,
+                cause);
+        store.closeImmediately();
+    }
+
+    private void reopenIfDue() {
+        long now = System.nanoTime();
+        if (now - reopenAtNanos < 0) {
+            return;
+        }
+        reopenDelayNanos = Math.min(MAX_REOPEN_NANOS, 2 * reopenDelayNanos);
+        reopenAtNanos = now + reopenDelayNanos;
+        MVStore reopened = null;
+        try {
+            reopened = openStore(file);
+            MVMap<String, byte[]> reopenedSteps = reopened.openMap("steps");
+            notWritten.forEach(step -> reopenedSteps.put(step.mapKey(), step.value()));
+            reopened.commit();
+            notWritten.clear();
+            steps = reopenedSteps;
+            store = reopened;
+            reopenDelayNanos = MIN_REOPEN_NANOS;
+            writable = true;
+            LOG.info("step journal {}: written again", file);
+        } catch (MVStoreException e) {
+            LOG.debug("step journal {}: still not written: {}", file, e.getMessage());
+            if (reopened != null) {
+                reopened.closeImmediately();
+            }
+        }
+    }
+
+    /** Keeps what was restored for a while, since its age may be wrong by a step of the wall clock before the start. */
     private void removeExpired() {
-        long expiredBefore = wallMillis.getAsLong() - windowMillis;
-        steps.entrySet().removeIf(entry -> JournaledStep.recordedAtMillis(entry.getValue()) < expiredBefore);
+        long now = wallMillis.getAsLong();
+        if (now - startedAtMillis < windowMillis / 2) {
+            return;
+        }
+        steps.entrySet().removeIf(entry -> JournaledStep.recordedAtMillis(entry.getValue()) < now - windowMillis);
     }
 
     @Override
@@ -138,7 +216,8 @@
         for (byte[] value : List.copyOf(steps.values())) {
             try {
                 JournaledStep record = JournaledStep.decode(value);
-                long ageMillis = Math.max(0, wallMillis.getAsLong() - record.recordedAtMillis());
+                long elapsedMillis = wallMillis.getAsLong() - record.recordedAtMillis();
+                long ageMillis = Math.max(0, Math.min(windowMillis / 2, elapsedMillis));
                 listener.onStepRestored(
                         TimeUnit.MILLISECONDS.toNanos(ageMillis),
                         record.tenant(),
