--- a/gateway/src/main/java/wharfhinge/gateway/discovery/EndpointSnapshotFile.java
+++ b/gateway/src/main/java/wharfhinge/gateway/discovery/EndpointSnapshotFile.java
@@ -11,8 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
@@ -27,28 +26,34 @@
  * Keeps the newest endpoint list in a file, so that a restarted gateway can serve before the endpoint service answers.
  *
  * <p>Each list is written to a file beside it, forced to disk and renamed over, so that a crash leaves the old or the new
- * one. A thread of its own writes; a list that a newer one has overtaken is never written. The state is guarded by this
- * object's monitor, and any thread may call.
+ * one. A thread of its own writes; a list that a newer one has overtaken is never written. A write that fails (ENOSPC, EIO) is
+ * repeated with the newest list until it succeeds. The state is guarded by this object's monitor, and any thread may call.
+ *
+ * <p>Ages are those of a clock that runs on with the monotonic one. Between two processes only the wall clock is left: if it was stepped
+ * forward, workers that had just started count as warm until the endpoint service answers.
  */
 public final class EndpointSnapshotFile implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(EndpointSnapshotFile.class);
     private static final long CLOSE_TIMEOUT_SECONDS = 2;
+    private static final long RETRY_MILLIS = 1000;
 
     /** An entry and when it was received, by the wall clock; its age on disk counts from then. */
     private record ReceivedEntry(RosterEntry entry, long receivedAtMillis) {}
 
     private final Path file;
     private final LongSupplier wallMillis;
-    private final ExecutorService writer;
+    private final ScheduledThreadPoolExecutor writer;
     private final AtomicBoolean writeScheduled = new AtomicBoolean();
     private final Map<String, ReceivedEntry> entries = new LinkedHashMap<>();
     private long revision;
+    private boolean isFailing; // the writer's thread alone
+    private volatile int failedWrites; // written by the writer's thread alone
 
-    /** Keeps the list in {@code file}; {@code wallMillis} is the wall clock, the only one that outlives a process. */
+    /** Keeps the list in {@code file}; {@code wallMillis} is Unix time, which should run on with the monotonic clock. */
     public EndpointSnapshotFile(Path file, LongSupplier wallMillis) {
         this.file = file;
         this.wallMillis = wallMillis;
-        this.writer = Executors.newSingleThreadExecutor(task -> {
+        this.writer = new ScheduledThreadPoolExecutor(1, task -> {
             Thread thread = new Thread(task, "endpoint-snapshot");
             thread.setDaemon(true);
             return thread;
@@ -82,8 +87,12 @@
             return;
         }
         apply(update);
-        if (writeScheduled.compareAndSet(false, true)) {
-            writer.execute(this::write);
+        scheduleWrite(0);
+    }
+
+    private void scheduleWrite(long delayMillis) {
+        if (!writer.isShutdown() && writeScheduled.compareAndSet(false, true)) {
+            writer.schedule(this::write, delayMillis, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -136,9 +145,31 @@
             }
             writeForced(temporary, bytes);
             Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+            onWritten();
         } catch (IOException e) {
-            LOG.warn("endpoint snapshot {}: write failed: {}", file, e.toString());
+            onWriteFailed(e);
+        }
+    }
+
+    private void onWritten() {
+        if (isFailing) {
+            LOG.info("endpoint snapshot {}: written again", file);
         }
+        isFailing = false;
+    }
+
+    private void onWriteFailed(IOException cause) {
+        if (!isFailing) {
+            LOG.warn("endpoint snapshot {}: write failed, repeated until it succeeds: {}", file, cause.toString());
+        }
+        isFailing = true;
+        failedWrites++;
+        scheduleWrite(RETRY_MILLIS);
+    }
+
+    /** How many writes have failed; any thread. */
+    int failedWrites() {
+        return failedWrites;
     }
 
     private static void writeForced(Path target, byte[] bytes) throws IOException {
@@ -152,7 +183,7 @@
         }
     }
 
-    /** Finishes a scheduled write and ends the writer. */
+    /** Finishes a scheduled write, or a retry that is due within a second, and ends the writer. */
     @Override
     public void close() {
         writer.shutdown();
--- a/gateway/src/test/java/wharfhinge/gateway/discovery/EndpointListTest.java
+++ b/gateway/src/test/java/wharfhinge/gateway/discovery/EndpointListTest.java
@@ -7,7 +7,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import wharfhinge.engine.EndpointUpdate;
@@ -74,6 +77,31 @@
         assertEquals(600, read.entries().get(0).ageMillis());
     }
 
+    private static void await(BooleanSupplier condition) {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        while (!condition.getAsBoolean() && System.nanoTime() < end) {
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(5));
+        }
+        assertTrue(condition.getAsBoolean());
+    }
+
+    /** Nothing is received after a failed write, and the newest list is on disk nevertheless once it can be. */
+    @Test
+    void writeFailsForAWhile_isRepeatedWithTheNewestList() throws Exception {
+        Path blocked = folder.resolve("blocked");
+        Files.writeString(blocked, "where the folder should be");
+        Path file = blocked.resolve("list");
+        EndpointSnapshotFile snapshot = new EndpointSnapshotFile(file, () -> 0);
+        snapshot.onEndpointUpdate(new EndpointUpdate(EndpointUpdateMode.FULL, 3, List.of(entry("a:1", State.UP, 1))));
+        snapshot.onEndpointUpdate(new EndpointUpdate(EndpointUpdateMode.FULL, 4, List.of(entry("b:1", State.UP, 1))));
+        await(() -> snapshot.failedWrites() > 0);
+        Files.delete(blocked);
+        await(() -> Files.exists(file));
+        EndpointUpdate read = new EndpointSnapshotFile(file, () -> 0).read().orElseThrow();
+        snapshot.close();
+        assertEquals(4, read.revision());
+    }
+
     /** The form on disk outlives versions: a gateway reads what the one before it wrote. */
     @Test
     void snapshot_keepsItsFormOnDisk() throws Exception {
