--- a/stand-ins/src/main/java/wharfhinge/standin/judge/Judge.java
+++ b/stand-ins/src/main/java/wharfhinge/standin/judge/Judge.java
@@ -17,7 +17,7 @@
  */
 public final class Judge {
     private static final long MS = 1_000_000L;
-    private static final long SLACK = 150 * MS;
+    private static final long SLACK = Standstills.SLACK_NANOS;
     private static final int SHOWN = 5;
     private static final long WARM_UP = 10_000 * MS; // of the chains' figures alone; gateways start within it
 
@@ -83,15 +83,10 @@
         }
     }
 
-    private record Span(long from, long to) {}
-
     private final Rules rules;
     private final List<Line> lines = new ArrayList<>();
     private final Map<String, Call> calls = new LinkedHashMap<>();
-    private final Map<String, List<Span>> gatewayTroubles = new HashMap<>();
-    private final Map<String, List<Span>> workerTroubles = new HashMap<>();
-    private final Map<String, List<Span>> gatewayNotRun = new HashMap<>();
-    private final List<Span> recorderStandstills = new ArrayList<>();
+    private final Standstills standstills = new Standstills();
     private int explainedByMachine;
     private final Map<Integer, List<String>> broken = new TreeMap<>();
 
@@ -126,8 +121,6 @@
     }
 
     private void read() {
-        Map<String, Long> since = new HashMap<>();
-        Map<String, Long> stood = new HashMap<>();
         for (Line line : lines) {
             Call call =
                     line.values.containsKey("call") ? calls.computeIfAbsent(line.get("call"), c -> new Call()) : null;
@@ -150,70 +143,23 @@
                 case "recv" -> call.received.add(line);
                 case "run" -> call.runs.add(line);
                 case "reply", "cancelled" -> call.attemptEnds.putIfAbsent(line.get("attempt"), line);
-                case "worker-stalled" -> stood.putIfAbsent(line.get("worker"), line.at);
-                case "worker-resumed", "died" -> {
-                    Long from = stood.remove(line.get("worker"));
-                    if (from != null) {
-                        workerTroubles
-                                .computeIfAbsent(line.get("worker"), w -> new ArrayList<>())
-                                .add(new Span(from, line.at));
-                    }
-                }
-                case "worker-not-run" -> workerTroubles
-                        .computeIfAbsent(line.get("worker"), w -> new ArrayList<>())
-                        .add(new Span(line.at - line.number("ms") * MS, line.at));
-                case "gw-not-run" -> gatewayNotRun
-                        .computeIfAbsent(line.get("gw"), g -> new ArrayList<>())
-                        .add(new Span(line.at - line.number("ms") * MS, line.at));
-                case "recorder-stalled" -> recorderStandstills.add(new Span(line.at - line.number("ms") * MS, line.at));
-                case "gw-down", "gw-stalled" -> since.putIfAbsent(line.get("gw"), line.at);
-                case "gw-up", "gw-resumed" -> {
-                    Long from = since.remove(line.get("gw"));
-                    gatewayTroubles
-                            .computeIfAbsent(line.get("gw"), g -> new ArrayList<>())
-                            .add(new Span(from == null ? line.at : from, line.at));
-                }
-                default -> {}
+                default -> readStandstill(line);
             }
         }
-        stood.forEach((worker, from) -> workerTroubles
-                .computeIfAbsent(worker, w -> new ArrayList<>())
-                .add(new Span(from, Long.MAX_VALUE - SLACK)));
-        since.forEach((gw, from) ->
-                gatewayTroubles.computeIfAbsent(gw, g -> new ArrayList<>()).add(new Span(from, Long.MAX_VALUE)));
+        standstills.end();
     }
 
-    /** Whether a gateway was down or stood still at some time of a span. */
-    private boolean excused(String gateway, long from, long to) {
-        return gatewayTroubles.getOrDefault(gateway, List.of()).stream()
-                .anyMatch(s -> s.from <= to + SLACK && s.to >= from - SLACK);
-    }
-
-    /**
-     * Whether a worker's process stood still at some time of a span. What came to it meanwhile it reads, and notes, once it
-     * goes on: then it is known that it came, not when.
-     */
-    private boolean stood(String worker, long from, long to) {
-        return workerTroubles.getOrDefault(worker, List.of()).stream()
-                .anyMatch(s -> s.from <= to && s.to + SLACK >= from);
-    }
-
-    /** For how much of a span the machine did not run a gateway's threads: by so much all that it does may be late. */
-    private long notRunNanos(String gateway, long from, long to) {
-        long covered = 0;
-        long reached = from;
-        List<Span> inOrder = gatewayNotRun.getOrDefault(gateway, List.of()).stream()
-                .sorted(Comparator.comparingLong(Span::from))
-                .toList();
-        for (Span span : inOrder) {
-            long begin = Math.max(span.from, reached);
-            long end = Math.min(span.to, to);
-            if (end > begin) {
-                covered += end - begin;
-                reached = end;
-            }
+    private void readStandstill(Line line) {
+        switch (line.word) {
+            case "worker-stalled" -> standstills.onWorkerStopped(line.get("worker"), line.at);
+            case "worker-resumed", "died" -> standstills.onWorkerResumed(line.get("worker"), line.at);
+            case "worker-not-run" -> standstills.onWorkerNotRun(line.get("worker"), line.at, line.number("ms") * MS);
+            case "gw-down", "gw-stalled" -> standstills.onGatewayStopped(line.get("gw"), line.at);
+            case "gw-up", "gw-resumed" -> standstills.onGatewayResumed(line.get("gw"), line.at);
+            case "gw-not-run" -> standstills.onGatewayNotRun(line.get("gw"), line.at, line.number("ms") * MS);
+            case "recorder-stalled" -> standstills.onRecorderNotRun(line.at, line.number("ms") * MS);
+            default -> {}
         }
-        return covered;
     }
 
     /** Whether something came later than it may, and by more than a standstill of the machine's own explains; what it explains is counted. */
@@ -224,33 +170,11 @@
         return at > latest + explainedNanos;
     }
 
-    /**
-     * The earliest time at which what a worker noted can have come to it: as it noted it, or where its process stood still just before,
-     * the beginning of that standstill.
-     */
-    private long earliestArrival(Line noted) {
-        long earliest = noted.at;
-        boolean isMoved = true;
-        while (isMoved) {
-            long before = earliest;
-            earliest = workerTroubles.getOrDefault(noted.get("worker"), List.of()).stream()
-                    .filter(s -> s.from < before && s.to + SLACK >= before)
-                    .mapToLong(Span::from)
-                    .min()
-                    .orElse(before);
-            isMoved = earliest < before;
-        }
-        return earliest;
-    }
-
     /** How much later a worker may have noted something because it, or the gateway that sent it from then on, was not run. */
     private long explainedNanos(String gateway, long from, Line noted) {
-        return noted.at - earliestArrival(noted) + notRunNanos(gateway, from, noted.at);
-    }
-
-    /** Whether the process that records the clients stood still at some time of a span: what came then it notes later, or not. */
-    private boolean recorderStood(long from, long to) {
-        return recorderStandstills.stream().anyMatch(s -> s.from <= to && s.to >= from);
+        return noted.at
+                - standstills.earliestArrival(noted.get("worker"), noted.at)
+                + standstills.gatewayNotRunNanos(gateway, from, noted.at);
     }
 
     /** Rule 1: one final answer in time for each call that a living gateway was sent, and nothing after it. */
@@ -261,7 +185,7 @@
             }
             long deadline = c.sent + c.offer.number("deadline_ms") * MS + rules.graceMillis * MS;
             String gateway = c.offer.get("gw");
-            boolean excused = excused(gateway, c.sent, deadline);
+            boolean excused = standstills.wasGatewayStopped(gateway, c.sent, deadline);
             if (c.answers.size() > 1) {
                 broke(1, id + " has " + c.answers.size() + " answers");
             } else if (c.answers.size() == 1) {
@@ -272,21 +196,25 @@
                 if (answer.get("kind").equals("none")) {
                     broke(1, id + " got status " + answer.get("status") + " and no word of its end");
                 }
-                boolean mayBeLate = excused || recorderStood(deadline, answer.at);
-                if (!mayBeLate && isLate(answer.at, deadline + SLACK, notRunNanos(gateway, c.sent, answer.at))) {
+                boolean mayBeLate = excused || standstills.wasRecorderStopped(deadline, answer.at);
+                if (!mayBeLate
+                        && isLate(
+                                answer.at,
+                                deadline + SLACK,
+                                standstills.gatewayNotRunNanos(gateway, c.sent, answer.at))) {
                     broke(1, id + " was answered " + (answer.at - deadline) / MS + " ms late");
                 }
                 Stream.concat(c.received.stream(), c.stepsReceived.stream())
-                        .filter(r -> !excused(gateway, answer.at, r.at)
+                        .filter(r -> !standstills.wasGatewayStopped(gateway, answer.at, r.at)
                                 && isLate(r.at, answer.at + SLACK, explainedNanos(gateway, answer.at, r)))
                         .findFirst()
                         .ifPresent(r -> broke(1, id + " went out " + (r.at - answer.at) / MS + " ms after its answer"));
             } else if (c.left != null && c.left.get("early").equals("true") || excused) {
                 return;
-            } else if (c.left != null && recorderStood(deadline - SLACK, c.left.at)) {
+            } else if (c.left != null && standstills.wasRecorderStopped(deadline - SLACK, c.left.at)) {
                 return; // its answer may have lain unread as it left
             } else if (c.left != null) {
-                if (isLate(c.left.at, deadline, notRunNanos(gateway, c.sent, c.left.at))) {
+                if (isLate(c.left.at, deadline, standstills.gatewayNotRunNanos(gateway, c.sent, c.left.at))) {
                     broke(1, id + " was never answered");
                 }
             } else if (c.broken != null) {
@@ -318,9 +246,9 @@
                     Line end = c.attemptEnds.get(former.get("attempt"));
                     Line next = c.received.get(i);
                     boolean lost = end == null && diedAfter(former.get("worker"), former.at, next.at)
-                            || stood(former.get("worker"), former.at, next.at)
-                            || stood(next.get("worker"), next.at, next.at)
-                            || recorderStood(next.at - SLACK, next.at + SLACK);
+                            || standstills.wasWorkerStopped(former.get("worker"), former.at, next.at)
+                            || standstills.wasWorkerStopped(next.get("worker"), next.at, next.at)
+                            || standstills.wasRecorderStopped(next.at - SLACK, next.at + SLACK);
                     if ((end == null || end.at > next.at + SLACK) && !lost) {
                         broke(2, id + " was out twice at once");
                     }
@@ -382,7 +310,7 @@
 
     private void late(Long told, Line line, String what) {
         if (told != null
-                && !excused(line.get("gw"), told, line.at)
+                && !standstills.wasGatewayStopped(line.get("gw"), told, line.at)
                 && isLate(
                         line.at,
                         told + rules.stopSendingMillis * MS + SLACK,
@@ -431,7 +359,7 @@
                 double knowing = window.stream()
                         .filter(l -> {
                             Long at = told.get(l.get("gw") + ' ' + worker + ' ' + start.get("boot"));
-                            return at != null && !excused(l.get("gw"), at, l.at);
+                            return at != null && !standstills.wasGatewayStopped(l.get("gw"), at, l.at);
                         })
                         .mapToDouble(this::work)
                         .sum();
@@ -449,11 +377,7 @@
 
     /** A gateway that stood still takes what was sent to it meanwhile when it goes on. */
     private long takenAt(Line line) {
-        return gatewayTroubles.getOrDefault(line.get("gw"), List.of()).stream()
-                .filter(s -> s.from <= line.at && line.at <= s.to)
-                .mapToLong(Span::to)
-                .findFirst()
-                .orElse(line.at);
+        return standstills.gatewayResumedAt(line.get("gw"), line.at);
     }
 
     /** A chain's steps are calls of their own; the first stands for the chain's being taken. */
@@ -498,8 +422,9 @@
                 taken.computeIfAbsent(process, g -> new ArrayList<>()).add(takenAt(line));
             } else if (line.word.equals("hold")
                     && line.number("count") > 0
-                    && !stood(line.get("worker"), line.at, line.at)
-                    && !recorderStood(line.at - SLACK, line.at)) { // read late: when it came is not known
+                    && !standstills.wasWorkerStopped(line.get("worker"), line.at, line.at)
+                    && !standstills.wasRecorderStopped(
+                            line.at - SLACK, line.at)) { // read late: when it came is not known
                 orders.computeIfAbsent(process, g -> new ArrayList<>()).add(line.at);
             }
         }
