--- a/stand-ins/src/main/java/wharfhinge/standin/fault/FaultInjection.java
+++ b/stand-ins/src/main/java/wharfhinge/standin/fault/FaultInjection.java
@@ -13,7 +13,7 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Makes system calls of a running process fail, and steps its wall clock. A C library, built by the machine's compiler and preloaded into
+ * Makes system calls of a running process fail or return late, and steps its wall clock. A C library, built by the machine's compiler and preloaded into
  * that process alone ({@code LD_PRELOAD}), reads its rules from a table in a file that this object maps too. Thread-safe.
  */
 public final class FaultInjection {
@@ -59,12 +59,13 @@
     private static final String SOURCE = "fault_injection.c";
     private static final long COMPILER_TIMEOUT_SECONDS = 60;
     private static final int HEADER_BYTES = Long.BYTES;
-    private static final int RULE_BYTES = 6 * Integer.BYTES;
+    private static final int RULE_BYTES = 7 * Integer.BYTES;
     private static final int ONE_IN_OFFSET = Integer.BYTES;
     private static final int MAX_BYTES_OFFSET = 2 * Integer.BYTES;
     private static final int COUNT_OFFSET = 3 * Integer.BYTES;
     private static final int FAILED_OFFSET = 4 * Integer.BYTES;
     private static final int TOTAL_OFFSET = 5 * Integer.BYTES;
+    private static final int DELAY_OFFSET = 6 * Integer.BYTES;
 
     private final Path library;
     private final Path tableFile;
@@ -132,10 +133,19 @@
         table.putInt(offset(call) + MAX_BYTES_OFFSET, maxBytes);
     }
 
+    /**
+     * From now on, each poll for events returns this much later than the kernel has answered it, as in a process that waits for a processor
+     * right then: what arrives meanwhile is not among the events.
+     */
+    public void delayPolls(int millis) {
+        table.putInt(offset(SystemCall.EPOLL_WAIT) + DELAY_OFFSET, millis);
+    }
+
     /** Removes all faults from these calls: from now on they go to the kernel unchanged. */
     public void stop(SystemCall call) {
         table.putInt(offset(call), 0);
         table.putInt(offset(call) + MAX_BYTES_OFFSET, 0);
+        table.putInt(offset(call) + DELAY_OFFSET, 0);
     }
 
     /** Sets the process's wall clock {@code millis} ahead of the machine's, or behind it if negative. */
--- a/stand-ins/src/main/resources/wharfhinge/standin/fault/fault_injection.c
+++ b/stand-ins/src/main/resources/wharfhinge/standin/fault/fault_injection.c
@@ -1,5 +1,5 @@
 /*
- * Makes system calls of the process that preloads it (LD_PRELOAD) fail, and steps its wall clock.
+ * Makes system calls of the process that preloads it (LD_PRELOAD) fail or return late, and steps its wall clock.
  *
  * The rules are in a table in a file that the test maps and changes while the process runs. The layout must match
  * FaultInjection.java. READ and WRITE concern sockets only; FILE_WRITE and FILE_SYNC concern other files only.
@@ -27,6 +27,7 @@
     int32_t count;     /* calls made since the error was set */
     int32_t failed;    /* calls that were made to fail */
     int32_t total;     /* all calls made */
+    int32_t delay_ms;  /* how long an EPOLL_WAIT returns after it has looked for events */
 };
 
 struct table {
@@ -197,7 +198,15 @@
 int epoll_wait(int fd, struct epoll_event *events, int max_events, int timeout) {
     REAL(epoll_wait);
     FAIL_IF_INJECTED(EPOLL_WAIT);
-    return real(fd, events, max_events, timeout);
+    int ready = real(fd, events, max_events, timeout);
+    int32_t delay_ms = __atomic_load_n(&table->rules[EPOLL_WAIT].delay_ms, __ATOMIC_RELAXED);
+    if (delay_ms > 0) {
+        struct timespec delay = {delay_ms / 1000, delay_ms % 1000 * 1000000L};
+        int error = errno;
+        nanosleep(&delay, NULL);
+        errno = error;
+    }
+    return ready;
 }
 
 int clock_gettime(clockid_t clock, struct timespec *time) {
