Gateway: answer what lies unread before an HTTP/1.1 connection is closed

What callers saw: a request on an open HTTP/1.1 connection got no response if the gateway closed the connection at a stop or as idle while the request lay unread, that is while an event loop waited between its poll for input and the task that closes. A client may not repeat a POST by itself.

Cause: HttpCallHandler closed an idle connection without a read; ClientListener.close closed what was left, also connections that had not sent a request yet, or whose response waited for the event loop.

Change: PendingInput reads once more in the task that closes. At the end of a stop a connection is drained like at its beginning and closed behind its response; it is forced after 1 s, as before.

By reading, not by a run: HTTP/2 and gRPC tell the last stream they have seen (GOAWAY), so an unread request is known not to have run. TLS goes the same way as plain connections and has no row of its own.

--- a/gateway/src/main/java/wharfhinge/gateway/Gateway.java
+++ b/gateway/src/main/java/wharfhinge/gateway/Gateway.java
@@ -211,6 +211,10 @@
         return netty.acceptorGroup();
     }
 
+    EventLoopGroup ioGroup() {
+        return netty.ioGroup();
+    }
+
     /** Runs a short task on the engine's thread, after the work already queued there. Safe for use by any thread. */
     public void runOnEngine(Runnable task) {
         engine.workerStates("", states -> task.run());
--- a/gateway/src/main/java/wharfhinge/gateway/front/ClientListener.java
+++ b/gateway/src/main/java/wharfhinge/gateway/front/ClientListener.java
@@ -40,6 +40,8 @@
 
     private static final int MAX_REQUEST_LINE_BYTES = 4096;
     private static final int MAX_CONCURRENT_STREAMS = 1000;
+    private static final int MAX_READS_BEFORE_CLOSE = 16;
+    private static final long CLOSE_TIMEOUT_MILLIS = 1000;
     private static final long BIND_TIMEOUT_MARGIN_NANOS = TimeUnit.SECONDS.toNanos(5);
 
     private final GatewayConfig config;
@@ -160,8 +162,24 @@
         }
     }
 
-    /** Closes the remaining connections. */
+    /** Answers what was received on the remaining connections, and closes them; the engine rejects calls by now. */
     public void close() {
-        channels.close().awaitUninterruptibly(1000);
+        for (Channel channel : channels) {
+            channel.eventLoop().execute(() -> closeOnceAnswered(channel, MAX_READS_BEFORE_CLOSE));
+        }
+        if (!channels.newCloseFuture().awaitUninterruptibly(CLOSE_TIMEOUT_MILLIS)) {
+            channels.close().awaitUninterruptibly(CLOSE_TIMEOUT_MILLIS);
+        }
+    }
+
+    private static void closeOnceAnswered(Channel channel, int maxReads) {
+        if (channel.pipeline().get(HttpCallHandler.class) != null) {
+            channel.pipeline().fireUserEventTriggered(HttpCallHandler.ConnectionDrain.START);
+        } else if (maxReads > 0 && PendingInput.read(channel)) {
+            // the protocol may be known now; by the next task rejections have been written
+            channel.eventLoop().execute(() -> closeOnceAnswered(channel, maxReads - 1));
+        } else {
+            channel.close();
+        }
     }
 }
--- a/gateway/src/main/java/wharfhinge/gateway/front/HttpCallHandler.java
+++ b/gateway/src/main/java/wharfhinge/gateway/front/HttpCallHandler.java
@@ -203,10 +203,16 @@
         }
     }
 
-    /** Closes an HTTP/1.1 connection: immediately if nothing is in flight, otherwise after the response. */
+    /** Closes an HTTP/1.1 connection: immediately if nothing is in flight or unread, otherwise after the response. */
     void startDraining(ChannelHandlerContext ctx) {
         draining = true;
-        if (isIdle() && !http2) {
+        if (!http2) {
+            closeIfIdle(ctx);
+        }
+    }
+
+    private void closeIfIdle(ChannelHandlerContext ctx) {
+        if (isIdle() && !PendingInput.read(ctx.channel())) {
             ctx.close();
         }
     }
@@ -239,9 +245,7 @@
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
         if (event instanceof IdleStateEvent) {
-            if (isIdle()) {
-                ctx.close();
-            }
+            closeIfIdle(ctx);
         } else if (event == ConnectionDrain.START) {
             startDraining(ctx);
         } else {
