Review case 1: one client figure out of range ends the dispatcher's process

A client that sends wait=3600000 at full speed makes the dispatcher run out of heap: the timers at a call's deadline outlive its answer and hold the call. The case starts the dispatcher by the deploy file's run, with stand-ins of the review's own for feed, runners and clients.

--- /dev/null
+++ b/review/lib/Case1.java
@@ -0,0 +1,87 @@
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A bad client whose figure {@code wait} is out of range ends the dispatcher's process. */
+final class Case1 {
+    private static final String FUNCTION = "7f3a9c21e0b4d655";
+    private static final int CONNECTIONS = 4;
+    private static final int OPEN_REQUESTS = 16;
+    private static final int MAX_REQUESTS = 120_000;
+    private static final long MAX_TROUBLE_NANOS = TimeUnit.SECONDS.toNanos(70);
+    /** One hour; the longest deadline in the settings is 2.5 s. */
+    private static final String WAIT = "3600000";
+
+    private static final Map<String, AtomicInteger> BAD_ANSWERS = new ConcurrentHashMap<>();
+    private static final AtomicInteger BAD_SENT = new AtomicInteger();
+    private static volatile boolean isStopped;
+
+    public static void main(String[] args) {
+        Kit.run(Path.of(args[0]), () -> play(Path.of(args[0])));
+    }
+
+    private static void play(Path folder) throws Exception {
+        Kit.Feed feed = new Kit.Feed();
+        Kit.runners(feed, 12, 5, 64);
+        String limits = "{\"cores\":0.5,\"memory_mb\":192,\"sockets\":1024}";
+        String settings = Kit.settings(Kit.ADDIS_CLASSES, Kit.ADDIS_LIMITS, Kit.ADDIS_OBLIGATIONS);
+        try (Kit.Dispatcher dispatcher =
+                new Kit.Dispatcher(Kit.config(feed, limits, settings), folder.resolve("dispatcher.log"))) {
+            Kit.SteadyClient client = new Kit.SteadyClient(dispatcher.port, 6, 50, FUNCTION);
+            Thread.sleep(2000);
+            long end = System.nanoTime() + (Kit.TROUBLE ? MAX_TROUBLE_NANOS : TimeUnit.SECONDS.toNanos(30));
+            if (Kit.TROUBLE) {
+                for (int i = 0; i < CONNECTIONS; i++) {
+                    Kit.daemon("bad-client", () -> sendBadRequests(dispatcher.port));
+                }
+            }
+            while (System.nanoTime() < end && dispatcher.process.isAlive() && BAD_SENT.get() < MAX_REQUESTS) {
+                Thread.sleep(1000);
+                Kit.note("bad client: %d requests sent, answers %s", BAD_SENT.get(), BAD_ANSWERS);
+            }
+            isStopped = true;
+            boolean isCrashed = !dispatcher.process.isAlive();
+            String crash = isCrashed
+                    ? "the dispatcher ended with exit code " + dispatcher.process.exitValue() + " after "
+                    : "the dispatcher runs after ";
+            client.stop();
+            Kit.end(
+                    isCrashed || client.lost.get() > 0,
+                    "%s%d requests of the bad client, answers %s; usual client: %s",
+                    crash,
+                    BAD_SENT.get(),
+                    BAD_ANSWERS,
+                    client);
+        }
+    }
+
+    /** Sends valid requests but for the figure, as fast as they are answered, and reads all answers. */
+    private static void sendBadRequests(int port) throws Exception {
+        while (!isStopped) {
+            try (Kit.Connection connection = new Kit.Connection(port)) {
+                Semaphore free = new Semaphore(OPEN_REQUESTS);
+                while (connection.end == null && !isStopped && BAD_SENT.get() < MAX_REQUESTS) {
+                    if (!free.tryAcquire(100, TimeUnit.MILLISECONDS)) {
+                        continue;
+                    }
+                    String id = Kit.id();
+                    String fields = "id=" + id + ",wait=" + WAIT + ",key=" + FUNCTION + ",cost=5";
+                    BAD_SENT.incrementAndGet();
+                    Kit.note("bad sent  %s", id);
+                    connection.write(connection.request("DO", "preview", fields, new byte[0], answer -> {
+                        String word = answer.word() == null ? "none" : answer.word();
+                        Kit.note("bad answ. %s: %s", id, word);
+                        BAD_ANSWERS.computeIfAbsent(word, key -> new AtomicInteger()).incrementAndGet();
+                        free.release();
+                    }));
+                }
+            } catch (IOException e) {
+                Thread.sleep(20); // the dispatcher closed the connection, or is gone
+            }
+        }
+    }
+}
