Review case 2: count a request as lost only if its write was read in part

Need: a request that crosses a close, or whose write failed, must not count.

Change: a request that ended with its connection counts if its write was accepted and the dispatcher had answered another request of the same write. Failed writes of the steady client don't count either.

--- a/review/lib/Case2.java
+++ b/review/lib/Case2.java
@@ -4,7 +4,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -34,6 +36,9 @@
     private static final AtomicInteger ENDED = new AtomicInteger();
     private static final AtomicInteger LOST = new AtomicInteger();
     private static final AtomicInteger CLOSED = new AtomicInteger();
+    /** Requests that ended with their connection, without a sign that the dispatcher had read any of their write. */
+    private static final AtomicInteger CROSSED = new AtomicInteger();
+    private static final Queue<Kit.Connection> CONNECTED = new ConcurrentLinkedQueue<>();
     private static final List<String> FUNCTIONS = new ArrayList<>();
 
     public static void main(String[] args) {
@@ -60,16 +65,19 @@
             while (ENDED.get() < SENT.get() && System.nanoTime() < end) {
                 Thread.sleep(20);
             }
-            int unanswered = SENT.get() - ENDED.get();
+            CONNECTED.stream().filter(connection -> connection.end == null).forEach(connection -> {
+                LOST.addAndGet(connection.openRequests()); // no answer, though the connection is open and their time is over
+            });
             boolean isCrashed = !dispatcher.process.isAlive();
             Kit.end(
-                    isCrashed || LOST.get() + unanswered > 0,
+                    isCrashed || LOST.get() > 0,
                     "%d requests sent, answers %s; %d connections closed by the dispatcher while requests were open; "
-                            + "%d requests lost%s",
+                            + "%d requests lost, %d crossed a close%s",
                     SENT.get(),
                     WORDS,
                     CLOSED.get(),
-                    LOST.get() + unanswered,
+                    LOST.get(),
+                    CROSSED.get(),
                     isCrashed ? "; the dispatcher has crashed" : "");
         }
     }
@@ -79,6 +87,13 @@
         return Kit.TROUBLE && seconds >= BURST_FROM_SECONDS && seconds < BURST_FROM_SECONDS + BURST_SECONDS;
     }
 
+    /** Requests that were written together. */
+    private static final class Batch {
+        volatile boolean isWritten;
+        /** Whether the dispatcher has answered one of them, and so has read from this write. */
+        volatile boolean isAnsweredInPart;
+    }
+
     /** A client with one connection. It has at most 32 requests open, and stays away as long as a refusal tells it to. */
     private static final class Client {
         private final int port;
@@ -107,28 +122,32 @@
             try {
                 if (connection == null || connection.end != null) {
                     connection = new Kit.Connection(port);
+                    CONNECTED.add(connection);
                 }
                 ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+                Batch batch = new Batch();
                 for (int i = 0; i < TOGETHER && connection.openRequests() < MAX_OPEN; i++) {
-                    bytes.writeBytes(request(connection));
+                    bytes.writeBytes(request(connection, batch));
                 }
                 connection.write(bytes.toByteArray());
+                batch.isWritten = true;
             } catch (IOException e) {
                 Kit.note("client %d: %s", number, e.getMessage());
             }
         }
 
-        private byte[] request(Kit.Connection on) {
+        private byte[] request(Kit.Connection on, Batch batch) {
             String id = Kit.id();
             String function = FUNCTIONS.get((int) (Math.random() * FUNCTIONS.size()));
             double sentAt = Kit.millis();
             SENT.incrementAndGet();
             Kit.note("sent      %s by client %d", id, number);
             String fields = "id=" + id + ",wait=" + WAIT_MILLIS + ",key=" + function + ",cost=150";
-            return on.request("DO", "preview", fields, new byte[BODY_BYTES], answer -> onAnswer(on, id, sentAt, answer));
+            return on.request(
+                    "DO", "preview", fields, new byte[BODY_BYTES], answer -> onAnswer(on, batch, id, sentAt, answer));
         }
 
-        private void onAnswer(Kit.Connection on, String id, double sentAt, Kit.Answer answer) {
+        private void onAnswer(Kit.Connection on, Batch batch, String id, double sentAt, Kit.Answer answer) {
             double took = Kit.millis() - sentAt;
             if (answer.word() == null && on.countEnd()) {
                 CLOSED.incrementAndGet();
@@ -138,7 +157,10 @@
                 long afterMillis = Long.parseLong(answer.fields().substring("after=".length()));
                 awayUntil.set(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(afterMillis));
             }
-            boolean isLost = answer.word() == null || took > WAIT_MILLIS + GRACE_MILLIS;
+            batch.isAnsweredInPart |= answer.word() != null;
+            boolean isTaken = batch.isWritten && batch.isAnsweredInPart;
+            boolean isLost = answer.word() == null ? isTaken : took > WAIT_MILLIS + GRACE_MILLIS;
+            CROSSED.addAndGet(answer.word() == null && !isTaken ? 1 : 0);
             String word = answer.word() == null ? "none" : answer.word();
             WORDS.computeIfAbsent(word, key -> new AtomicInteger()).incrementAndGet();
             LOST.addAndGet(isLost ? 1 : 0);
--- a/review/lib/Kit.java
+++ b/review/lib/Kit.java
@@ -365,6 +365,11 @@
             return command(verb, Long.toString(tag), requestClass, fields, body);
         }
 
+        /** Forgets the last request, whose write has failed; returns false if the end of the connection has ended it already. */
+        boolean withdrawLast() {
+            return open.remove(nextTag.get()) != null;
+        }
+
         synchronized void write(byte[] bytes) throws IOException {
             out.write(bytes);
             out.flush();
@@ -541,6 +546,7 @@
 
         private void send(int index) {
             String id = id();
+            boolean isRequested = false;
             try {
                 if (connections[index] == null || connections[index].end != null) {
                     connections[index] = new Connection(port);
@@ -552,11 +558,15 @@
                 String fields = "id=" + id + ",wait=" + WAIT_MILLIS + ",key=" + function + ",cost=150";
                 byte[] request = connections[index].request(
                         "DO", "preview", fields, id.getBytes(), answer -> onAnswer(id, sentAt, answer));
+                isRequested = true;
                 sent.incrementAndGet();
                 note("sent      %s", id);
                 connections[index].write(request);
             } catch (IOException e) {
                 note("not sent  %s: %s", id, e.getMessage());
+                if (isRequested && connections[index].withdrawLast()) {
+                    sent.decrementAndGet();
+                }
             }
         }
 
