--- a/review/lib/Case1.java
+++ b/review/1/Case1.java
@@ -21,16 +21,17 @@
     private static volatile boolean isStopped;
 
     public static void main(String[] args) {
-        Kit.run(Path.of(args[0]), () -> play(Path.of(args[0])));
+        Path record = Path.of(args[0]); // record.txt
+        Kit.run(record, () -> play(record.resolveSibling("dispatcher.log")));
     }
 
-    private static void play(Path folder) throws Exception {
+    private static void play(Path log) throws Exception {
         Kit.Feed feed = new Kit.Feed();
         Kit.runners(feed, 12, 5, 64);
         String limits = "{\"cores\":0.5,\"memory_mb\":192,\"sockets\":1024}";
         String settings = Kit.settings(Kit.ADDIS_CLASSES, Kit.ADDIS_LIMITS, Kit.ADDIS_OBLIGATIONS);
         try (Kit.Dispatcher dispatcher =
-                new Kit.Dispatcher(Kit.config(feed, limits, settings), folder.resolve("dispatcher.log"))) {
+                new Kit.Dispatcher(Kit.config(feed, limits, settings), log)) {
             Kit.SteadyClient client = new Kit.SteadyClient(dispatcher.port, 6, 50, FUNCTION);
             Thread.sleep(2000);
             long end = System.nanoTime() + MAX_TROUBLE_NANOS;
--- a/review/lib/Case2.java
+++ b/review/2/Case2.java
@@ -26,10 +26,10 @@
     private static final int WAIT_MILLIS = 2500;
     private static final int GRACE_MILLIS = 550;
     private static final double REQUESTS_PER_SECOND = 170;
-    private static final double BURST_FACTOR = 2.4;
+    private static final double BURST_FACTOR = 2.3;
     private static final double BURST_FROM_SECONDS = 8;
-    private static final double BURST_SECONDS = 9.5;
-    private static final double DAY_SECONDS = 22;
+    private static final double BURST_SECONDS = 9;
+    private static final double DAY_SECONDS = 21;
 
     private static final Map<String, AtomicInteger> WORDS = new ConcurrentHashMap<>();
     private static final AtomicInteger SENT = new AtomicInteger();
@@ -42,10 +42,11 @@
     private static final List<String> FUNCTIONS = new ArrayList<>();
 
     public static void main(String[] args) {
-        Kit.run(Path.of(args[0]), () -> play(Path.of(args[0])));
+        Path record = Path.of(args[0]); // record.txt
+        Kit.run(record, () -> play(record.resolveSibling("dispatcher.log")));
     }
 
-    private static void play(Path folder) throws Exception {
+    private static void play(Path log) throws Exception {
         Kit.Feed feed = new Kit.Feed();
         Kit.runners(feed, RUNNERS, WORK_MILLIS, LANES);
         for (int i = 0; i < 40; i++) {
@@ -54,7 +55,7 @@
         String limits = "{\"cores\":0.5,\"memory_mb\":192,\"sockets\":1024}";
         String settings = Kit.settings(Kit.ADDIS_CLASSES, Kit.ADDIS_LIMITS, Kit.ADDIS_OBLIGATIONS);
         try (Kit.Dispatcher dispatcher =
-                new Kit.Dispatcher(Kit.config(feed, limits, settings), folder.resolve("dispatcher.log"))) {
+                new Kit.Dispatcher(Kit.config(feed, limits, settings), log)) {
             long start = System.nanoTime();
             for (int i = 0; i < CONNECTIONS; i++) {
                 int number = i;
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")"
 rm -rf classes
 mkdir classes
-javac -d classes lib/*.java
+javac -d classes lib/*.java 1/*.java 2/*.java 3/*.java
--- a/review/lib/Kit.java
+++ b/review/lib/Kit.java
@@ -33,7 +33,13 @@
 /** Stand-ins for the cases in this folder: control feed, runner, client, and the start of a dispatcher. Loopback only. */
 final class Kit {
     static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
-    static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
+    /** Whether the case is played with its disruption; set by the script from TROUBLE. */
+    static final boolean TROUBLE = Boolean.getBoolean("trouble");
+    /** Exit codes for the script, apart from those that the JVM itself gives, such as 1 if it can't start. */
+    private static final int HELD = 10;
+
+    private static final int BROKEN = 11;
+    private static final int NOT_RUN = 12;
     static final ScheduledExecutorService TIMER = Executors.newScheduledThreadPool(4, runnable -> {
         Thread thread = new Thread(runnable, "timer");
         thread.setDaemon(true);
@@ -66,19 +72,19 @@
         System.out.println(String.format(format, arguments));
     }
 
-    /** Writes the verdict and ends this process: 0 if the rule held, 1 if it was broken. */
+    /** Writes the verdict and ends this process. */
     static void end(boolean isBroken, String format, Object... arguments) {
         say((isBroken ? "BROKEN: " : "HELD: ") + format, arguments);
         synchronized (Kit.class) {
             record.flush();
         }
-        System.exit(isBroken ? 1 : 0);
+        System.exit(isBroken ? BROKEN : HELD);
     }
 
-    /** Runs a case; if it fails for a reason of its own, this process ends with 2. */
-    static void run(Path folder, Task body) {
+    /** Plays a case; if it can't run, ends this process with a code that says so. */
+    static void run(Path recordFile, Task body) {
         try {
-            openRecord(folder.resolve("record.txt"));
+            openRecord(recordFile);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 synchronized (Kit.class) {
                     record.flush();
@@ -87,7 +93,7 @@
             body.run();
         } catch (Throwable e) {
             e.printStackTrace();
-            System.exit(2);
+            System.exit(NOT_RUN);
         }
     }
 
@@ -463,7 +469,7 @@
             builder.environment().put("PROXY_CONFIG", file.toString());
             builder.environment().put("TMPDIR", folder.toString());
             process = builder.start();
-            Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
+            Runtime.getRuntime().addShutdownHook(new Thread(this::end));
             awaitFit();
         }
 
@@ -489,15 +495,26 @@
             new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
         }
 
-        @Override
-        public void close() throws Exception {
-            process.destroyForcibly().waitFor();
-            try (var files = Files.walk(folder)) {
-                for (Path file : files.sorted(Collections.reverseOrder()).toList()) {
-                    Files.deleteIfExists(file);
+        /** Ends the process, waits for its end and removes its folder. Also run as this process exits. */
+        private synchronized void end() {
+            try {
+                process.destroyForcibly().waitFor();
+                if (Files.exists(folder)) {
+                    try (var files = Files.walk(folder)) {
+                        for (Path file : files.sorted(Collections.reverseOrder()).toList()) {
+                            Files.deleteIfExists(file);
+                        }
+                    }
                 }
+            } catch (IOException | InterruptedException e) {
+                System.err.println("the dispatcher's folder is left: " + e);
             }
         }
+
+        @Override
+        public void close() {
+            end();
+        }
     }
 
     /** Runners that the feed lists as ready. */
