--- a/capture/src/main/java/wharfhinge/capture/ForwardingDispatcher.java
+++ b/capture/src/main/java/wharfhinge/capture/ForwardingDispatcher.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import wharfhinge.policy.AttemptCompletion;
 import wharfhinge.policy.Dispatcher;
+import wharfhinge.policy.DispatcherStateSizes;
 import wharfhinge.policy.Endpoint;
 import wharfhinge.policy.EndpointUpdateMode;
 import wharfhinge.policy.Outcome;
@@ -40,6 +41,11 @@
         delegate.onWorkerDisconnected(now, worker);
     }
 
+    @Override
+    public DispatcherStateSizes stateSizes() {
+        return delegate.stateSizes();
+    }
+
     @Override
     public SendCondition sendCondition(long now, String worker, SendCondition.Purpose purpose) {
         return delegate.sendCondition(now, worker, purpose);
--- a/capture/src/main/java/wharfhinge/capture/Recorder.java
+++ b/capture/src/main/java/wharfhinge/capture/Recorder.java
@@ -7,6 +7,7 @@
 import wharfhinge.policy.Dispatcher;
 import wharfhinge.policy.DispatcherActions;
 import wharfhinge.policy.DispatcherSettings;
+import wharfhinge.policy.DispatcherStateSizes;
 import wharfhinge.policy.Endpoint;
 import wharfhinge.policy.EndpointUpdateMode;
 import wharfhinge.policy.Outcome;
@@ -65,7 +66,7 @@
         record(now, new Event.Members(mode, revision, List.copyOf(entries)));
     }
 
-    // The next four methods forward without recording: the capture format has no events for them, and endpoint sources
+    // The next five methods forward without recording: the capture format has no events for them, and endpoint sources
     // that call them
     // are not captured.
 
@@ -84,6 +85,11 @@
         delegate.onWorkerDisconnected(now, worker);
     }
 
+    @Override
+    public DispatcherStateSizes stateSizes() {
+        return delegate.stateSizes();
+    }
+
     @Override
     public SendCondition sendCondition(long now, String worker, SendCondition.Purpose purpose) {
         return delegate.sendCondition(now, worker, purpose);
--- a/engine/src/main/java/wharfhinge/engine/DispatchEngine.java
+++ b/engine/src/main/java/wharfhinge/engine/DispatchEngine.java
@@ -1,6 +1,5 @@
 package wharfhinge.engine;
 
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -70,7 +69,6 @@
      */
     public record SubmissionResult(SubmissionStatus status, long retryAfterNanos) {}
 
-    private static final int MAX_KNOWN_FUNCTIONS = 16_384;
     /** Delay before a dispatcher that could not be created is created again; calls are rejected until then. */
     private static final long RESTART_DELAY_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -89,14 +87,7 @@
     private final SubmissionQueue submissionQueue;
     private final PendingCalls pending;
     private final CompletableFuture<Integer> terminated = new CompletableFuture<>();
-    private final Map<String, WorkerTransport.FunctionInfo> functions = new LinkedHashMap<>(64, 0.75f, true) {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, WorkerTransport.FunctionInfo> eldest) {
-            return size() > MAX_KNOWN_FUNCTIONS;
-        }
-    };
+    private final FunctionTable functions = new FunctionTable();
     private final EndpointList endpoints = new EndpointList();
     private final ChainExecutor chains;
     private final EndpointStatus endpointStatus = new EndpointStatus();
@@ -214,6 +205,14 @@
         eventLoop.execute("worker-states", () -> consumer.accept(dispatcher.workerStates(eventLoop.now(), function)));
     }
 
+    /** Passes the sizes of the engine's and the dispatcher's state to {@code consumer}, on the engine's thread. */
+    public void stateSizes(Consumer<EngineStateSizes> consumer) {
+        eventLoop.execute(
+                "state-sizes",
+                () -> consumer.accept(new EngineStateSizes(
+                        eventLoop.timerCount(), pending.size(), functions.size(), dispatcher.stateSizes())));
+    }
+
     /**
      * Starts a graceful shutdown: submissions are rejected from now on, and the engine stops once no call is pending. After
      * {@code timeoutNanos} it ends the remaining calls and stops.
@@ -306,9 +305,7 @@
         metrics.increment(Counter.ACCEPTED);
         PendingCall pendingCall = pending.add(call, admitted);
         CallHead head = call.head();
-        WorkerTransport.FunctionInfo function =
-                new WorkerTransport.FunctionInfo(head.function(), head.memoryMb(), head.lanes(), head.loadMillis());
-        functions.put(head.function(), function);
+        functions.record(head);
         factory.onRequestNamed(eventLoop.now(), pendingCall.id, pendingCall.externalId());
         Request request = new Request(
                 pendingCall.id,
@@ -365,13 +362,7 @@
 
         @Override
         public void expectRequest(Request request) {
-            functions.put(
-                    request.function(),
-                    new WorkerTransport.FunctionInfo(
-                            request.function(),
-                            request.memoryMb(),
-                            request.concurrencyPerCopy(),
-                            request.loadMillis()));
+            functions.record(request);
             dispatcher.onRequestExpected(eventLoop.now(), request);
         }
 
--- a/engine/src/main/java/wharfhinge/engine/EngineActions.java
+++ b/engine/src/main/java/wharfhinge/engine/EngineActions.java
@@ -1,7 +1,6 @@
 package wharfhinge.engine;
 
 import io.netty.util.ReferenceCountUtil;
-import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -26,7 +25,7 @@
     private final EventLoop eventLoop;
     private final PendingCalls pendingCalls;
     private final EngineMetrics metrics;
-    private final Map<String, WorkerTransport.FunctionInfo> functions;
+    private final FunctionTable functions;
     private final WorkerTransport workers;
     private final EndpointSource endpointSource;
     private final PeerTransport peers;
@@ -38,7 +37,7 @@
     /**
      * Creates the actions of a new incarnation.
      *
-     * @param functions            properties of recently called functions and of those that chains announced, by name
+     * @param functions            properties of recently called functions and of those that chains announced
      * @param dispatcher           supplies the current incarnation of the dispatcher
      * @param isCurrentIncarnation whether these actions belong to the current incarnation
      */
@@ -47,7 +46,7 @@
             EventLoop eventLoop,
             PendingCalls pendingCalls,
             EngineMetrics metrics,
-            Map<String, WorkerTransport.FunctionInfo> functions,
+            FunctionTable functions,
             WorkerTransport workers,
             EndpointSource endpointSource,
             PeerTransport peers,
@@ -118,7 +117,7 @@
                 attempt.worker,
                 call.externalId(),
                 attempt.index,
-                functions.get(head.function()),
+                functions.find(head.function()),
                 clientCall.requestClass(),
                 head.tenant(),
                 eventLoop.clock().toNanoTime(eventLoop.now() + timeoutNanos),
@@ -181,8 +180,7 @@
     @Override
     public void ensureLoaded(String worker, String function, int count) {
         metrics.increment(count > 0 ? Counter.LOAD_ORDERS : Counter.LOAD_QUERIES);
-        WorkerTransport.FunctionInfo functionInfo =
-                functions.getOrDefault(function, new WorkerTransport.FunctionInfo(function, 0, 0, 0));
+        WorkerTransport.FunctionInfo functionInfo = functions.find(function);
         SendCondition.Purpose purpose = count > 0 ? SendCondition.Purpose.WORK : SendCondition.Purpose.QUERY;
         long timeoutNanos = settings.dispatcher().functionLoading().loadTimeoutNanos();
         workers.ensureLoaded(worker, functionInfo, count, timeoutNanos, writeCondition(worker, purpose), result -> {
--- a/engine/src/main/java/wharfhinge/engine/EventLoop.java
+++ b/engine/src/main/java/wharfhinge/engine/EventLoop.java
@@ -69,6 +69,10 @@
         timers.add(new Timer(now + Math.max(0, delayNanos), nextTimerSequence++, name, task));
     }
 
+    int timerCount() {
+        return timers.size();
+    }
+
     void cancelTimers(Predicate<String> nameFilter) {
         timers.removeIf(timer -> nameFilter.test(timer.name()));
     }
--- a/engine/src/main/java/wharfhinge/engine/PendingCalls.java
+++ b/engine/src/main/java/wharfhinge/engine/PendingCalls.java
@@ -77,6 +77,11 @@
         return callsById.get(id);
     }
 
+    /** The number of calls that are not answered or have attempts that have not ended. */
+    int size() {
+        return callsById.size();
+    }
+
     /** Whether no call is pending, no answer is being streamed and {@link #endAll} is not running. */
     boolean isIdle() {
         return !endingAll
--- a/policy/src/main/java/wharfhinge/policy/CacheAwareDispatcher.java
+++ b/policy/src/main/java/wharfhinge/policy/CacheAwareDispatcher.java
@@ -42,6 +42,7 @@
     private final LoadScheduler loads;
     private final AdmissionController admission;
     private final PendingReplies replies;
+    private final LoadQueries queries;
     private final RequestQueue queue;
     private final RequestRouter router;
     private final AttemptCompletionHandler completionHandler;
@@ -73,6 +74,7 @@
         loads = components.loads;
         admission = components.admission;
         replies = components.replies;
+        queries = components.queries;
         queue = components.queue;
         router = new RequestRouter(components);
         completionHandler = new AttemptCompletionHandler(components, router);
@@ -314,6 +316,14 @@
                 .toList();
     }
 
+    @Override
+    public DispatcherStateSizes stateSizes() {
+        int cachedFunctions = registry.all().stream()
+                .mapToInt(worker -> worker.cachedFunctions.size())
+                .sum();
+        return new DispatcherStateSizes(router.size(), assignment.functionCount(), cachedFunctions, queries.size());
+    }
+
     // ---- Loads ----
 
     @Override
--- a/policy/src/main/java/wharfhinge/policy/Dispatcher.java
+++ b/policy/src/main/java/wharfhinge/policy/Dispatcher.java
@@ -15,6 +15,11 @@
         return List.of();
     }
 
+    /** How much state the dispatcher holds; does not affect later decisions. */
+    default DispatcherStateSizes stateSizes() {
+        return DispatcherStateSizes.EMPTY;
+    }
+
     /**
      * The endpoint list changed, arrived for the first time, or could not be watched.
      *
--- a/policy/src/main/java/wharfhinge/policy/FunctionAssignment.java
+++ b/policy/src/main/java/wharfhinge/policy/FunctionAssignment.java
@@ -69,6 +69,11 @@
         preferred.retain(traffic.functions());
     }
 
+    /** The number of recently requested functions. */
+    int functionCount() {
+        return traffic.all().size();
+    }
+
     /** The worker that the function is assigned to, or null. */
     WorkerState assignedWorker(String function) {
         FunctionStats stats = traffic.find(function);
--- a/policy/src/main/java/wharfhinge/policy/LoadQueries.java
+++ b/policy/src/main/java/wharfhinge/policy/LoadQueries.java
@@ -38,6 +38,10 @@
         return inFlight.remove(key(workerId, function));
     }
 
+    int size() {
+        return inFlight.size();
+    }
+
     private static String key(String workerId, String function) {
         return workerId + ' ' + function;
     }
--- a/policy/src/main/java/wharfhinge/policy/RequestRouter.java
+++ b/policy/src/main/java/wharfhinge/policy/RequestRouter.java
@@ -56,6 +56,10 @@
         return requests.get(requestId);
     }
 
+    int size() {
+        return requests.size();
+    }
+
     /** Sends the request, lets it wait, or rejects or fails it. */
     void route(RequestState state) {
         if (state.shed || !attempts.mayAttemptAgain(state)) {
