Engine: cancel a call's timers when the call is over

Cause: an attempt's timeout and the policy's timers of a request (deadline, overdue, wait for replies) stay in the engine's queue until they are due, although the call was answered long before. Each holds its call, with head, reply sink and exchange, about 1 KB a call.

The policy says which request a timer concerns (scheduleRequestTimer); what hosts do not implement it schedule as before, and captures record the same action. A call's timers are cancelled when the call leaves the table, that is, once it is answered and no attempt is in flight: the dispatcher ignores them from then on, so no decision changes.

Why it works: what a call leaves in the queue no longer depends on its deadline.

--- a/capture/src/main/java/wharfhinge/capture/ActionRecorder.java
+++ b/capture/src/main/java/wharfhinge/capture/ActionRecorder.java
@@ -85,6 +85,14 @@
         }
     }
 
+    /** Recorded as any other timer. */
+    @Override
+    public void scheduleRequestTimer(String request, String token, long delayNanos) {
+        if (record(Kind.TIMER, "", "", "", token, delayNanos)) {
+            delegate.scheduleRequestTimer(request, token, delayNanos);
+        }
+    }
+
     @Override
     public void sendToPeers(int peer, byte[] payload) {
         recorded.add(new RecordedAction(
--- a/capture/src/main/java/wharfhinge/capture/ForwardingActions.java
+++ b/capture/src/main/java/wharfhinge/capture/ForwardingActions.java
@@ -51,6 +51,11 @@
         delegate.scheduleTimer(token, delayNanos);
     }
 
+    @Override
+    public void scheduleRequestTimer(String request, String token, long delayNanos) {
+        delegate.scheduleRequestTimer(request, token, delayNanos);
+    }
+
     @Override
     public void sendToPeers(int peer, byte[] payload) {
         delegate.sendToPeers(peer, payload);
--- a/engine/src/main/java/wharfhinge/engine/EngineActions.java
+++ b/engine/src/main/java/wharfhinge/engine/EngineActions.java
@@ -102,11 +102,11 @@
         metrics.increment(Counter.ATTEMPTS);
         long attemptTimeoutNanos = timeoutNanos == 0 ? remainingNanos : Math.min(timeoutNanos, remainingNanos);
         attempt.handle = workers.sendAttempt(attemptRequest(attempt, attemptTimeoutNanos), listener(attempt));
-        eventLoop.schedule(attemptTimeoutNanos, "timeout", () -> {
+        call.addTimer(eventLoop.schedule(attemptTimeoutNanos, "timeout", () -> {
             if (attempt.stream == null) {
                 pendingCalls.endAttempt(attempt, Outcome.TIMEOUT);
             }
-        });
+        }));
     }
 
     private WorkerTransport.AttemptRequest attemptRequest(PendingAttempt attempt, long timeoutNanos) {
@@ -214,6 +214,16 @@
         });
     }
 
+    /** Schedules nothing for a call that was removed: the dispatcher would ignore the timer, as it would later. */
+    @Override
+    public void scheduleRequestTimer(String request, String token, long delayNanos) {
+        PendingCall call = pendingCalls.get(request);
+        if (call != null) {
+            call.addTimer(eventLoop.schedule(
+                    delayNanos, "timer", () -> dispatcher.get().onTimer(eventLoop.now(), token)));
+        }
+    }
+
     @Override
     public void scheduleTimer(String token, long delayNanos) {
         eventLoop.schedule(delayNanos, "timer", () -> dispatcher.get().onTimer(eventLoop.now(), token));
--- a/engine/src/main/java/wharfhinge/engine/EventLoop.java
+++ b/engine/src/main/java/wharfhinge/engine/EventLoop.java
@@ -1,7 +1,5 @@
 package wharfhinge.engine;
 
-import java.util.Comparator;
-import java.util.PriorityQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -17,17 +15,13 @@
 
     private record Event(String name, long enqueuedAt, Runnable task) {}
 
-    private record Timer(long dueAt, long sequence, String name, Runnable task) {}
-
     private final LongSupplier nanoTime;
     private final MonotonicClock clock;
     private final EngineMetrics metrics;
     private final BiConsumer<String, Throwable> onFailure;
     private final LinkedBlockingQueue<Event> events = new LinkedBlockingQueue<>();
-    private final PriorityQueue<Timer> timers =
-            new PriorityQueue<>(Comparator.comparingLong(Timer::dueAt).thenComparingLong(Timer::sequence));
+    private final TimerQueue timers = new TimerQueue();
     private long now;
-    private long nextTimerSequence;
     private boolean stopped;
 
     /**
@@ -64,9 +58,9 @@
         now = clock.now();
     }
 
-    /** Runs a task after a delay, counted from {@link #now}. */
-    void schedule(long delayNanos, String name, Runnable task) {
-        timers.add(new Timer(now + Math.max(0, delayNanos), nextTimerSequence++, name, task));
+    /** Runs a task after a delay, counted from {@link #now}, unless the timer is cancelled before. */
+    TimerQueue.Timer schedule(long delayNanos, String name, Runnable task) {
+        return timers.add(now + Math.max(0, delayNanos), name, task);
     }
 
     int timerCount() {
@@ -74,7 +68,7 @@
     }
 
     void cancelTimers(Predicate<String> nameFilter) {
-        timers.removeIf(timer -> nameFilter.test(timer.name()));
+        timers.cancelAll(nameFilter);
     }
 
     /** Stops the loop after the current task. */
@@ -86,9 +80,8 @@
     void run() {
         try {
             while (!stopped) {
-                long waitNanos = timers.isEmpty()
-                        ? MAX_WAIT_NANOS
-                        : Math.min(MAX_WAIT_NANOS, timers.peek().dueAt() - clock.now());
+                TimerQueue.Timer next = timers.first();
+                long waitNanos = next == null ? MAX_WAIT_NANOS : Math.min(MAX_WAIT_NANOS, next.dueAt() - clock.now());
                 Event event = waitNanos <= 0 ? events.poll() : events.poll(waitNanos, TimeUnit.NANOSECONDS);
                 if (event != null) {
                     now = clock.now();
@@ -104,10 +97,11 @@
 
     private void runDueTimers() {
         now = clock.now();
-        for (Timer next = timers.peek(); next != null && next.dueAt() <= now && !stopped; next = timers.peek()) {
-            timers.poll();
+        for (TimerQueue.Timer next = timers.first();
+                next != null && next.dueAt() <= now && !stopped;
+                next = timers.first()) {
             metrics.recordEventAge(now - next.dueAt());
-            runGuarded(next.name(), next.task());
+            runGuarded(next.name(), timers.takeFirst());
             if (!events.isEmpty()) {
                 return; // timers and queued tasks alternate, so that neither starves the other
             }
--- a/engine/src/main/java/wharfhinge/engine/PendingCall.java
+++ b/engine/src/main/java/wharfhinge/engine/PendingCall.java
@@ -13,6 +13,9 @@
     final List<PendingAttempt> attempts = new ArrayList<>(2);
     int attemptsInFlight;
     boolean answered;
+    /** Timers that are not needed once the call is removed. */
+    private final List<TimerQueue.Timer> timers = new ArrayList<>(2);
+
     boolean admitted; // whether the admission gate counts this call; it counts a chain, not the chain's steps
 
     PendingCall(String id, ClientCall clientCall, long acceptedAt, long deadline) {
@@ -22,6 +25,18 @@
         this.deadline = deadline;
     }
 
+    /** Keeps a timer that is cancelled with the call. */
+    void addTimer(TimerQueue.Timer timer) {
+        timers.removeIf(other -> !other.isActive());
+        timers.add(timer);
+    }
+
+    /** Cancels the timers, which would keep the call in memory until they are due. */
+    void cancelTimers() {
+        timers.forEach(TimerQueue.Timer::cancel);
+        timers.clear();
+    }
+
     /** The id that workers and logs use for the call: the client's own if it provided one. */
     String externalId() {
         return clientCall.head().id() != null ? clientCall.head().id() : id;
--- a/engine/src/main/java/wharfhinge/engine/PendingCalls.java
+++ b/engine/src/main/java/wharfhinge/engine/PendingCalls.java
@@ -251,6 +251,7 @@
                 onAnswered(call, counter, answer.word(), reason);
             }
         }
+        all.forEach(PendingCall::cancelTimers);
         callsById.clear();
         callsByClientCall.clear();
         endingAll = false;
@@ -294,6 +295,7 @@
 
     private void removeIfDone(PendingCall call) {
         if (call.answered && call.attemptsInFlight == 0) {
+            call.cancelTimers();
             callsById.remove(call.id, call);
             callsByClientCall.remove(call.clientCall, call);
             onCallEnded.run();
--- a/policy/src/main/java/wharfhinge/policy/AttemptTracker.java
+++ b/policy/src/main/java/wharfhinge/policy/AttemptTracker.java
@@ -60,7 +60,8 @@
         state.possiblyExecuted.add(attempt);
         loads.onSend(attempt);
         context.actions.sendAttempt(state.request.id(), worker.id, 0);
-        context.actions.scheduleTimer(TimerTokens.overdue(attempt), attempt.overdueAfterNanos());
+        context.actions.scheduleRequestTimer(
+                state.request.id(), TimerTokens.overdue(attempt), attempt.overdueAfterNanos());
     }
 
     private long overdueAfterNanos(RequestState state, CachedFunction cached) {
--- a/policy/src/main/java/wharfhinge/policy/CacheAwareDispatcher.java
+++ b/policy/src/main/java/wharfhinge/policy/CacheAwareDispatcher.java
@@ -121,8 +121,10 @@
         outliers.onRequest();
         loads.onRequest();
         long marginNanos = DEADLINE_MARGIN_TICKS * settings.tickNanos();
-        actions.scheduleTimer(
-                TimerTokens.DEADLINE_PREFIX + request.id(), Math.max(0, request.remainingNanos() - marginNanos));
+        actions.scheduleRequestTimer(
+                request.id(),
+                TimerTokens.DEADLINE_PREFIX + request.id(),
+                Math.max(0, request.remainingNanos() - marginNanos));
         state.shed = admission.shouldShed();
         router.route(state);
     }
--- a/policy/src/main/java/wharfhinge/policy/DispatcherActions.java
+++ b/policy/src/main/java/wharfhinge/policy/DispatcherActions.java
@@ -32,6 +32,14 @@
     /** Schedules a call of {@link Dispatcher#onTimer} after a delay. */
     void scheduleTimer(String token, long delayNanos);
 
+    /**
+     * As {@link #scheduleTimer}, for a timer that concerns this request alone. It may be dropped once the request has its
+     * final response and none of its attempts is in flight, since {@link Dispatcher#onTimer} ignores it from then on.
+     */
+    default void scheduleRequestTimer(String request, String token, long delayNanos) {
+        scheduleTimer(token, delayNanos);
+    }
+
     /** Sends a message to one peer dispatcher, or to all of them if {@code peer} is -1. */
     void sendToPeers(int peer, byte[] payload);
 
--- a/policy/src/main/java/wharfhinge/policy/PendingReplies.java
+++ b/policy/src/main/java/wharfhinge/policy/PendingReplies.java
@@ -26,7 +26,8 @@
     }
 
     void scheduleTimeout(RequestState state) {
-        context.actions.scheduleTimer(TimerTokens.REPLY_TIMEOUT_PREFIX + state.request.id(), TIMEOUT_NANOS);
+        String request = state.request.id();
+        context.actions.scheduleRequestTimer(request, TimerTokens.REPLY_TIMEOUT_PREFIX + request, TIMEOUT_NANOS);
     }
 
     /** Whether any request waits for a reply of the worker to a probe or residency query. */
