--- a/engine/src/main/java/wharfhinge/engine/ChainExecutor.java
+++ b/engine/src/main/java/wharfhinge/engine/ChainExecutor.java
@@ -36,6 +36,9 @@
         private final List<ChainCall> waitingCalls = new ArrayList<>(1);
         private final ClientCall[] stepsInFlight;
         private final StepAnswer[] answers;
+        /** Timers that are not needed once the chain has ended; each holds the chain's answers. */
+        private final List<TimerQueue.Timer> timers = new ArrayList<>(1);
+
         private long retainedBytes;
 
         ChainRun(long id, ChainCall call) {
@@ -103,9 +106,9 @@
             finishedBefore = resume(run, chainCall);
         }
         if (settings.settings().clock() == ChainSettings.Clock.SHARED_DEADLINE) {
-            transport.schedule(
+            run.timers.add(transport.schedule(
                     deadline - transport.now() - settings.settings().reserveNanos() / 2,
-                    () -> scheduler.onDeadline(transport.now(), run.id));
+                    () -> scheduler.onDeadline(transport.now(), run.id)));
         }
         scheduler.onChain(transport.now(), run.id, chainCall.plan(), tenantOf(chainCall), deadline, finishedBefore);
     }
@@ -127,14 +130,14 @@
         long remainingNanos = chainCall.deadlineNanos()
                 - (transport.toNanoTime(transport.now()) - chainCall.receivedAt())
                 - settings.settings().reserveNanos() / 2;
-        transport.schedule(remainingNanos, () -> {
+        run.timers.add(transport.schedule(remainingNanos, () -> {
             if (run.waitingCalls.remove(chainCall)) {
                 respond(
                         chainCall,
                         new ChainResult(ChainResult.Kind.FAILED, "an-earlier-try-still-runs", List.of()),
                         run);
             }
-        });
+        }));
     }
 
     private boolean[] resume(ChainRun run, ChainCall chainCall) {
@@ -257,6 +260,7 @@
 
     private void remove(ChainRun run) {
         runs.remove(run.id);
+        run.timers.forEach(TimerQueue.Timer::cancel);
         retainedBytes -= run.retainedBytes;
         if (run.chainCall.key() != null) {
             runsByKey.remove(tenantOf(run.chainCall) + '\n' + run.chainCall.key(), run);
--- a/engine/src/main/java/wharfhinge/engine/DispatchEngine.java
+++ b/engine/src/main/java/wharfhinge/engine/DispatchEngine.java
@@ -372,8 +372,8 @@
         }
 
         @Override
-        public void schedule(long delayNanos, Runnable task) {
-            eventLoop.schedule(delayNanos, CHAIN_TIMER, task);
+        public TimerQueue.Timer schedule(long delayNanos, Runnable task) {
+            return eventLoop.schedule(delayNanos, CHAIN_TIMER, task);
         }
 
         @Override
--- a/engine/src/main/java/wharfhinge/engine/StepTransport.java
+++ b/engine/src/main/java/wharfhinge/engine/StepTransport.java
@@ -18,7 +18,7 @@
 
     boolean isCached(String function);
 
-    void schedule(long delayNanos, Runnable task);
+    TimerQueue.Timer schedule(long delayNanos, Runnable task);
 
     void execute(String name, Runnable task);
 
--- a/gateway/src/test/java/wharfhinge/gateway/ChainSocketTest.java
+++ b/gateway/src/test/java/wharfhinge/gateway/ChainSocketTest.java
@@ -31,6 +31,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import wharfhinge.engine.DispatcherFactory;
+import wharfhinge.engine.EngineStateSizes;
 
 /** Chains over real sockets: served, rejected, failed, cancelled and retried. */
 @Timeout(60)
@@ -132,6 +133,21 @@
         assertEquals("served", answer(get(call)));
     }
 
+    /** Guards against timers that hold a finished chain and its answers in memory until its deadline. */
+    @Test
+    void finishedChains_leaveNoTimers() throws Exception {
+        for (int i = 0; i < 200; i++) {
+            CompletableFuture<HttpResponse<String>> call =
+                    sendChain(fixture, stepsJson("'deadline_ms':60000", STEP_A, STEP_B));
+            worker.next().respond(SERVED, FOUND, "from a");
+            worker.next().respond(SERVED, FOUND, "done");
+            assertEquals("served", answer(get(call)));
+        }
+        CompletableFuture<EngineStateSizes> sizes = new CompletableFuture<>();
+        fixture.gateway.engine().stateSizes(sizes::complete);
+        assertTrue(sizes.get(8, TimeUnit.SECONDS).timers() < 128, sizes.get().toString());
+    }
+
     @Test
     void loadBeyondDeadline_isRejectedBeforeAnyStep() throws Exception {
         HttpResponse<String> response =
