Policy: bound the residency queries in flight

Cause: before the first send of a request for a function that is not known to be loaded, up to five workers are asked for a copy. The request stops waiting after 40 ms, the query stays until it is answered or the load timeout (10 s here) has passed, and nothing limits how many there are. With ever new functions they are sent faster than lines are written.

The new test has 4,000 queries in flight after 1,000 requests whose waits are over (512 are expected at most).

Change: at most 512 residency queries are in flight; beyond that a request is sent without asking, as in a large group. Queries that renew leases are bounded by the workers and are not affected.

--- a/policy/src/main/java/wharfhinge/policy/ResidencyQueries.java
+++ b/policy/src/main/java/wharfhinge/policy/ResidencyQueries.java
@@ -7,7 +7,9 @@
  * <p>Departure from the source design: it acts in small groups of dispatchers, where workers load on demand and load
  * orders are allowed, for a function that no eligible worker is believed to have loaded. It guards a dispatcher that
  * was restarted, or whose endpoint list changed, against loading functions that already have a copy. It costs messages,
- * and the reply timeout where a worker does not answer and none that answers has a copy.
+ * and the reply timeout where a worker does not answer and none that answers has a copy. It does not act while too many
+ * queries are unanswered, as when clients call ever new functions faster than workers answer; a function that does have
+ * a copy may then be loaded again.
  */
 final class ResidencyQueries {
     private static final int MAX_WORKERS_QUERIED = 5;
@@ -58,6 +60,7 @@
         FunctionStats function = traffic.find(state.function());
         return function != null
                 && context.now - function.reportedAbsentAt > ABSENCE_VALID_NANOS
+                && queries.hasRoomFor(MAX_WORKERS_QUERIED)
                 && !ranker.isLoadedOnCandidate(state.function());
     }
 
--- a/policy/src/test/java/wharfhinge/policy/ResidencyQueriesTest.java
+++ b/policy/src/test/java/wharfhinge/policy/ResidencyQueriesTest.java
@@ -81,6 +81,26 @@
         assertTrue(host.actions.stream().anyMatch(action -> action.startsWith("ensureLoaded ")));
     }
 
+    /** Guards against queries that accumulate where clients call ever new functions and workers do not answer. */
+    @Test
+    void unansweredQueries_areBounded() {
+        FakeDispatcherHost host = withUnansweredQueries(FakeDispatcherHost.loadingOnDemand());
+        for (int i = 0; i < 1000; i++) {
+            String request = host.sendRequest("f" + i);
+            host.fireTimer("look:" + request);
+        }
+        assertTrue(host.dispatcher.stateSizes().queries() <= 512, host.dispatcher.stateSizes()::toString);
+        for (String worker : List.of("b", "c", "d", "e")) {
+            for (int i = 0; i < 1000; i++) {
+                host.dispatcher.onLoadCompleted(host.now, worker, "f" + i, 0, TIMEOUT, 0);
+            }
+        }
+        assertEquals(0, host.dispatcher.stateSizes().queries());
+        host.actions.clear();
+        host.sendRequest("another");
+        assertTrue(host.actions.stream().anyMatch(action -> action.startsWith("ensureLoaded ")));
+    }
+
     @Test
     void largeGroup_sendsNoQueries() {
         FakeDispatcherHost host =
