Policy: keep statistics of at most 2,048 functions

Cause: a function's statistics, its assignment and the order of its preferred workers are kept until its request count has decayed, 45 s after a single request, and clients may name any number of functions. At 1,500 a second that is 67,000 of about 0.4 KB.

The new test of the dispatcher has 10,000 on the code before (2,048 are expected at most).

Change: when 2,048 are kept, the quarter that was requested least is removed, among single requests the earliest; functions in use keep theirs, and the others count as new when they are requested again. Below that nothing changes, bit for bit.

--- a/policy/src/main/java/wharfhinge/policy/FunctionAssignment.java
+++ b/policy/src/main/java/wharfhinge/policy/FunctionAssignment.java
@@ -45,6 +45,9 @@
     double onRequest(Request request) {
         FunctionStats stats = traffic.find(request.function());
         if (stats == null) {
+            if (traffic.isFull()) {
+                makeRoom();
+            }
             refresh();
             stats = traffic.add(request);
             assign(stats);
@@ -64,11 +67,23 @@
      */
     void expire() {
         if (traffic.removeIdle(this::unassign)) {
-            reassign(stats -> stats.preferenceIndex > 0);
+            reassignDisplaced();
         }
         preferred.retain(traffic.functions());
     }
 
+    /** Removes functions, those first that were requested least, until there is room for new ones. */
+    private void makeRoom() {
+        traffic.removeLeastRequested(this::unassign);
+        reassignDisplaced();
+        preferred.retain(traffic.functions());
+    }
+
+    /** Reassigns the functions that had to move past their first preference. */
+    private void reassignDisplaced() {
+        reassign(stats -> stats.preferenceIndex > 0);
+    }
+
     /** The number of recently requested functions. */
     int functionCount() {
         return traffic.all().size();
@@ -147,14 +162,13 @@
                 Comparator.comparingDouble(stats -> PreferredWorkers.uniform(worker, stats.hash)));
     }
 
-    /** Ends the function's assignment. Always returns true, as {@link FunctionTraffic#removeIdle} requires. */
-    private boolean unassign(FunctionStats stats) {
+    /** Ends the function's assignment. */
+    private void unassign(FunctionStats stats) {
         WorkerState worker = stats.assignedWorker;
         if (worker != null && worker.assignedFunctions.remove(stats)) {
             worker.assignedMemoryMb -= stats.memoryMb;
         }
         stats.assignedWorker = null;
-        return true;
     }
 
     /** Configured memory of the worker's kind; unbounded where none is configured. */
--- a/policy/src/test/java/wharfhinge/policy/FunctionAssignmentTest.java
+++ b/policy/src/test/java/wharfhinge/policy/FunctionAssignmentTest.java
@@ -16,6 +16,17 @@
 
 /** Assignment of functions to workers within their memory. */
 class FunctionAssignmentTest {
+    /** Guards against statistics of ever new functions, which are kept for 45 s and exceeded the heap. */
+    @Test
+    void everNewFunctions_areBounded() {
+        FakeDispatcherHost host = FakeDispatcherHost.loadingOnDemand();
+        host.listWorkers("b", "c", "d", "e");
+        for (int i = 0; i < 10_000; i++) {
+            host.sendRequest("f" + i);
+            host.actions.clear();
+        }
+        assertTrue(host.dispatcher.stateSizes().functions() <= 2048, host.dispatcher.stateSizes()::toString);
+    }
 
     /** Rendezvous hashing alone may place all six functions on one worker, which would evict and reload them forever. */
     @Test
