Policy: keep at most 4,096 entries of cached functions

Cause: each attempt leaves an entry for its function and worker until the function has been idle for as long as workers keep idle ones (11 s at this site), an attempt that ended with an error too. Nothing limits the functions that clients name.

Change: when there are 4,096, a quarter is removed: entries not known to be loaded first, then the least recently used, never one that an attempt, an order or a waiting request uses. Below that nothing changes, bit for bit.

--- a/policy/src/main/java/wharfhinge/policy/CacheAwareDispatcher.java
+++ b/policy/src/main/java/wharfhinge/policy/CacheAwareDispatcher.java
@@ -320,10 +320,7 @@
 
     @Override
     public DispatcherStateSizes stateSizes() {
-        int cachedFunctions = registry.all().stream()
-                .mapToInt(worker -> worker.cachedFunctions.size())
-                .sum();
-        return new DispatcherStateSizes(router.size(), assignment.functionCount(), cachedFunctions, queries.size());
+        return new DispatcherStateSizes(router.size(), assignment.functionCount(), cache.size(), queries.size());
     }
 
     // ---- Loads ----
--- a/policy/src/main/java/wharfhinge/policy/FunctionCacheIndex.java
+++ b/policy/src/main/java/wharfhinge/policy/FunctionCacheIndex.java
@@ -1,5 +1,6 @@
 package wharfhinge.policy;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeSet;
@@ -7,14 +8,29 @@
 /**
  * Index of the functions that are believed to be loaded, by worker. An entry is created by a send or a load order, is
  * refreshed by each use, and expires once the function has been idle for as long as workers keep idle functions.
- * Entries are indexed by function too, so that a request does not scan the whole fleet.
+ * Entries are indexed by function too, so that a request does not scan the whole fleet. At most {@link #MAX_ENTRIES} are
+ * kept, unless more are in use.
  */
 final class FunctionCacheIndex {
     /** Load time assumed where a request reports none. */
     static final long DEFAULT_LOAD_NANOS = 1000 * DispatcherContext.NANOS_PER_MILLI;
 
+    /** Each takes about 0.4 KB. */
+    private static final int MAX_ENTRIES = 4096;
+
+    /** One in this many entries is removed when there are {@link #MAX_ENTRIES}. */
+    private static final int REMOVED_SHARE_DIVISOR = 4;
+
+    /** Order of removal: first entries not known to be loaded, then the least recently used. */
+    private static final Comparator<CachedFunction> LEAST_USEFUL_FIRST = Comparator.comparing(
+                    (CachedFunction cached) -> !cached.loading)
+            .thenComparingLong(cached -> cached.lastUsedAt)
+            .thenComparing(cached -> cached.function)
+            .thenComparing(cached -> cached.worker, WorkerState.BY_ORDINAL);
+
     private final DispatcherContext context;
     private final long idleRetentionNanos;
+    private int entries;
     private final Map<String, TreeSet<WorkerState>> workersByFunction = new HashMap<>();
 
     FunctionCacheIndex(DispatcherContext context) {
@@ -63,6 +79,10 @@
             if (cached != null) {
                 remove(cached);
             }
+            if (entries >= MAX_ENTRIES) {
+                removeLeastUseful();
+            }
+            entries++;
             cached = new CachedFunction(worker, request.function());
             cached.loading = true;
             cached.memoryMb = request.memoryMb();
@@ -87,6 +107,7 @@
 
     void remove(CachedFunction cached) {
         if (cached.worker.cachedFunctions.remove(cached.function, cached)) {
+            entries--;
             workersWith(cached.function).remove(cached.worker);
         }
     }
@@ -98,6 +119,32 @@
         }
     }
 
+    /**
+     * Removes entries until there is room for new ones, but none that an attempt, a load order or a waiting request uses.
+     *
+     * <p>Departure from the source design: it acts where requests name so many functions within the time that workers
+     * keep idle ones that their entries would exceed the memory of the process. It may hurt where workers do keep that
+     * many: a request for a removed function may cause another load.
+     */
+    private void removeLeastUseful() {
+        workersByFunction.entrySet().stream()
+                .flatMap(entry -> entry.getValue().stream().map(worker -> worker.cachedFunctions.get(entry.getKey())))
+                .filter(FunctionCacheIndex::isUnused)
+                .sorted(LEAST_USEFUL_FIRST)
+                .limit(MAX_ENTRIES / REMOVED_SHARE_DIVISOR)
+                .toList()
+                .forEach(this::remove);
+    }
+
+    private static boolean isUnused(CachedFunction cached) {
+        return cached.inFlight == 0 && !cached.loadOrdered && cached.waitingRequests.isEmpty();
+    }
+
+    /** The number of entries. */
+    int size() {
+        return entries;
+    }
+
     /** Removes functions without entries from the index. */
     void removeEmptyEntries() {
         workersByFunction.values().removeIf(TreeSet::isEmpty);
--- a/policy/src/test/java/wharfhinge/policy/CacheAwareDispatcherTest.java
+++ b/policy/src/test/java/wharfhinge/policy/CacheAwareDispatcherTest.java
@@ -15,6 +15,20 @@
 
 /** A request's path through the whole dispatcher: queueing, endpoint updates, reproducible decisions. */
 class CacheAwareDispatcherTest {
+    /** Guards against entries of ever new functions, which are kept for as long as workers keep idle functions. */
+    @Test
+    void cachedFunctions_areBoundedAndThoseInUseAreKept() {
+        FakeDispatcherHost host = FakeDispatcherHost.loadingOnDemand();
+        host.listWorkers("b", "c", "d", "e");
+        host.sendRequest("busy");
+        for (int i = 0; i < 6_000; i++) {
+            host.serve(host.sendRequest("f" + i));
+            host.actions.clear();
+        }
+        assertTrue(host.dispatcher.stateSizes().cachedFunctions() <= 4096, host.dispatcher.stateSizes()::toString);
+        assertTrue(host.dispatcher.isCached(host.now, "f5999"));
+        assertTrue(host.dispatcher.isCached(host.now, "busy"));
+    }
 
     @Test
     void emptyEndpointList_requestIsQueuedUntilItsDeadline() {
