Engine: remember 4,096 functions, and take those of calls from the calls

An attempt takes what it tells of the function from its own call, as the entry of a call in flight could be gone; load orders for a function that was forgotten state none of its properties, as before.

--- a/engine/src/main/java/wharfhinge/engine/EngineActions.java
+++ b/engine/src/main/java/wharfhinge/engine/EngineActions.java
@@ -117,7 +117,7 @@
                 attempt.worker,
                 call.externalId(),
                 attempt.index,
-                functions.find(head.function()),
+                FunctionTable.infoOf(head),
                 clientCall.requestClass(),
                 head.tenant(),
                 eventLoop.clock().toNanoTime(eventLoop.now() + timeoutNanos),
--- a/engine/src/main/java/wharfhinge/engine/FunctionTable.java
+++ b/engine/src/main/java/wharfhinge/engine/FunctionTable.java
@@ -11,7 +11,8 @@
  * used is dropped. Confined to the engine's thread.
  */
 final class FunctionTable {
-    private static final int MAX_FUNCTIONS = 16_384;
+    /** Each takes about 150 bytes. */
+    private static final int MAX_FUNCTIONS = 4096;
 
     private final Map<String, FunctionInfo> functions = new LinkedHashMap<>(64, 0.75f, true) {
         private static final long serialVersionUID = 1L;
@@ -24,7 +25,12 @@
 
     /** Records the function of a call. */
     void record(CallHead head) {
-        put(new FunctionInfo(head.function(), head.memoryMb(), head.lanes(), head.loadMillis()));
+        put(infoOf(head));
+    }
+
+    /** The properties that a call states of its function. */
+    static FunctionInfo infoOf(CallHead head) {
+        return new FunctionInfo(head.function(), head.memoryMb(), head.lanes(), head.loadMillis());
     }
 
     /** Records the function of a request that is expected soon. */
