--- a/engine/src/main/java/wharfhinge/engine/FunctionTable.java
+++ b/engine/src/main/java/wharfhinge/engine/FunctionTable.java
@@ -12,7 +12,7 @@
  */
 final class FunctionTable {
     /** Each takes about 150 bytes. */
-    private static final int MAX_FUNCTIONS = 4096;
+    private static final int MAX_FUNCTIONS = 2048;
 
     private final Map<String, FunctionInfo> functions = new LinkedHashMap<>(64, 0.75f, true) {
         private static final long serialVersionUID = 1L;
--- a/policy/src/main/java/wharfhinge/policy/FunctionCacheIndex.java
+++ b/policy/src/main/java/wharfhinge/policy/FunctionCacheIndex.java
@@ -16,7 +16,7 @@
     static final long DEFAULT_LOAD_NANOS = 1000 * DispatcherContext.NANOS_PER_MILLI;
 
     /** Each takes about 0.4 KB. */
-    private static final int MAX_ENTRIES = 4096;
+    private static final int MAX_ENTRIES = 3072;
 
     /** One in this many entries is removed when there are {@link #MAX_ENTRIES}. */
     private static final int REMOVED_SHARE_DIVISOR = 4;
--- a/policy/src/main/java/wharfhinge/policy/FunctionTraffic.java
+++ b/policy/src/main/java/wharfhinge/policy/FunctionTraffic.java
@@ -18,7 +18,7 @@
     /** Decayed request count below which a function is removed. */
     private static final double REMOVE_BELOW_COUNT = 0.05;
 
-    /** Each takes about 0.4 KB. */
+    /** Each takes about 0.7 KB, with the order of its preferred workers. */
     private static final int MAX_FUNCTIONS = 2048;
 
     /** One in this many functions is removed when there are {@link #MAX_FUNCTIONS}. */
--- a/policy/src/main/java/wharfhinge/policy/LoadQueries.java
+++ b/policy/src/main/java/wharfhinge/policy/LoadQueries.java
@@ -17,7 +17,7 @@
     record Query(Request request, long sentAt, boolean renewsLease) {}
 
     /** A query that no worker answers stays in flight until the load timeout, and each takes about 0.8 KB. */
-    private static final int MAX_RESIDENCY_QUERIES = 512;
+    private static final int MAX_RESIDENCY_QUERIES = 256;
 
     private final DispatcherContext context;
     private final Map<String, Query> inFlight = new HashMap<>();
--- a/policy/src/test/java/wharfhinge/policy/CacheAwareDispatcherTest.java
+++ b/policy/src/test/java/wharfhinge/policy/CacheAwareDispatcherTest.java
@@ -25,7 +25,7 @@
             host.serve(host.sendRequest("f" + i));
             host.actions.clear();
         }
-        assertTrue(host.dispatcher.stateSizes().cachedFunctions() <= 4096, host.dispatcher.stateSizes()::toString);
+        assertTrue(host.dispatcher.stateSizes().cachedFunctions() <= 3072, host.dispatcher.stateSizes()::toString);
         assertTrue(host.dispatcher.isCached(host.now, "f5999"));
         assertTrue(host.dispatcher.isCached(host.now, "busy"));
     }
--- a/policy/src/test/java/wharfhinge/policy/ResidencyQueriesTest.java
+++ b/policy/src/test/java/wharfhinge/policy/ResidencyQueriesTest.java
@@ -89,7 +89,7 @@
             String request = host.sendRequest("f" + i);
             host.fireTimer("look:" + request);
         }
-        assertTrue(host.dispatcher.stateSizes().queries() <= 512, host.dispatcher.stateSizes()::toString);
+        assertTrue(host.dispatcher.stateSizes().queries() <= 256, host.dispatcher.stateSizes()::toString);
         for (String worker : List.of("b", "c", "d", "e")) {
             for (int i = 0; i < 1000; i++) {
                 host.dispatcher.onLoadCompleted(host.now, worker, "f" + i, 0, TIMEOUT, 0);
