--- a/engine/src/main/java/wharfhinge/engine/WorkerTransport.java
+++ b/engine/src/main/java/wharfhinge/engine/WorkerTransport.java
@@ -82,7 +82,7 @@
 
     /** Controls an attempt in flight. */
     interface AttemptHandle {
-        /** Cancels the attempt. If it is unwritten, it is never written; otherwise the worker may be told to stop. No result follows. */
+        /** Cancels the attempt. If it is unwritten, it is never written; otherwise the worker may be ordered to stop. No result follows. */
         void cancel();
 
         /**
