--- a/gateway/src/test/java/wharfhinge/gateway/ClientListenerTest.java
+++ b/gateway/src/test/java/wharfhinge/gateway/ClientListenerTest.java
@@ -126,7 +126,7 @@
         String one = "POST /v1/call/f HTTP/1.1\nhost: x\nwh-class: safe\nwh-id: a\ncontent-length: 0\n\n";
         String all = sendRaw(one + one + "GET /v1/nowhere HTTP/1.1\nhost: x\n\n");
         assertEquals(2, all.split("wh-answer: served", -1).length - 1, all);
-        assertTrue(all.indexOf("404") > all.lastIndexOf("served"), all);
+        assertTrue(all.indexOf("HTTP/1.1 404") > all.lastIndexOf("served"), all);
     }
 
     @Test
