--- a/review/7/DrainBehindAnEarlyHead.java
+++ b/review/lib-2/DrainCase.java
@@ -1,10 +1,11 @@
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
-/** Discovery is down for five seconds, and slow as it comes back. A runner begins to drain meanwhile. */
-final class DrainBehindAnEarlyHead extends Case {
+/** A dispatcher and four runners, one of which begins to drain while discovery is down. */
+abstract class DrainCase extends Case {
     private static final int RUNNERS = 4;
     private static final int FUNCTIONS = 24;
     private static final long GRACE_MILLIS = 500;
@@ -12,21 +13,24 @@
     /** What the feed would have told counts as told no later than this after it broke off. */
     private static final long TOLD_AFTER_MILLIS = 4000;
 
-    private static final long OUTAGE_MILLIS = 5000;
-    /** From the head of the feed's answer to its first event; less than the second within which a comment comes. */
-    private static final long SLOW_MILLIS = 900;
-
-    public static void main(String[] arguments) {
-        new DrainBehindAnEarlyHead().run(arguments[0]);
-    }
-
     /** What a runner got: a call, or an order to load. */
     private record Work(String runner, String function, double at) {}
 
     private final List<Work> received = new ArrayList<>();
+    final Config config = new Config();
+    Feed feed;
+    Client client;
+    private Dispatcher dispatcher;
+    private Runner draining;
+    /** The functions whose calls the draining runner served before. */
+    private List<Integer> functions;
+
+    private double brokeOffAt;
+    private double drainedAt;
+    private int called;
 
     private final class RecordingRunner extends Runner {
-        RecordingRunner(String id) throws java.io.IOException {
+        RecordingRunner(String id) throws IOException {
             super(id, "127.0.0.1");
         }
 
@@ -49,8 +53,8 @@
         }
     }
 
-    @Override
-    boolean play() throws Exception {
+    /** Starts everything, calls each function twice, and chooses the runner that serves most functions. */
+    final void start() throws Exception {
         List<Runner> runners = new ArrayList<>();
         List<String> entries = new ArrayList<>();
         for (int i = 0; i < RUNNERS; i++) {
@@ -58,79 +62,87 @@
             runners.add(runner);
             entries.add(Feed.entry(runner.id, runner.address, "ready", 0));
         }
-        Feed feed = new Feed();
+        feed = new Feed();
         feed.tell(entries);
-        Config config = new Config();
         config.feed = feed.address();
         config.known = feed.known();
         config.drainGraceMillis = GRACE_MILLIS;
-        Dispatcher dispatcher = new Dispatcher(temporary, config.port);
+        dispatcher = new Dispatcher(temporary, config.port);
         dispatcher.writeConfig(config.json());
         dispatcher.start();
         if (!dispatcher.awaitReady()) {
             dispatcher.recordLog();
             throw new CannotRun("the dispatcher is not ready after 30 s");
         }
-        Client client = new Client(config.port);
+        client = new Client(config.port);
         for (int round = 0; round < 2; round++) {
             for (int i = 0; i < FUNCTIONS; i++) {
-                call(client, i).await(3000);
+                call(i).await(3000);
             }
         }
         Map<String, List<Integer>> functionsByRunner = new HashMap<>();
-        synchronized (received) {
-            for (int i = 0; i < FUNCTIONS; i++) {
-                String name = name(i);
-                Work last = received.stream().filter(work -> work.function().equals(name)).reduce((a, b) -> b).orElse(null);
-                if (last == null) {
-                    throw new CannotRun("a call before the disruption was not run");
-                }
-                functionsByRunner.computeIfAbsent(last.runner(), id -> new ArrayList<>()).add(i);
-            }
+        for (int i = 0; i < FUNCTIONS; i++) {
+            functionsByRunner.computeIfAbsent(lastRunner(name(i)), id -> new ArrayList<>()).add(i);
         }
-        Runner draining = runners.stream()
+        draining = runners.stream()
                 .max((a, b) -> functionsByRunner.getOrDefault(a.id, List.of()).size()
                         - functionsByRunner.getOrDefault(b.id, List.of()).size())
                 .orElseThrow();
-        List<Integer> functions = functionsByRunner.get(draining.id);
+        functions = functionsByRunner.get(draining.id);
+    }
+
+    private String lastRunner(String function) throws CannotRun {
+        synchronized (received) {
+            return received.stream()
+                    .filter(work -> work.function().equals(function))
+                    .reduce((a, b) -> b)
+                    .map(Work::runner)
+                    .orElseThrow(() -> new CannotRun("a call before the disruption was not run"));
+        }
+    }
 
-        double brokeOffAt = Record.now();
+    /** Discovery breaks off, where there is to be trouble, and a second later the chosen runner begins to drain. */
+    final void breakOffAndDrain() throws Exception {
+        brokeOffAt = Record.now();
         if (TROUBLE) {
             feed.goDown();
         }
         Thread.sleep(1000);
         draining.isDraining = true;
         feed.tell(List.of(Feed.entry(draining.id, draining.address, "draining", 0)));
-        double drainedAt = Record.now();
+        drainedAt = Record.now();
         Record.line("runner %s drains, functions called on it: %d", draining.id, functions.size());
-        Runner.sleep((long) (brokeOffAt + OUTAGE_MILLIS - Record.now()));
-        if (TROUBLE) {
-            feed.delayMillis = SLOW_MILLIS;
-            feed.comeBack();
-            feed.awaitQuestion(5000);
-        }
+    }
+
+    /** Sleeps until this long after discovery broke off. */
+    final void sleepUntil(long millis) {
+        Runner.sleep((long) Math.max(0, brokeOffAt + millis - Record.now()));
+    }
+
+    /** Calls the functions that the draining runner served, one call in each interval. */
+    final void callFor(long millis, long intervalMillis) throws Exception {
         List<Client.Call> calls = new ArrayList<>();
-        for (double end = Record.now() + 1500; Record.now() < end; Thread.sleep(50)) {
-            calls.add(call(client, functions.get(calls.size() % functions.size())));
+        for (double end = Record.now() + millis; Record.now() < end; Thread.sleep(intervalMillis)) {
+            calls.add(call(functions.get(called++ % functions.size())));
         }
         for (Client.Call call : calls) {
             call.await(3500);
         }
-        dispatcher.recordLog();
-        dispatcher.kill();
-        double toldAt = TROUBLE ? brokeOffAt + TOLD_AFTER_MILLIS : drainedAt;
-        return judge(draining, toldAt);
     }
 
     private static String name(int function) {
         return String.format("%016x", 0xabc000 + function);
     }
 
-    private static Client.Call call(Client client, int function) throws Exception {
+    private Client.Call call(int function) throws Exception {
         return client.call("save", name(function), 2500, ",tags=memory_mb:64;lanes:4;load_ms:30", "x");
     }
 
-    private boolean judge(Runner draining, double toldAt) {
+    /** Whether the draining runner got nothing after the last time that the rule allows. */
+    final boolean judge() throws Exception {
+        dispatcher.recordLog();
+        dispatcher.kill();
+        double toldAt = TROUBLE ? brokeOffAt + TOLD_AFTER_MILLIS : drainedAt;
         double lastAllowed = toldAt + GRACE_MILLIS + SLACK_MILLIS;
         List<Work> late;
         synchronized (received) {
