--- a/review/lib-2/Config.java
+++ b/review/lib-2/Config.java
@@ -1,6 +1,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** The configuration of a dispatcher of a small deployment. The fields may be changed before {@link #json}. */
 final class Config {
@@ -20,12 +21,17 @@
     long windowMillis = 5000;
     long deadlineMillis = 2500;
 
+    /** A free port outside of the range from which the kernel chooses. */
     static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
+        for (int attempt = 0; attempt < 100; attempt++) {
+            int candidate = ThreadLocalRandom.current().nextInt(20_000, 30_000);
+            try (ServerSocket socket = new ServerSocket(candidate, 1, InetAddress.getByName("127.0.0.1"))) {
+                return socket.getLocalPort();
+            } catch (IOException e) {
+                // in use
+            }
         }
+        throw new IllegalStateException("no free port");
     }
 
     String json() {
--- a/review/lib-2/Fleet.java
+++ b/review/lib-2/Fleet.java
@@ -10,19 +10,30 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.atomic.AtomicLong;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** Many runners in one thread for the listening sockets and one for each connection. Each serves every call after 20 ms. */
+/** Many runners, with one thread for the listening sockets and one for each connection. Each serves every call after 20 ms. */
 final class Fleet {
     private static final Pattern TYPE = Pattern.compile("\"type\":\"([A-Z]+)\"");
     private static final Pattern REQUEST = Pattern.compile("\"req\":\"([^\"]+)\"");
     private static final Pattern DATA = Pattern.compile("\"data\":\"([^\"]*)\"");
     private static final Pattern COUNT = Pattern.compile("\"count\":(\\d+)");
 
+    private static final long WORK_MILLIS = 20;
+
     final List<String> addresses = new ArrayList<>();
-    final AtomicLong runs = new AtomicLong();
+    private final ScheduledExecutorService work = Executors.newScheduledThreadPool(4, task -> {
+        Thread thread = new Thread(task);
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     private final Selector selector = Selector.open();
 
     Fleet(int size) throws IOException {
@@ -55,6 +66,7 @@
     }
 
     private void serve(Socket connection) {
+        connections.add(connection);
         try (connection) {
             connection.setTcpNoDelay(true);
             BufferedReader in =
@@ -63,10 +75,8 @@
                 String type = find(TYPE, line);
                 String request = find(REQUEST, line);
                 if (type.equals("CALL")) {
-                    Runner.sleep(20);
-                    runs.incrementAndGet();
-                    Record.line("runner at %s: ran %s", connection.getLocalSocketAddress(), request);
-                    Runner.answer(connection, "served", request, "{\"detail\":\"hit\"}", find(DATA, line));
+                    String data = find(DATA, line);
+                    work.schedule(() -> finish(connection, request, data), WORK_MILLIS, TimeUnit.MILLISECONDS);
                 } else if (type.equals("LOAD")) {
                     Runner.answer(connection, "served", request, "{\"count\":" + find(COUNT, line) + "}", null);
                 } else if (type.equals("PING")) {
@@ -75,6 +85,24 @@
             }
         } catch (IOException e) {
             // the connection has ended
+        } finally {
+            connections.remove(connection);
+        }
+    }
+
+    private static void finish(Socket connection, String request, String data) {
+        Record.line("runner at %s: ran %s", connection.getLocalSocketAddress(), request);
+        Runner.answer(connection, "served", request, "{\"detail\":\"hit\"}", data);
+    }
+
+    /** The process at this address ends, and another takes its place: open connections are reset. */
+    void restart(int runner) throws IOException {
+        int port = Integer.parseInt(addresses.get(runner).split(":")[1]);
+        for (Socket connection : connections) {
+            if (connection.getLocalPort() == port) {
+                connection.setSoLinger(true, 0);
+                connection.close();
+            }
         }
     }
 
--- a/review/lib-2/Runner.java
+++ b/review/lib-2/Runner.java
@@ -119,7 +119,7 @@
 
     static void sleep(long millis) {
         try {
-            Thread.sleep(millis);
+            Thread.sleep(Math.max(0, millis));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
