Review: calls of clients that have left are sent on; replaces the case without orders

Change: case 10 is that entry, shown on a process that is not stopped: 300 clients at once send a request and close, the dispatcher runs on one core.

--- a/review/lib-2/Config.java
+++ b/review/lib-2/Config.java
@@ -9,6 +9,7 @@
     String known;
     int port = freePort();
     int groupSize = 1;
+    int sockets = 256;
     long drainGraceMillis = 500;
     boolean loadControl = true;
     String notLoaded = "load";
@@ -37,7 +38,7 @@
     String json() {
         return """
             {"name":"n1","listen":"127.0.0.1:%d","seed":"8c1f30d27a5be964",
-             "limits":{"cores":0.5,"memory_mb":128,"sockets":256},
+             "limits":{"cores":0.5,"memory_mb":128,"sockets":%d},
              "feed":"%s","known":%s,
              "settings":{"callers":{"marks_retry":true},
               "classes":[{"effect":"%s","group":"%s","hard_limit_ns":%d,"late_worth":0.2,"name":"save",
@@ -63,6 +64,7 @@
             """
                 .formatted(
                         port,
+                        sockets,
                         feed,
                         known,
                         effect,
--- a/review/lib-2/Dispatcher.java
+++ b/review/lib-2/Dispatcher.java
@@ -28,8 +28,18 @@
     }
 
     void start() throws IOException {
+        start("/bin/sh", "-c", runLine());
+    }
+
+    /** Starts the process on one core, as the platform does. Needs taskset (util-linux). */
+    void startOnOneCore() throws IOException {
+        int core = Runtime.getRuntime().availableProcessors() - 1;
+        start("taskset", "-c", Integer.toString(core), "/bin/sh", "-c", runLine());
+    }
+
+    private void start(String... command) throws IOException {
         Path tmp = Files.createDirectories(temporary.resolve("tmp"));
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", runLine());
+        ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().put("PROXY_NAME", "n1");
         builder.environment().put("PROXY_LISTEN", "127.0.0.1:" + port);
         builder.environment().put("PROXY_CONFIG", config.toString());
