Review: case 6, a bad client keeps the dispatcher from serving for over a minute

Need: the case of functions larger than any of 3,200 runners (review/8) showed calls a few seconds late. More such requests do far more: the orders of preference fill the heap, and all such functions are moved through the whole fleet again as one expires. Runners of lib-2 can answer functions that they can't hold with an error.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 record=review/6/record.txt
 echo "not started" > "$record" || exit 2
-timeout -k 3 110 java -Xmx512m -Xss256k -cp app/target/review-2 ReloadOfALargeList "$record" &
+timeout -k 3 110 java -Xmx512m -Xss256k -cp app/target/review-2 HangByLargeFunctions "$record" &
 child=$!
 trap 'kill -TERM "$child" 2>/dev/null' TERM INT
 wait "$child"
--- a/review/lib-2/Fleet.java
+++ b/review/lib-2/Fleet.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -23,11 +24,15 @@
     private static final Pattern TYPE = Pattern.compile("\"type\":\"([A-Z]+)\"");
     private static final Pattern REQUEST = Pattern.compile("\"req\":\"([^\"]+)\"");
     private static final Pattern DATA = Pattern.compile("\"data\":\"([^\"]*)\"");
+    private static final Pattern FUNCTION = Pattern.compile("\"path\":\"([^\"]*)\"");
     private static final Pattern COUNT = Pattern.compile("\"count\":(\\d+)");
 
     private static final long WORK_MILLIS = 20;
 
     final List<String> addresses = new ArrayList<>();
+    /** Functions that no runner can load: calls of them and orders to load them end as 'crashed'. */
+    volatile Predicate<String> isUnusable = function -> false;
+
     private final ScheduledExecutorService work = Executors.newScheduledThreadPool(4, task -> {
         Thread thread = new Thread(task);
         thread.setDaemon(true);
@@ -74,7 +79,14 @@
             for (String line = in.readLine(); line != null; line = in.readLine()) {
                 String type = find(TYPE, line);
                 String request = find(REQUEST, line);
-                if (type.equals("CALL")) {
+                String function = find(FUNCTION, line);
+                if (isUnusable.test(function) && type.equals("CALL")) {
+                    Record.line("runner at %s: failed %s", connection.getLocalSocketAddress(), request);
+                    Runner.answer(connection, "crashed", request, "{\"detail\":\"spawn_failed\"}", null);
+                } else if (isUnusable.test(function) && type.equals("LOAD")) {
+                    String word = find(COUNT, line).equals("0") ? "served" : "crashed";
+                    Runner.answer(connection, word, request, "{\"count\":0}", null);
+                } else if (type.equals("CALL")) {
                     String data = find(DATA, line);
                     work.schedule(() -> finish(connection, request, data), WORK_MILLIS, TimeUnit.MILLISECONDS);
                 } else if (type.equals("LOAD")) {
