--- a/review/lib-2/Feed.java
+++ b/review/lib-2/Feed.java
@@ -112,6 +112,10 @@
             while (true) {
                 Socket connection = socket.accept();
                 connections.add(connection);
+                if (socket.isClosed()) { // accepted as the feed went down
+                    connection.close();
+                    return;
+                }
                 daemon(() -> serve(connection));
             }
         } catch (IOException e) {
