--- a/review/8/StallByListChanges.java
+++ b/review/8/StallByListChanges.java
@@ -3,7 +3,7 @@
 
 /** Six in ten of 3,200 runners are replaced within seven seconds, while a dispatcher serves calls of many functions. */
 final class StallByListChanges extends FleetCase {
-    private static final int FUNCTIONS = 800;
+    private static final int FUNCTIONS = 1200;
     private static final int CALLS_PER_SECOND = 60;
     private static final int REPLACED = RUNNERS * 6 / 10;
     private static final long WITHIN_MILLIS = 7000;
@@ -16,9 +16,10 @@
 
     @Override
     boolean play() throws Exception {
+        onOneCore = true;
         start();
         UsualClients clients = new UsualClients(config.port, FUNCTIONS, CALLS_PER_SECOND);
-        clients.callFor(20_000);
+        clients.callFor(30_000);
         if (TROUBLE) {
             Feed.daemon(this::replace);
         }
--- a/review/lib-2/FleetCase.java
+++ b/review/lib-2/FleetCase.java
@@ -6,6 +6,7 @@
     static final int RUNNERS = 3200;
 
     final Config config = new Config();
+    boolean onOneCore;
     Fleet fleet;
     Feed feed;
     Dispatcher dispatcher;
@@ -24,7 +25,11 @@
         config.deadlineMillis = UsualClients.DEADLINE_MILLIS;
         dispatcher = new Dispatcher(temporary, config.port);
         dispatcher.writeConfig(config.json());
-        dispatcher.start();
+        if (onOneCore) {
+            dispatcher.startOnOneCore();
+        } else {
+            dispatcher.start();
+        }
         if (!dispatcher.awaitReady()) {
             dispatcher.recordLog();
             throw new CannotRun("the dispatcher is not ready after 30 s");
