Review: case 10 runs two dispatchers of half a core each on one core

Change: two dispatchers share the core, each with the same bursts and usual clients as before. Rule and bounds are as before.

--- a/review/10/CallAfterItsClientLeft.java
+++ b/review/10/CallAfterItsClientLeft.java
@@ -1,14 +1,21 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicLong;
 
-/** Three hundred clients at once connect, send a request and close their connection. The dispatcher runs on one core. */
+/**
+ * Three hundred clients at once connect, send a request and close their connection, at each of two dispatchers. Each dispatcher may use
+ * half of a core, and both run on the same one.
+ */
 final class CallAfterItsClientLeft extends Case {
     private static final int RUNNERS = 6;
+    private static final int DISPATCHERS = 2;
     private static final int CLIENTS = 300;
     private static final int BURSTS = 20;
     private static final long PAUSE_MILLIS = 1500;
@@ -26,7 +33,7 @@
     private int runAfterLeaving;
     private int late;
     private double latest;
-    private long lastId = System.nanoTime();
+    private final AtomicLong lastId = new AtomicLong(System.nanoTime());
 
     private final class ObservingRunner extends Runner {
         ObservingRunner(String id) throws IOException {
@@ -60,25 +67,51 @@
         }
         Feed feed = new Feed();
         feed.tell(entries);
-        Config config = new Config();
-        config.feed = feed.address();
-        config.known = feed.known();
-        config.sockets = 1024;
-        Dispatcher dispatcher = new Dispatcher(temporary, config.port);
-        dispatcher.writeConfig(config.json());
-        dispatcher.startOnOneCore();
-        if (!dispatcher.awaitReady()) {
-            dispatcher.recordLog();
-            throw new CannotRun("the dispatcher is not ready after 30 s");
+        List<Dispatcher> dispatchers = new ArrayList<>();
+        for (int i = 0; i < DISPATCHERS; i++) {
+            Config config = new Config();
+            config.name = "n" + (i + 1);
+            config.feed = feed.address();
+            config.known = feed.known();
+            config.sockets = 1024;
+            config.groupSize = DISPATCHERS;
+            config.number = i;
+            Dispatcher dispatcher =
+                    new Dispatcher(Files.createDirectory(temporary.resolve(config.name)), config.port, config.name);
+            dispatcher.writeConfig(config.json());
+            dispatchers.add(dispatcher);
+        }
+        for (Dispatcher dispatcher : dispatchers) {
+            dispatcher.startOnOneCore();
+        }
+        for (Dispatcher dispatcher : dispatchers) {
+            if (!dispatcher.awaitReady()) {
+                dispatcher.recordLog();
+                throw new CannotRun("the dispatcher is not ready after 30 s");
+            }
         }
-        UsualClients usual = new UsualClients(config.port, 20, 40);
-        for (int i = 0; i < BURSTS; i++) {
-            Feed.daemon(burst(config.port));
-            usual.callFor(PAUSE_MILLIS);
+        List<UsualClients> usual = new ArrayList<>();
+        CountDownLatch ended = new CountDownLatch(DISPATCHERS);
+        for (Dispatcher dispatcher : dispatchers) {
+            UsualClients clients = new UsualClients(dispatcher.port, 20, 40);
+            usual.add(clients);
+            Feed.daemon(() -> {
+                for (int i = 0; i < BURSTS; i++) {
+                    Feed.daemon(burst(dispatcher.port));
+                    clients.callFor(PAUSE_MILLIS);
+                }
+                ended.countDown();
+            });
+        }
+        ended.await();
+        int lost = 0;
+        for (UsualClients clients : usual) {
+            lost += clients.countLost();
+        }
+        for (Dispatcher dispatcher : dispatchers) {
+            dispatcher.recordLog();
+            dispatcher.kill();
         }
-        int lost = usual.countLost();
-        dispatcher.recordLog();
-        dispatcher.kill();
         Record.result(
                 "%d clients left; %d attempts arrived after that, %d of them later than %.0f ms, the latest after %.0f ms; "
                         + "usual clients: %d calls lost",
@@ -91,7 +124,7 @@
             List<Socket> stayed = new ArrayList<>();
             try {
                 for (int i = 0; i < CLIENTS; i++) {
-                    String id = String.format("%016x", ++lastId);
+                    String id = String.format("%016x", lastId.incrementAndGet());
                     String fields = "id=" + id + ",wait=" + DEADLINE_MILLIS + ",key="
                             + String.format("%016x", i % 20 + 1) + ",tags=memory_mb:64;lanes:4";
                     Socket client = new Socket("127.0.0.1", port);
--- a/review/lib-2/Config.java
+++ b/review/lib-2/Config.java
@@ -5,10 +5,12 @@
 
 /** The configuration of a dispatcher of a small deployment. The fields may be changed before {@link #json}. */
 final class Config {
+    String name = "n1";
     String feed;
     String known;
     int port = freePort();
     int groupSize = 1;
+    int number;
     int sockets = 256;
     long drainGraceMillis = 500;
     boolean loadControl = true;
@@ -37,7 +39,7 @@
 
     String json() {
         return """
-            {"name":"n1","listen":"127.0.0.1:%d","seed":"8c1f30d27a5be964",
+            {"name":"%s","listen":"127.0.0.1:%d","seed":"8c1f30d27a5be964",
              "limits":{"cores":0.5,"memory_mb":128,"sockets":%d},
              "feed":"%s","known":%s,
              "settings":{"callers":{"marks_retry":true},
@@ -53,7 +55,7 @@
               "limits":{"cancelling":true,"conn_idle_ns":15000000000,"cpu_us_per_request":0.0,"cpu_us_per_s":100000,
                 "dial_timeout_ns":%d,"max_attempts":3,"max_open":4096,"max_retry_after_ns":2000000000,"peers":false,
                 "probes":false,"retry_after":true,"second_copies":false,"streams_per_conn":32},
-              "my_number":0,
+              "my_number":%d,
               "obligations":{"ask_within_ns":10000000000,"cold_from":0.17,"grace_to_answer_ns":16000000,
                 "overload_factor":2.0,"stop_sending_within_ns":%d,"tip_after_ns":1000000000,"warm_after_ns":16000000000},
               "over_share_worth":0.1,
@@ -63,6 +65,7 @@
               "zone":"z","zones":["z"]}}
             """
                 .formatted(
+                        name,
                         port,
                         sockets,
                         feed,
@@ -78,6 +81,7 @@
                         notLoaded,
                         groupSize,
                         dialTimeoutMillis * 1_000_000,
+                        number,
                         drainGraceMillis * 1_000_000);
     }
 }
--- a/review/lib-2/Dispatcher.java
+++ b/review/lib-2/Dispatcher.java
@@ -9,11 +9,18 @@
 final class Dispatcher {
     final Path config;
     final int port;
+    private final String name;
     private final Path log;
     private final Path temporary;
     private Process process;
 
     Dispatcher(Path temporary, int port) {
+        this(temporary, port, "n1");
+    }
+
+    /** Each dispatcher has a folder of its own. */
+    Dispatcher(Path temporary, int port, String name) {
+        this.name = name;
         this.temporary = temporary;
         this.config = temporary.resolve("config.json");
         this.log = temporary.resolve("dispatcher.log");
@@ -40,7 +47,7 @@
     private void start(String... command) throws IOException {
         Path tmp = Files.createDirectories(temporary.resolve("tmp"));
         ProcessBuilder builder = new ProcessBuilder(command);
-        builder.environment().put("PROXY_NAME", "n1");
+        builder.environment().put("PROXY_NAME", name);
         builder.environment().put("PROXY_LISTEN", "127.0.0.1:" + port);
         builder.environment().put("PROXY_CONFIG", config.toString());
         builder.environment().put("TMPDIR", tmp.toString());
