--- a/gateway/src/main/java/wharfhinge/gateway/front/ClientListener.java
+++ b/gateway/src/main/java/wharfhinge/gateway/front/ClientListener.java
@@ -8,8 +8,6 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.ServerChannel;
-import io.netty.channel.epoll.EpollChannelOption;
-import io.netty.channel.epoll.EpollServerSocketChannel;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -76,8 +74,8 @@
                         initConnection(channel);
                     }
                 });
-        if (config.clients().reusePort() && EpollServerSocketChannel.class.isAssignableFrom(type)) {
-            bootstrap.option(EpollChannelOption.SO_REUSEPORT, true); // shared with the process that is being replaced
+        if (config.clients().reusePort()) {
+            bootstrap.option(PortSharing.option(type), true);
         }
         serverChannel = PortBinding.bindWithin(
                 config.clients().reusePort() ? config.clients().shutdownTimeoutNanos() + BIND_TIMEOUT_MARGIN_NANOS : 0,
--- a/gateway/src/main/java/wharfhinge/gateway/grpc/GrpcListener.java
+++ b/gateway/src/main/java/wharfhinge/gateway/grpc/GrpcListener.java
@@ -6,14 +6,13 @@
 import io.grpc.protobuf.services.ProtoReflectionServiceV1;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.ServerChannel;
-import io.netty.channel.epoll.EpollChannelOption;
-import io.netty.channel.epoll.EpollServerSocketChannel;
 import io.netty.handler.ssl.SslContext;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import wharfhinge.config.GatewayConfig;
 import wharfhinge.gateway.front.CallIngress;
+import wharfhinge.gateway.front.PortSharing;
 
 /** The gRPC server: the gateway service, the standard health service, and, if enabled, server reflection. */
 public final class GrpcListener {
@@ -45,8 +44,8 @@
                 .addService(new GatewayService(ingress))
                 .addService(health.getHealthService());
         builder.intercept(new CredentialsInterceptor());
-        if (config.clients().reusePort() && EpollServerSocketChannel.class.isAssignableFrom(type)) {
-            builder.withOption(EpollChannelOption.SO_REUSEPORT, true);
+        if (config.clients().reusePort()) {
+            builder.withOption(PortSharing.option(type), true);
         }
         if (sslContext != null) {
             builder.sslContext(sslContext);
