A function larger than every worker is assigned nowhere, without asking the workers

Cause: FunctionAssignment tried such a function on each worker in turn, sorting the fleet again each time the order had to be longer, kept the order of 3,200 workers for each such function, and did all of it again whenever one function expired.

Change: the largest memory in the list tells that a function fits nowhere. Decisions on all other functions stay as they were; a function that fits nowhere displaces none any more, which it did before where a worker had a function that suited it less.

--- a/policy/src/main/java/wharfhinge/policy/FunctionAssignment.java
+++ b/policy/src/main/java/wharfhinge/policy/FunctionAssignment.java
@@ -14,7 +14,8 @@
  * the assigned worker. It guards against copies of hot functions that evict the only copies of cold ones, after which
  * every request loads and the fleet does not recover. Dispatchers that know similar sets of functions derive similar
  * assignments, since the result does not depend on the order in which functions arrived. It may hurt where a further
- * copy of a hot function is worth more than the only copy of a cold one.
+ * copy of a hot function is worth more than the only copy of a cold one. A function larger than the memory of every
+ * worker is assigned nowhere.
  */
 final class FunctionAssignment {
     private static final double UNBOUNDED = Double.MAX_VALUE;
@@ -25,6 +26,9 @@
     private final FunctionCacheIndex cache;
     private final FunctionTraffic traffic;
 
+    /** Configured memory of the largest active worker. */
+    private double largestMemoryMb;
+
     FunctionAssignment(
             DispatcherContext context,
             WorkerRegistry registry,
@@ -58,10 +62,18 @@
     /** Refreshes the active workers, and all assignments if the endpoint list changed. */
     void refresh() {
         if (registry.refreshActive()) {
+            updateLargestMemory();
             reassign(stats -> true);
         }
     }
 
+    private void updateLargestMemory() {
+        largestMemoryMb = 0;
+        for (WorkerState worker : registry.active()) {
+            largestMemoryMb = Math.max(largestMemoryMb, memoryMb(worker));
+        }
+    }
+
     /**
      * Removes functions that are no longer requested, and reassigns those that had to move past their first preference.
      */
@@ -95,6 +107,11 @@
         return stats != null ? stats.assignedWorker : null;
     }
 
+    /** Whether the memory of any active worker holds a function of this size. */
+    boolean fitsAnywhere(double memoryMb) {
+        return memoryMb <= largestMemoryMb;
+    }
+
     /**
      * Whether the worker has {@code memoryMb} of memory in addition to what the functions assigned to it and those cached
      * on it need.
@@ -134,7 +151,7 @@
      */
     private void assign(FunctionStats first) {
         first.preferenceIndex = 0;
-        FunctionStats unplaced = first;
+        FunctionStats unplaced = fitsAnywhere(first.memoryMb) ? first : null;
         while (unplaced != null && unplaced.preferenceIndex < registry.active().size()) {
             WorkerState worker = preferredWorker(unplaced);
             unplaced.assignedWorker = worker;
--- a/policy/src/main/java/wharfhinge/policy/WorkerRanker.java
+++ b/policy/src/main/java/wharfhinge/policy/WorkerRanker.java
@@ -129,6 +129,9 @@
         if (assigned != null && lacksCopy(assigned, function)) {
             return assigned;
         }
+        if (!assignment.fitsAnywhere(state.request.memoryMb())) {
+            return null;
+        }
         return preferred.first(
                 function,
                 state.functionHash,
