A change of the list assigns anew only the functions that it concerns

Cause: each change discarded all orders of preference and assigned all functions anew at the next call, functions times workers hashes on the thread that holds the deadlines; orders of preference had no bound.

Change: heads of orders are kept and updated; the functions that a change concerns are assigned anew, in the former order; the work of one event and the length of the orders have bounds. `measure decisions` has rows for single events.

--- a/app/src/main/java/wharfhinge/app/measure/DecisionCostCommand.java
+++ b/app/src/main/java/wharfhinge/app/measure/DecisionCostCommand.java
@@ -61,7 +61,7 @@
                         + "workers and group sizes of 1 and 100 dispatchers: microseconds and allocated bytes per call after warm-up, on "
                         + "one thread in simulated time.")
 final class DecisionCostCommand implements Callable<Integer> {
-    private static final Pattern ROW = Pattern.compile("\\| (\\d+ \\| \\d+ \\|)( [0-9.]+ \\| \\d+ \\|)");
+    private static final Pattern ROW = Pattern.compile("\\| (\\d+ \\| [\\w ]+ \\|)( [0-9.]+ \\| [0-9.]+ \\|)");
     private static final long MS = 1_000_000L;
     private static final int MAX_RECORDED_ACTIONS = 100_000; // by one event
     private static final int WARM_UP_CALLS_PER_WORKER = 40; // enough that most functions are loaded on some worker
@@ -94,6 +94,15 @@
             description = "Group sizes in dispatchers, separated by commas. Default ${DEFAULT-VALUE}.")
     private int[] groups;
 
+    @Option(
+            names = "--list-workers",
+            split = ",",
+            defaultValue = "100,800,3200",
+            description =
+                    "Fleet sizes in workers for single events: a call of a known function, a call of a new one, a change of the list, an "
+                            + "expired function. Default ${DEFAULT-VALUE}.")
+    private int[] listFleets;
+
     @Override
     public Integer call() throws Exception {
         Map<String, String> earlier = earlierJar == null ? Map.of() : earlierRows(earlierJar);
@@ -115,6 +124,7 @@
                         + String.format(Locale.ROOT, " %.1f | %d |", cost[0] / 1000.0 / calls, cost[1] / calls));
             }
         }
+        ListChangeCost.print(settings(1), listFleets, earlier);
         return Program.OK;
     }
 
@@ -129,7 +139,8 @@
                         "decisions",
                         "--calls=" + calls,
                         "--workers=" + joined(fleets),
-                        "--groups=" + joined(groups))
+                        "--groups=" + joined(groups),
+                        "--list-workers=" + joined(listFleets))
                 .redirectError(ProcessBuilder.Redirect.INHERIT)
                 .start();
         Map<String, String> rows = new HashMap<>();
--- a/policy/src/main/java/wharfhinge/policy/CacheAwareDispatcher.java
+++ b/policy/src/main/java/wharfhinge/policy/CacheAwareDispatcher.java
@@ -286,7 +286,6 @@
     private void update(Endpoint endpoint) {
         WorkerState previous = registry.find(endpoint.id());
         WorkerState current = registry.update(endpoint);
-        preferred.invalidate();
         if (previous != null && (previous != current || !current.up)) {
             remove(previous);
         }
@@ -295,7 +294,6 @@
     /** Marks the worker as down, so that it gets no more requests, and drops its cache entries. */
     private void remove(WorkerState worker) {
         registry.markDown(worker);
-        preferred.invalidate();
         List.copyOf(worker.cachedFunctions.values()).forEach(router::drop);
     }
 
--- a/policy/src/main/java/wharfhinge/policy/FunctionStats.java
+++ b/policy/src/main/java/wharfhinge/policy/FunctionStats.java
@@ -1,5 +1,6 @@
 package wharfhinge.policy;
 
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Set;
 
@@ -12,6 +13,11 @@
     /** Time window of the request counts that give a function's share of all requests. */
     static final long SHARE_WINDOW_NANOS = 15_000 * DispatcherContext.NANOS_PER_MILLI;
 
+    /** Orders the functions assigned to one worker by {@link #suitability}. */
+    static final Comparator<FunctionStats> LEAST_SUITED_FIRST = Comparator.comparingDouble(
+                    (FunctionStats stats) -> stats.suitability)
+            .thenComparing(stats -> stats.function);
+
     final String function;
     final long hash;
     final double memoryMb;
@@ -19,9 +25,15 @@
     /** The first of the function's preferred workers that has memory for it; null while there is none. */
     WorkerState assignedWorker;
 
-    /** Index of {@link #assignedWorker} among the function's preferred workers. */
+    /** Index, among the function's preferred workers, of {@link #assignedWorker} or of the one to be tried next. */
     int preferenceIndex;
 
+    /** The most preferred worker when the function was last assigned; null if the function fitted on none. */
+    WorkerState firstPreference;
+
+    /** The {@link PreferredWorkers#uniform} value of {@link #assignedWorker}; changes only while that is null. */
+    double suitability;
+
     /** When a preferred worker last reported that it has no copy. */
     long reportedAbsentAt = Long.MIN_VALUE / 2;
 
--- a/policy/src/main/java/wharfhinge/policy/ResidencyQueries.java
+++ b/policy/src/main/java/wharfhinge/policy/ResidencyQueries.java
@@ -14,6 +14,9 @@
 final class ResidencyQueries {
     private static final int MAX_WORKERS_QUERIED = 5;
 
+    /** The most preferred workers among which those to be queried are chosen; some may not be eligible. */
+    private static final int MAX_WORKERS_CONSIDERED = 2 * MAX_WORKERS_QUERIED;
+
     /** How long after an answer that a worker has no copy no further queries for the function are sent. */
     private static final long ABSENCE_VALID_NANOS = FunctionCacheIndex.DEFAULT_LOAD_NANOS;
 
@@ -71,7 +74,9 @@
     void send(RequestState state) {
         state.queried = replies.add(state);
         String function = state.function();
-        for (WorkerState worker : preferred.head(function, state.functionHash, MAX_WORKERS_QUERIED)) {
+        WorkerState[] considered = preferred.head(function, state.functionHash, MAX_WORKERS_CONSIDERED);
+        for (int i = 0; i < Math.min(MAX_WORKERS_CONSIDERED, considered.length); i++) {
+            WorkerState worker = considered[i];
             if (eligibility.isEligible(worker)
                     && state.awaitedWorkers.size() < MAX_WORKERS_QUERIED
                     && state.awaitedWorkers.add(worker)) {
--- a/policy/src/main/java/wharfhinge/policy/WorkerRegistry.java
+++ b/policy/src/main/java/wharfhinge/policy/WorkerRegistry.java
@@ -9,6 +9,14 @@
 
 /** The workers of the endpoint list: which of them are up, and which of those need further checks before a send. */
 final class WorkerRegistry {
+    /**
+     * How {@link #active} differs from the list of the last call that returned a change.
+     *
+     * @param removed workers that are no longer active, or whose weight or kind changed
+     * @param added   workers that are active now, or whose weight or kind changed
+     */
+    record ActiveChange(List<WorkerState> removed, List<WorkerState> added) {}
+
     private final DispatcherContext context;
     private final double initialConcurrencyLimit;
     private final long slowStartNanos;
@@ -100,11 +108,14 @@
 
     /** Recalculates the number and capacity of the workers that are up, after a whole update has been applied. */
     void recount() {
-        upCount = (int) byId.values().stream().filter(worker -> worker.up).count();
-        upCapacity = byId.values().stream()
-                .filter(worker -> worker.up)
-                .mapToDouble(WorkerState::capacity)
-                .sum();
+        upCount = 0;
+        upCapacity = 0;
+        for (WorkerState worker : byId.values()) {
+            if (worker.up) {
+                upCount++;
+                upCapacity += worker.capacity();
+            }
+        }
     }
 
     /**
@@ -117,13 +128,15 @@
 
     /**
      * Recalculates {@link #active} and {@link #restricted} if, since the last recalculation, the endpoint list changed
-     * or a worker was ejected, restored, suspected of a restart or has warmed up. Returns whether the endpoint list
-     * changed since the last recalculation.
+     * or a worker was ejected, restored, suspected of a restart or has warmed up. Returns the change if the endpoint list
+     * was updated since the last recalculation, even if no worker is affected, and null otherwise.
      */
-    boolean refreshActive() {
+    ActiveChange refreshActive() {
         if (context.now < activeValidUntil) {
-            return false;
+            return null;
         }
+        ActiveChange change = endpointsChanged ? takeChange() : null;
+        endpointsChanged = false;
         activeValidUntil = Long.MAX_VALUE;
         active.clear();
         restricted.clear();
@@ -132,9 +145,25 @@
                 addActive(worker);
             }
         }
-        boolean changed = endpointsChanged;
-        endpointsChanged = false;
-        return changed;
+        return change;
+    }
+
+    private ActiveChange takeChange() {
+        List<WorkerState> removed = new ArrayList<>();
+        List<WorkerState> added = new ArrayList<>();
+        for (WorkerState worker : active) {
+            if (!worker.up || worker.differsFromActiveEndpoint()) {
+                removed.add(worker);
+            }
+        }
+        for (WorkerState worker : byId.values()) {
+            if (worker.up && worker.differsFromActiveEndpoint()) {
+                added.add(worker);
+            }
+        }
+        removed.forEach(worker -> worker.activeEndpoint = null);
+        added.forEach(worker -> worker.activeEndpoint = worker.endpoint);
+        return new ActiveChange(removed, added);
     }
 
     private void addActive(WorkerState worker) {
--- a/policy/src/main/java/wharfhinge/policy/WorkerState.java
+++ b/policy/src/main/java/wharfhinge/policy/WorkerState.java
@@ -2,9 +2,9 @@
 
 import java.util.Comparator;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.Map;
-import java.util.Set;
+import java.util.Objects;
+import java.util.TreeSet;
 
 /**
  * One incarnation of a worker: a worker that restarts under its name gets a new instance. Holds state only; a comment
@@ -32,6 +32,9 @@
     Endpoint endpoint;
     boolean up;
 
+    /** The endpoint when the active workers last changed; null if the worker was not active then. */
+    Endpoint activeEndpoint;
+
     // EndpointLeases
     long leaseRenewedAt = NEVER;
     long leaseRevokedAt = NEVER;
@@ -46,14 +49,15 @@
     // FunctionCacheIndex
     final Map<String, CachedFunction> cachedFunctions = new LinkedHashMap<>();
 
-    // FunctionAssignment
-    final Set<FunctionStats> assignedFunctions = new LinkedHashSet<>();
+    // FunctionAssignment; the least suited function is the first
+    final TreeSet<FunctionStats> assignedFunctions = new TreeSet<>(FunctionStats.LEAST_SUITED_FIRST);
     double assignedMemoryMb;
 
     // EligibilityFilter, WorkerRanker, PreferredWorkers: valid for one selection or ranking, identified by its number
     long excludedInGeneration;
     long preferredInRanking;
     double preferenceScore;
+    boolean inPreferenceOrders;
 
     // AttemptTracker
     int inFlight;
@@ -106,6 +110,13 @@
         return endpoint.weight() > 0 ? endpoint.weight() : 1;
     }
 
+    /** Whether the worker was not active when the active workers last changed, or had another weight or kind. */
+    boolean differsFromActiveEndpoint() {
+        return activeEndpoint == null
+                || activeEndpoint.weight() != endpoint.weight()
+                || !Objects.equals(activeEndpoint.kind(), endpoint.kind());
+    }
+
     /** Whether the worker started so recently that its share of the traffic is still ramped up. */
     boolean isWarmingUp(long now, long slowStartNanos) {
         return startedAt() > 0 && now - startedAt() < slowStartNanos;
--- a/policy/src/test/java/wharfhinge/policy/FakeDispatcherHost.java
+++ b/policy/src/test/java/wharfhinge/policy/FakeDispatcherHost.java
@@ -119,6 +119,11 @@
 
     /** Settings where functions are loaded by order only and each worker has this much memory. */
     static DispatcherSettings withMemory(double megabytes, int groupSize) {
+        return withKinds(List.of("k"), List.of(megabytes), groupSize);
+    }
+
+    /** Settings where functions are loaded by order only and workers have the memory of their kind. */
+    static DispatcherSettings withKinds(List<String> kinds, List<Double> megabytesByKind, int groupSize) {
         DispatcherSettings base = settings(Effect.IDEMPOTENT, OnMissBehavior.MISS, false);
         FunctionLoading loading = base.functionLoading();
         return new DispatcherSettings(
@@ -127,7 +132,7 @@
                 base.tickNanos(),
                 base.zone(),
                 base.zones(),
-                base.kinds(),
+                kinds,
                 base.discovery(),
                 base.weightReporting(),
                 base.priorityUnit(),
@@ -143,7 +148,7 @@
                         0,
                         0,
                         0,
-                        List.of(megabytes),
+                        megabytesByKind,
                         "",
                         "",
                         false,
