Endpoint updates that wait for the engine are merged

A burst of events of the feed stands ahead of calls in the engine's queue, each as a task that counts all workers and routes all queued calls again.

Change: an incremental update is merged into the one that waits before it, with the latest entry of each worker and at most 256 workers in a task. A full update, or a rejected one, stays as it is. The count of updates on the status page is that of the updates delivered.

The time of a call behind a burst was not measured.

--- a/engine/src/main/java/wharfhinge/engine/DispatchEngine.java
+++ b/engine/src/main/java/wharfhinge/engine/DispatchEngine.java
@@ -23,8 +23,9 @@
  * runs backwards.
  *
  * <p>Memory is bounded: submitted calls wait in a queue of fixed capacity, and the number of pending calls is limited. A call
- * beyond either limit is rejected before it is accepted. Every other event completes work that a pending call, a probe or a load
- * order started. Such events are bounded by the work in progress and are never rejected, since losing one would lose a call.
+ * beyond either limit is rejected before it is accepted. Endpoint updates that wait are merged. Every other event completes work that a pending call, a
+ * probe or a load order started. Such events are bounded by the work in progress and are never rejected, since losing one would lose a
+ * call.
  *
  * <p>If the dispatcher throws, each pending call gets its final answer (rejected if no attempt was sent, otherwise failed), its
  * attempts are cancelled unless their answer is already being streamed, and a new incarnation of the dispatcher starts from the
@@ -90,6 +91,7 @@
     private final FunctionTable functions = new FunctionTable();
     private final EndpointList endpoints = new EndpointList();
     private final ChainExecutor chains;
+    private final EndpointUpdateQueue endpointUpdates = new EndpointUpdateQueue();
     private final EndpointStatus endpointStatus = new EndpointStatus();
     private Dispatcher dispatcher;
     private int incarnation;
@@ -167,7 +169,10 @@
 
     /** Delivers an update of the endpoint list. */
     public void onEndpointUpdate(EndpointUpdate update) {
-        eventLoop.execute("endpoint-update", () -> applyEndpointUpdate(update));
+        metrics.increment(Counter.ENDPOINT_UPDATES);
+        if (endpointUpdates.add(update)) {
+            eventLoop.execute("endpoint-update", () -> applyEndpointUpdate(endpointUpdates.take()));
+        }
     }
 
     /** The listener to which the endpoint source reports whether the endpoint list is confirmed. */
@@ -323,7 +328,6 @@
     }
 
     private void applyEndpointUpdate(EndpointUpdate update) {
-        metrics.increment(Counter.ENDPOINT_UPDATES);
         if (update.mode() == EndpointUpdateMode.REJECTED) {
             dispatcher.onEndpointUpdate(eventLoop.now(), EndpointUpdateMode.REJECTED, update.revision(), List.of());
             return;
