The client's connection is read before its call is decided on and before it is written

Cause: a poll for input made one read, that of the call; the end of the stream behind it was read at the next poll, after other connections, and the attempt was written in between. The check before the write measured the time since the last poll, which says nothing of a connection that waited to be accepted or of what follows a short read.

--- a/engine/src/main/java/wharfhinge/engine/ClientCall.java
+++ b/engine/src/main/java/wharfhinge/engine/ClientCall.java
@@ -34,4 +34,12 @@
             ResponseSink responseSink) {
         this(head, requestClass, deadlineNanos, receivedAt, body, contentType, responseSink, new AtomicBoolean());
     }
+
+    /** Whether the client has cancelled or disconnected, also if that was not read so far. To be called on I/O threads. */
+    boolean checkClientCancelled() {
+        if (!clientCancelled.get()) {
+            responseSink.readClientInput();
+        }
+        return clientCancelled.get();
+    }
 }
--- a/engine/src/main/java/wharfhinge/engine/EngineActions.java
+++ b/engine/src/main/java/wharfhinge/engine/EngineActions.java
@@ -126,7 +126,7 @@
                 clientCall.contentType(),
                 streamingClasses.contains(clientCall.requestClass()),
                 head.idempotencyKey(),
-                clientCall.clientCancelled()::get,
+                clientCall::checkClientCancelled,
                 writeCondition(attempt.worker, SendCondition.Purpose.WORK));
     }
 
--- a/engine/src/main/java/wharfhinge/engine/ResponseSink.java
+++ b/engine/src/main/java/wharfhinge/engine/ResponseSink.java
@@ -25,4 +25,11 @@
 
     /** Starts a streamed answer. {@code stream} delivers its parts directly, bypassing the engine. */
     void startStream(WorkerTransport.ResponseStream stream, ResponseMetadata metadata);
+
+    /**
+     * Reads what the client has sent and has not been read yet, so that a cancellation or a disconnect in it is reported to the engine before
+     * this returns. Unlike the other methods it is called on I/O threads, before an attempt is written; on any thread but the client's
+     * own it does nothing, as by default.
+     */
+    default void readClientInput() {}
 }
--- a/engine/src/main/java/wharfhinge/engine/WorkerTransport.java
+++ b/engine/src/main/java/wharfhinge/engine/WorkerTransport.java
@@ -42,7 +42,8 @@
      * @param deadlineAt      {@link System#nanoTime} at which the engine stops waiting. The worker is sent the time that remains when
      *                        the attempt is written, not when it is requested
      * @param idempotencyKey  the client's key, passed on unchanged; null if there is none
-     * @param clientCancelled whether the client has cancelled or disconnected; read on I/O threads before a byte is written
+     * @param clientCancelled whether the client has cancelled or disconnected, also if that was not read so far; asked on I/O threads when
+     *                        the transport receives the attempt and before a byte of it is written
      * @param condition       the condition under which the attempt may be written
      */
     record AttemptRequest(
