Gateway: a request is submitted once all that its client has sent was read

Cause: a call was submitted while its connection was still being read; the engine and the thread of the worker's connection were ahead of the end of the stream. With NIO, a short read left it to the next poll.

Change: the listener reads on after a short read; calls and chains are submitted in a task behind the read, and discarded if the connection or the stream is closed by then.

Open: retries and queued calls are written by another thread than their client's, whose delay nothing measures; gRPC as before.

--- a/gateway/src/main/java/wharfhinge/gateway/front/ClientListener.java
+++ b/gateway/src/main/java/wharfhinge/gateway/front/ClientListener.java
@@ -1,12 +1,14 @@
 package wharfhinge.gateway.front;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
@@ -36,6 +38,7 @@
     /** Connections that wait to be accepted, at most. */
     public static final int MAX_BACKLOG = 1024;
 
+    private static final int READS_PER_POLL = 16;
     private static final int MAX_REQUEST_LINE_BYTES = 4096;
     private static final int MAX_CONCURRENT_STREAMS = 1000;
     private static final int MAX_READS_BEFORE_CLOSE = 16;
@@ -68,6 +71,7 @@
                 .option(ChannelOption.SO_BACKLOG, MAX_BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, readUntilEmpty())
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -84,6 +88,11 @@
         return (InetSocketAddress) serverChannel.localAddress();
     }
 
+    /** Reads on after a short read: the end of the stream, which shows that the client has left, may follow. */
+    private static RecvByteBufAllocator readUntilEmpty() {
+        return new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(READS_PER_POLL);
+    }
+
     /** Returns the number of open connections. */
     public int connections() {
         return connections.get();
--- a/gateway/src/main/java/wharfhinge/gateway/front/HttpCallHandler.java
+++ b/gateway/src/main/java/wharfhinge/gateway/front/HttpCallHandler.java
@@ -134,11 +134,31 @@
                 request.content(),
                 request.headers().get(HttpHeaderNames.CONTENT_TYPE),
                 responseWriter);
-        DispatchEngine.SubmissionResult submission = ingress.engine().submit(callInFlight);
-        if (submission.status() != DispatchEngine.SubmissionStatus.ACCEPTED) {
-            request.release();
-            reject(responseWriter, submission);
-        }
+        ClientCall call = callInFlight;
+        afterRead(ctx, request::release, () -> {
+            DispatchEngine.SubmissionResult submission = ingress.engine().submit(call);
+            if (submission.status() != DispatchEngine.SubmissionStatus.ACCEPTED) {
+                request.release();
+                reject(responseWriter, submission);
+            }
+        });
+    }
+
+    /**
+     * Submits a request once all that its client has sent was read, or discards it if the client has left by then: the end of the connection may
+     * have been received together with the request.
+     */
+    private void afterRead(ChannelHandlerContext ctx, Runnable discard, Runnable submit) {
+        Channel connection = http2 ? ctx.channel().parent() : ctx.channel();
+        ctx.executor().execute(() -> {
+            if (connection.isOpen() && ctx.channel().isOpen()) {
+                submit.run();
+            } else {
+                callInFlight = null;
+                chainInFlight = null;
+                discard.run();
+            }
+        });
     }
 
     private CallAuthenticator.Authentication authenticate(
@@ -182,10 +202,12 @@
         }
         chain[0] = chain[0].withTenant(authenticated.tenant());
         chainInFlight = chain[0];
-        DispatchEngine.SubmissionResult submission = ingress.engine().submit(chainInFlight);
-        if (submission.status() != DispatchEngine.SubmissionStatus.ACCEPTED) {
-            reject(responseWriter, submission);
-        }
+        afterRead(ctx, () -> {}, () -> {
+            DispatchEngine.SubmissionResult submission = ingress.engine().submit(chain[0]);
+            if (submission.status() != DispatchEngine.SubmissionStatus.ACCEPTED) {
+                reject(responseWriter, submission);
+            }
+        });
     }
 
     private void reject(ResponseSink responseWriter, DispatchEngine.SubmissionResult submission) {
