--- a/app/src/main/java/wharfhinge/app/measure/DecisionCostCommand.java
+++ b/app/src/main/java/wharfhinge/app/measure/DecisionCostCommand.java
@@ -33,7 +33,6 @@
 import wharfhinge.policy.Discovery;
 import wharfhinge.policy.DispatchLimits;
 import wharfhinge.policy.Dispatcher;
-import wharfhinge.policy.DispatcherActions;
 import wharfhinge.policy.DispatcherSettings;
 import wharfhinge.policy.Effect;
 import wharfhinge.policy.Endpoint;
@@ -203,7 +202,7 @@
     private record ScheduledEvent(long at, long sequence, Runnable action) {}
 
     /** Simulated workers that respond after 20 ms; calls come at half a call in flight per worker, for functions of skewed popularity. */
-    private static final class SimulatedFleet implements DispatcherActions {
+    private static final class SimulatedFleet extends IgnoringActions {
         private final ThreadMXBean threadBean = (ThreadMXBean) ManagementFactory.getThreadMXBean();
         private final long threadId = Thread.currentThread().getId();
         private final PriorityQueue<ScheduledEvent> queue = new PriorityQueue<>(
@@ -309,35 +308,5 @@
         public void scheduleTimer(String token, long delayNanos) {
             recordAction(RecordedAction.Kind.TIMER, token, null, delayNanos);
         }
-
-        @Override
-        public void cancelAttempt(String request, int attempt) {}
-
-        @Override
-        public void reject(String request, long coolDownNanos) {}
-
-        @Override
-        public void fail(String request) {}
-
-        @Override
-        public void ensureLoaded(String worker, String function, int count) {}
-
-        @Override
-        public void unload(String worker, String function) {}
-
-        @Override
-        public void sendToPeers(int peer, byte[] payload) {}
-
-        @Override
-        public void watchEndpoints(boolean on) {}
-
-        @Override
-        public void refreshEndpoints() {}
-
-        @Override
-        public void closeIdleConnections(String worker) {}
-
-        @Override
-        public void logDiagnostic(String text) {}
     }
 }
--- a/app/src/main/java/wharfhinge/app/measure/ListChangeCost.java
+++ b/app/src/main/java/wharfhinge/app/measure/ListChangeCost.java
@@ -7,7 +7,6 @@
 import wharfhinge.policy.Availability;
 import wharfhinge.policy.CacheAwareDispatcher;
 import wharfhinge.policy.Dispatcher;
-import wharfhinge.policy.DispatcherActions;
 import wharfhinge.policy.DispatcherSettings;
 import wharfhinge.policy.Endpoint;
 import wharfhinge.policy.EndpointUpdateMode;
@@ -18,7 +17,7 @@
  * function, a change of the endpoint list together with the call that follows it, and the expiry of one function. Simulated time; the
  * calls are cancelled at once.
  */
-final class ListChangeCost implements DispatcherActions {
+final class ListChangeCost extends IgnoringActions {
     /** The number of functions that a dispatcher keeps at most. */
     private static final int FUNCTIONS = 2048;
 
@@ -164,40 +163,4 @@
             expiryToken = token;
         }
     }
-
-    @Override
-    public void sendAttempt(String request, String worker, long timeoutNanos) {}
-
-    @Override
-    public void probe(String worker) {}
-
-    @Override
-    public void cancelAttempt(String request, int attempt) {}
-
-    @Override
-    public void reject(String request, long retryAfterNanos) {}
-
-    @Override
-    public void fail(String request) {}
-
-    @Override
-    public void ensureLoaded(String worker, String function, int count) {}
-
-    @Override
-    public void unload(String worker, String function) {}
-
-    @Override
-    public void sendToPeers(int peer, byte[] payload) {}
-
-    @Override
-    public void watchEndpoints(boolean on) {}
-
-    @Override
-    public void refreshEndpoints() {}
-
-    @Override
-    public void closeIdleConnections(String worker) {}
-
-    @Override
-    public void logDiagnostic(String text) {}
 }
